--- /dev/null
+++ b/modules/cuminferry_fleet/platform/published_values.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry {
+
+/** One line of the published index: a service's shard and instance list. */
+struct published_shard {
+  std::string service;
+  std::uint64_t version = 0;
+  /** Digest of the shard's canonical JSON. */
+  std::uint64_t digest = 0;
+};
+
+/** The published index, key "cuminferry/index". */
+struct published_index {
+  /** The version of the whole table; only goes up. */
+  std::uint64_t version = 0;
+  /** Nodes in the fleet; poll periods follow it. */
+  std::uint32_t fleet_size = 0;
+  std::vector<published_shard> shards;
+
+  std::string ToJson() const;
+  static absl::StatusOr<published_index> Parse(std::string_view json);
+};
+
+/** One instance in the list of a service. */
+struct published_instance {
+  std::string instance;
+  std::string failure_domain;
+  std::string region;
+  endpoint peer;
+  std::uint32_t target_slot = 0;
+  /** The platform means to stop it. */
+  bool leaving = false;
+};
+
+/** The instances of one service, key "cuminferry/instances/<service>". Lags. */
+struct published_instances {
+  std::string service;
+  std::uint64_t version = 0;
+  std::vector<published_instance> instances;
+
+  std::string ToJson() const;
+  static absl::StatusOr<published_instances> Parse(std::string_view json);
+};
+
+/** Keys under which the platform publishes. */
+inline constexpr char kIndexKey[] = "cuminferry/index";
+inline constexpr char kShardKeyPrefix[] = "cuminferry/shard/";
+inline constexpr char kInstancesKeyPrefix[] = "cuminferry/instances/";
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_node/cuminferry_node.h
@@ -0,0 +1,12 @@
+/** @file
+    cuminferry_node: the process beside a backend server, as a library. Binds
+    the decisions of policy and fleet to sockets, threads and clocks.
+
+    - fleet/   table versions and members: the platform, UDP, peers
+    - runtime/ calls in, calls out, the backend server, draining
+
+    May use all modules but cuminferry_caller.
+*/
+#pragma once
+
+#include "cuminferry_node/fleet/fleet_runtime.h"
--- /dev/null
+++ b/modules/cuminferry_policy/claims/claim_book.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry {
+
+/** What the home instance of a ticket knows of it. Numbers are sent between
+    nodes and never change. */
+enum class claim_state : std::uint8_t {
+  kNeverSeen = 0,        ///< accepted if it came now
+  kWaiting = 1,          ///< accepted, not yet handed to the backend server
+  kRunning = 2,          ///< handed over; it runs or ran
+  kCompleted = 3,        ///< it ran; the answer is kept
+  kAnswerForgotten = 4,  ///< it ran and completed; the answer is no longer kept
+  kTombstone = 5,        ///< it did not run and never will
+  kBrokenOff = 6,        ///< it was handed over and ended without an answer
+  kRefused = 7,          ///< not of this incarnation, or its window has passed
+};
+
+/** The part of a ticket that its home checks and remembers. */
+struct claim_id {
+  incarnation_id incarnation = 0;
+  std::uint32_t window = 0;
+  std::uint64_t nonce_high = 0;
+  std::uint64_t nonce_low = 0;
+
+  auto operator<=>(const claim_id&) const = default;
+};
+
+/** A claim's state, and what goes with it. */
+struct claim_report {
+  claim_state state = claim_state::kNeverSeen;
+  result_code code = result_code::kOk;
+  /** The encoded answer; only with kCompleted. */
+  std::string answer;
+};
+
+/** The home's memory of non-idempotent calls: each ticket runs at most once.
+
+    Bound to one incarnation and to claim windows of the home's own boot clock.
+    Sans-I/O, guarded by the node with lock_rank::kClaims.
+*/
+class claim_book {
+ public:
+  struct options {
+    incarnation_id incarnation = 0;
+    std::chrono::seconds window_length{60};
+    /** Tickets of this many windows are accepted, the present one included. */
+    std::uint32_t windows_kept = 3;
+    /** Most tickets remembered; one more is refused, none is forgotten early. */
+    std::size_t ticket_bound = 200'000;
+    /** Most bytes of answers kept; the oldest go first, their tickets stay. */
+    std::size_t answer_bytes_bound = 8 << 20;
+  };
+
+  explicit claim_book(options chosen, instant now);
+  ~claim_book();
+
+  //============================================================================
+  /** The window that new tickets should be bound to. */
+  std::uint32_t Window(instant now);
+
+  /** A call with this ticket arrived. kNeverSeen in the report means: it is now
+      kWaiting and this very call may be admitted. Any other state: it must not
+      run for this call; the report says what to answer. */
+  claim_report Begin(const claim_id& claim, instant now);
+
+  /** The point of no return, just before the backend server gets the request.
+      False where it was revoked meanwhile: it must not be handed over. */
+  bool HandOver(const claim_id& claim, instant now);
+
+  /** It ended before the hand-over: it never runs under this ticket. */
+  void EndUnrun(const claim_id& claim, result_code code, instant now);
+
+  /** The backend server answered. */
+  void Complete(const claim_id& claim, std::string answer, instant now);
+
+  /** Handed over, but no answer came. */
+  void BreakOff(const claim_id& claim, instant now);
+
+  /** What became of it; nothing changes. */
+  claim_report Ask(const claim_id& claim, instant now);
+
+  /** As Ask(), but one that was never seen or waits becomes a tombstone. */
+  claim_report Revoke(const claim_id& claim, instant now);
+
+  //============================================================================
+  std::size_t tickets() const;
+  std::size_t answer_bytes() const;
+
+ private:
+  class state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -0,0 +1,20 @@
+/** @file
+    cuminferry_policy: the decisions about calls, free of threads, sockets,
+    clocks and global randomness. Time and randomness are arguments; what to do
+    is returned. The same code runs in the daemon and in tests.
+
+    - rank/      how much a call matters against others
+    - admission/ which calls one instance runs, queues and refuses
+    - targets/   which instance a call goes to
+    - retries/   how often a call may be tried again
+    - claims/    at most once for non-idempotent calls
+    - shares/    each node's part of a fleet-wide limit
+
+    May use cuminferry_core and cuminferry_table.
+*/
+#pragma once
+
+#include "cuminferry_policy/admission/admission_controller.h"
+#include "cuminferry_policy/rank/call_rank.h"
+#include "cuminferry_policy/retries/retry_allowance.h"
+#include "cuminferry_policy/targets/target_chooser.h"
--- /dev/null
+++ b/modules/cuminferry_table/cuminferry_table.h
@@ -0,0 +1,14 @@
+/** @file
+    cuminferry_table: the operators' table and the settings of a process.
+
+    - rows/     the table, its rows, how a request finds its row, what an edit changes
+    - settings/ what one process is told about itself
+
+    Everything here is a value that has been checked: a table or settings that
+    could be made are valid. May use cuminferry_core.
+*/
+#pragma once
+
+#include "cuminferry_table/rows/policy_table.h"
+#include "cuminferry_table/rows/request_row.h"
+#include "cuminferry_table/settings/node_settings.h"
--- /dev/null
+++ b/modules/cuminferry_wire/messages/message_codec.cpp
@@ -0,0 +1,216 @@
+#include "cuminferry_wire/messages/message_codec.h"
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <ostream>
+#include <streambuf>
+
+#include "cuminferry_wire/messages/bounded_input_archive.h"
+
+namespace cuminferry {
+
+template <typename Archive>
+void serialize(Archive& archive, request_id& value) {
+  archive(value.high, value.low);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, endpoint& value) {
+  archive(value.address, value.port);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, hybrid_time& value) {
+  archive(value.wall_micros, value.counter);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ticket& value) {
+  archive(value.home, value.home_incarnation, value.window, value.nonce_high, value.nonce_low);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, header_field& value) {
+  archive(value.name, value.value);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, load_advert& value) {
+  archive(value.in_flight, value.limit, value.threshold, value.window, value.leaving);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, hello_message& value) {
+  archive(value.instance, value.service, value.failure_domain, value.region, value.listens_at,
+          value.incarnation, value.load, value.sent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, call_message& value) {
+  archive(value.attempt, value.request, value.service, value.method, value.target, value.headers,
+          value.time_left_micros, value.rank, value.retries_lent, value.claim, value.body,
+          value.chunks_follow, value.sent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, reply_message& value) {
+  auto end = static_cast<std::uint8_t>(value.end);
+  archive(value.attempt, value.request, end, value.code, value.http_status, value.headers,
+          value.body, value.body_digest, value.retries_left, value.retry_after_millis, value.load,
+          value.sent);
+  // A number that names no end is read as the one that promises nothing.
+  const bool known = end == 1 || end == 2;
+  value.end = known ? static_cast<call_end>(end) : call_end::kUnknown;
+}
+
+template <typename Archive>
+void serialize(Archive& archive, body_chunk_message& value) {
+  archive(value.attempt, value.offset, value.bytes, value.last);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, body_credit_message& value) {
+  archive(value.attempt, value.bytes);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, cancel_message& value) {
+  archive(value.attempt);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ask_message& value) {
+  archive(value.question, value.claim, value.revoke);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ask_reply_message& value) {
+  archive(value.question, value.state, value.code, value.answer);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, leaving_message& value) {
+  archive(value.instance, value.incarnation);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, heartbeat_message& value) {
+  archive(value.number, value.load, value.sent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, heartbeat_reply_message& value) {
+  archive(value.number, value.load, value.sent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, shard_request_message& value) {
+  archive(value.service, value.newer_than);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, shard_reply_message& value) {
+  archive(value.service, value.version, value.json);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, shard_version& value) {
+  archive(value.service, value.version, value.digest);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, gossip_message& value) {
+  archive(value.from, value.incarnation, value.table_version, value.fleet_size, value.shards,
+          value.wants_answer, value.sent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, share_request_message& value) {
+  archive(value.number, value.row, value.amount);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, share_grant_message& value) {
+  archive(value.number, value.row, value.amount, value.lasts_micros);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, share_return_message& value) {
+  archive(value.number, value.row, value.amount);
+}
+
+namespace {
+
+// Appends to a string without a copy at the end.
+class string_buffer : public std::streambuf {
+ public:
+  explicit string_buffer(std::string& into) : into_(into) {}
+
+ protected:
+  std::streamsize xsputn(const char* bytes, std::streamsize count) override {
+    into_.append(bytes, static_cast<std::size_t>(count));
+    return count;
+  }
+  int_type overflow(int_type byte) override {
+    into_.push_back(static_cast<char>(byte));
+    return byte;
+  }
+
+ private:
+  std::string& into_;
+};
+
+}  // namespace
+
+template <typename Message>
+std::string EncodeMessage(const Message& message) {
+  std::string bytes;
+  string_buffer buffer(bytes);
+  std::ostream stream(&buffer);
+  cereal::BinaryOutputArchive archive(stream);
+  archive(message);
+  return bytes;
+}
+
+template <typename Message>
+absl::Status DecodeMessage(std::span<const char> bytes, Message& into) {
+  bounded_input_archive archive(bytes);
+  try {
+    archive(into);
+  } catch (const std::exception& failure) {
+    // cereal has no other way to say that the input is short.
+    return MakeStatus(result_code::kFrameTruncated, failure.what());
+  }
+  if (archive.left() != 0) {
+    return MakeStatus(result_code::kFrameTruncated, "bytes left over after the message");
+  }
+  return absl::OkStatus();
+}
+
+#define CUMINFERRY_CODEC(Message)                              \
+  template std::string EncodeMessage<Message>(const Message&); \
+  template absl::Status DecodeMessage<Message>(std::span<const char>, Message&);
+
+CUMINFERRY_CODEC(hello_message)
+CUMINFERRY_CODEC(call_message)
+CUMINFERRY_CODEC(reply_message)
+CUMINFERRY_CODEC(body_chunk_message)
+CUMINFERRY_CODEC(body_credit_message)
+CUMINFERRY_CODEC(cancel_message)
+CUMINFERRY_CODEC(ask_message)
+CUMINFERRY_CODEC(ask_reply_message)
+CUMINFERRY_CODEC(leaving_message)
+CUMINFERRY_CODEC(heartbeat_message)
+CUMINFERRY_CODEC(heartbeat_reply_message)
+CUMINFERRY_CODEC(shard_request_message)
+CUMINFERRY_CODEC(shard_reply_message)
+CUMINFERRY_CODEC(gossip_message)
+CUMINFERRY_CODEC(share_request_message)
+CUMINFERRY_CODEC(share_grant_message)
+CUMINFERRY_CODEC(share_return_message)
+
+#undef CUMINFERRY_CODEC
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_wire/messages/message_codec.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <span>
+#include <string>
+
+#include "cuminferry_wire/messages/messages.h"
+
+namespace cuminferry {
+
+/** The message type that carries each message struct. */
+template <typename Message>
+constexpr message_type kTypeOf{};
+template <>
+inline constexpr message_type kTypeOf<hello_message> = message_type::kHello;
+template <>
+inline constexpr message_type kTypeOf<call_message> = message_type::kCall;
+template <>
+inline constexpr message_type kTypeOf<reply_message> = message_type::kReply;
+template <>
+inline constexpr message_type kTypeOf<body_chunk_message> = message_type::kBodyChunk;
+template <>
+inline constexpr message_type kTypeOf<body_credit_message> = message_type::kBodyCredit;
+template <>
+inline constexpr message_type kTypeOf<cancel_message> = message_type::kCancel;
+template <>
+inline constexpr message_type kTypeOf<ask_message> = message_type::kAsk;
+template <>
+inline constexpr message_type kTypeOf<ask_reply_message> = message_type::kAskReply;
+template <>
+inline constexpr message_type kTypeOf<leaving_message> = message_type::kLeaving;
+template <>
+inline constexpr message_type kTypeOf<heartbeat_message> = message_type::kHeartbeat;
+template <>
+inline constexpr message_type kTypeOf<heartbeat_reply_message> = message_type::kHeartbeatReply;
+template <>
+inline constexpr message_type kTypeOf<shard_request_message> = message_type::kShardRequest;
+template <>
+inline constexpr message_type kTypeOf<shard_reply_message> = message_type::kShardReply;
+template <>
+inline constexpr message_type kTypeOf<gossip_message> = message_type::kGossip;
+template <>
+inline constexpr message_type kTypeOf<share_request_message> = message_type::kShareRequest;
+template <>
+inline constexpr message_type kTypeOf<share_grant_message> = message_type::kShareGrant;
+template <>
+inline constexpr message_type kTypeOf<share_return_message> = message_type::kShareReturn;
+
+/** The binary form of a message, without its frame. */
+template <typename Message>
+std::string EncodeMessage(const Message& message);
+
+/** Reads the binary form. kFrameTruncated where it ends early, claims a length
+    that is not there, or has bytes left over. */
+template <typename Message>
+absl::Status DecodeMessage(std::span<const char> bytes, Message& into);
+
+}  // namespace cuminferry
--- /dev/null
+++ b/tests/core/time_test.cpp
@@ -0,0 +1,51 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "cuminferry_core/cuminferry_core.h"
+#include "support/property.h"
+
+namespace cuminferry {
+
+class hybrid_clock_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(hybrid_clock_test);
+  CPPUNIT_TEST(Clock_AnyWallTimes_TimesOnlyGoUp);
+  CPPUNIT_TEST(Clock_PeerFarAhead_IsNotFollowed);
+  CPPUNIT_TEST(EventLog_OverItsBound_DropsTheOldest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Clock_AnyWallTimes_TimesOnlyGoUp() {
+    testing::CheckProperty("times only go up", [](const std::vector<std::int32_t>& walls) {
+      hybrid_clock clock;
+      hybrid_time last;
+      for (const std::int32_t wall : walls) {
+        const hybrid_time next =
+            wall % 2 == 0 ? clock.Tick(wall) : clock.Observe(wall, {std::int64_t{wall} + 5, 3});
+        RC_ASSERT(next > last || last == hybrid_time{});
+        last = next;
+      }
+    });
+  }
+
+  // One machine's wall clock jumps a day ahead. Were it followed, every event of
+  // the fleet would carry tomorrow's date until then.
+  void Clock_PeerFarAhead_IsNotFollowed() {
+    hybrid_clock clock;
+    clock.Observe(1000, {1000 + 2 * hybrid_clock::kLargestLeadMicros, 0});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, clock.last().wall_micros);
+  }
+
+  void EventLog_OverItsBound_DropsTheOldest() {
+    event_log log(2);
+    for (std::int64_t value = 0; value < 3; ++value) {
+      log.Add({.kind = event_kind::kLimitMoved, .value = value});
+    }
+    const auto events = log.Snapshot();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, events.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, events.front().value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, log.dropped());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(hybrid_clock_test);
+
+}  // namespace cuminferry
--- /dev/null
+++ b/tests/support/test_main.cpp
@@ -0,0 +1,24 @@
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/TextOutputter.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+
+#include <iostream>
+
+// Runs every registered suite and closes with the counts that CI adds up.
+int main() {
+  CppUnit::TestResult controller;
+  CppUnit::TestResultCollector collector;
+  CppUnit::BriefTestProgressListener progress;
+  controller.addListener(&collector);
+  controller.addListener(&progress);
+  CppUnit::TestRunner runner;
+  runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  runner.run(controller);
+  CppUnit::TextOutputter(&collector, std::cerr).write();
+  const int failed = collector.testFailuresTotal();
+  std::cout << "cases: " << collector.runTests() - failed << " passed, " << failed << " failed\n";
+  return collector.wasSuccessful() && collector.runTests() > 0 ? 0 : 1;
+}
