Read tables and settings as checked JSON with comments

Cause: every other part needs a table and settings to run, and nothing read them.

Changed: policy_table::Parse and ToJson, ParseShard, ShardToJson and ShardDigest, node_settings::Parse; all problems of a text are collected, each with its code, its place and what would be accepted. Targets' parts of fleet-wide limits are cut from the table alone (limit_cut).

--- a/modules/cuminferry_table/cuminferry_table.h
+++ b/modules/cuminferry_table/cuminferry_table.h
@@ -1,6 +1,7 @@
 /** @file
     cuminferry_table: the operators' table and the settings of a process.
 
+    - reading/  JSON with comments, every problem with its place and what is accepted
     - rows/     the table, its rows, how a request finds its row, what an edit changes
     - settings/ what one process is told about itself
 
@@ -9,6 +10,7 @@
 */
 #pragma once
 
+#include "cuminferry_table/rows/limit_cut.h"
 #include "cuminferry_table/rows/policy_table.h"
 #include "cuminferry_table/rows/request_row.h"
 #include "cuminferry_table/settings/node_settings.h"
--- /dev/null
+++ b/modules/cuminferry_table/reading/problem_list.cpp
@@ -0,0 +1,36 @@
+#include "cuminferry_table/reading/problem_list.h"
+
+#include <utility>
+
+namespace cuminferry {
+
+std::string DescribeProblem(const table_problem& problem) {
+  const result_code_info& info = DescribeResultCode(problem.code);
+  std::string line = "CF" + std::to_string(static_cast<int>(problem.code)) + " ";
+  line += info.name;
+  line += " at " + (problem.place.empty() ? std::string("the top") : problem.place);
+  return line + ": " + problem.detail;
+}
+
+void problem_list::Add(result_code code, std::string place, std::string detail) {
+  if (problems_.size() - first_ < kBound) {
+    problems_.push_back({code, std::move(place), std::move(detail)});
+  }
+}
+
+void problem_list::AddAll(const std::vector<table_problem>& problems) {
+  for (const table_problem& problem : problems) {
+    Add(problem.code, problem.place, problem.detail);
+  }
+}
+
+absl::Status problem_list::AsStatus() const {
+  if (empty()) {
+    return absl::OkStatus();
+  }
+  const table_problem& problem = problems_[first_];
+  const std::string place = problem.place.empty() ? std::string("the top") : problem.place;
+  return MakeStatus(problem.code, "at " + place + ": " + problem.detail);
+}
+
+}  // namespace cuminferry
