State the table's two size bounds in the result codes

Cause: 110 spoke of a megabyte for the whole table, but only one service's part is published as one value; at the size to come a whole table of 360 services passes a megabyte. 105 is given for services and domains too.

--- a/modules/cuminferry_core/result/result_code.cpp
+++ b/modules/cuminferry_core/result/result_code.cpp
@@ -24,8 +24,9 @@
     result_code_info{kTableWrongType, "table_wrong_type", 0, "A value of the wrong JSON type."},
     result_code_info{kTableOutOfRange, "table_out_of_range", 0, "A number outside its range."},
     result_code_info{kTableMissingKey, "table_missing_key", 0, "A required key is absent."},
-    result_code_info{kTableDuplicateRow, "table_duplicate_row", 0,
-                     "Two rows of the same name, or for the same service, method and path."},
+    result_code_info{
+        kTableDuplicateRow, "table_duplicate_row", 0,
+        "Two rows, services or domains of one name, or two rows for one service, method and path."},
     result_code_info{kTableUnreachableRow, "table_unreachable_row", 0,
                      "A row that an earlier row always matches first, or whose limits admit "
                      "nothing."},
@@ -36,7 +37,7 @@
     result_code_info{kTableBadPattern, "table_bad_pattern", 0,
                      "A path pattern that cannot be read."},
     result_code_info{kTableTooLarge, "table_too_large", 0,
-                     "The table, or one service's part of it, exceeds a megabyte."},
+                     "The table exceeds 16 megabytes, or one service's part of it a megabyte."},
     result_code_info{kTableVersionConflict, "table_version_conflict", 0,
                      "Two contents claim one version; the first one seen stays in force."},
     result_code_info{kTableVersionOlder, "table_version_older", 0,
