--- a/modules/cuminferry_table/reading/json_text.cpp
+++ b/modules/cuminferry_table/reading/json_text.cpp
@@ -36,7 +36,7 @@
       : codes_(codes), problems_(problems) {}
 
   bool Follow(int depth, json::parse_event_t event, const json& parsed) {
-    if (depth > kDeepest) {
+    if (too_deep_ || depth > kDeepest) {
       too_deep_ = true;
       return false;
     }
@@ -115,13 +115,17 @@
     if (!watch.too_deep()) {
       return value;
     }
-    problems.Add(codes.not_json, "",
-                 "values stand more than " + std::to_string(kDeepest) + " levels deep");
   } catch (const json::parse_error& failure) {
-    problems.Add(codes.not_json, LineAndColumn(text, failure.byte), WhyNotRead(failure));
+    if (!watch.too_deep()) {
+      problems.Add(codes.not_json, LineAndColumn(text, failure.byte), WhyNotRead(failure));
+    }
   } catch (const json::exception& failure) {
     problems.Add(codes.not_json, "", failure.what());
   }
+  if (watch.too_deep()) {
+    problems.Add(codes.not_json, "",
+                 "values stand more than " + std::to_string(kDeepest) + " levels deep");
+  }
   return std::nullopt;
 }
 
--- a/modules/cuminferry_table/rows/policy_table.cpp
+++ b/modules/cuminferry_table/rows/policy_table.cpp
@@ -161,9 +161,9 @@
 }
 
 const table_shard* policy_table::FindShard(std::string_view service) const {
-  const auto found = std::ranges::find(shards_, service, [](const table_shard& shard) {
-    return std::string_view(shard.service.name);
-  });
+  const auto found = std::ranges::find(
+      shards_, service,
+      [](const table_shard& shard) -> std::string_view { return shard.service.name; });
   return found == shards_.end() ? nullptr : &*found;
 }
 
--- a/modules/cuminferry_table/rows/row_index.cpp
+++ b/modules/cuminferry_table/rows/row_index.cpp
@@ -29,9 +29,7 @@
 struct edge_hash {
   using is_transparent = void;
   std::size_t operator()(const edge_view& of) const { return absl::HashOf(of.parent, of.segment); }
-  std::size_t operator()(const edge& of) const {
-    return absl::HashOf(of.parent, std::string_view(of.segment));
-  }
+  std::size_t operator()(const edge& of) const { return (*this)(edge_view{of.parent, of.segment}); }
 };
 
 struct edge_equal {
