--- a/modules/cuminferry_node/cuminferry_node.h
+++ b/modules/cuminferry_node/cuminferry_node.h
@@ -3,6 +3,9 @@
     the decisions of policy and fleet to sockets, threads and clocks.
 
     - fleet/   table versions and members: the platform, UDP, peers
+    - http/    the HTTP server and the watch on its connections
+    - peers/   connections to other nodes
+    - backend/ the hand-over to the backend server
     - runtime/ calls in, calls out, the backend server, draining
 
     May use all modules but cuminferry_caller.
@@ -10,3 +13,4 @@
 #pragma once
 
 #include "cuminferry_node/fleet/fleet_runtime.h"
+#include "cuminferry_node/runtime/node.h"
--- /dev/null
+++ b/modules/cuminferry_node/http/http_server.cpp
@@ -0,0 +1,299 @@
+#include "cuminferry_node/http/http_server.h"
+
+#include <httplib.h>
+#include <poll.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cstring>
+#include <utility>
+
+#include "cuminferry_wire/tcp/socket_address.h"
+
+namespace cuminferry {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr std::size_t kReadBuffer = 4096;
+constexpr std::size_t kAcceptStack = 256 * 1024;
+/** How often a connection that waits for its next request looks whether the server stops. */
+constexpr std::chrono::milliseconds kStopCheck{200};
+
+thread_local int current_descriptor = -1;
+
+// A connection as cpp-httplib reads and writes it. Its own stream class uses
+// select(), which fails for descriptors above 1,023: the 1,024th caller would
+// be cut off.
+class polled_stream : public httplib::Stream {
+ public:
+  polled_stream(int descriptor, std::chrono::milliseconds timeout)
+      : descriptor_(descriptor), timeout_(timeout) {}
+
+  bool is_readable() const override { return begin_ < end_ || Poll(POLLIN, timeout_); }
+  bool is_writable() const override { return Poll(POLLOUT, timeout_); }
+
+  ssize_t read(char* into, std::size_t size) override {
+    if (begin_ == end_) {
+      if (size >= buffer_.size()) {
+        return Receive(into, size);
+      }
+      const ssize_t count = Receive(buffer_.data(), buffer_.size());
+      if (count <= 0) {
+        return count;
+      }
+      begin_ = 0;
+      end_ = static_cast<std::size_t>(count);
+    }
+    const std::size_t count = std::min(size, end_ - begin_);
+    std::memcpy(into, buffer_.data() + begin_, count);
+    begin_ += count;
+    return static_cast<ssize_t>(count);
+  }
+
+  ssize_t write(const char* from, std::size_t size) override {
+    std::size_t sent = 0;
+    while (sent < size) {
+      const ssize_t count = ::send(descriptor_, from + sent, size - sent, MSG_NOSIGNAL);
+      if (count > 0) {
+        sent += static_cast<std::size_t>(count);
+      } else if (errno != EINTR && (errno != EAGAIN || !Poll(POLLOUT, timeout_))) {
+        return -1;
+      }
+    }
+    return static_cast<ssize_t>(size);
+  }
+
+  void get_remote_ip_and_port(std::string& ip, int& port) const override {
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    ::getpeername(descriptor_, reinterpret_cast<sockaddr*>(&address), &length);
+    Name(FromSocketAddress(address), ip, port);
+  }
+
+  void get_local_ip_and_port(std::string& ip, int& port) const override {
+    Name(LocalEndpoint(descriptor_), ip, port);
+  }
+
+  socket_t socket() const override { return descriptor_; }
+
+  // True once the next request's first bytes are there.
+  bool WaitForRequest(std::chrono::milliseconds longest) const {
+    return begin_ < end_ || Poll(POLLIN, longest);
+  }
+
+ private:
+  static void Name(endpoint at, std::string& ip, int& port) {
+    const std::string text = at.ToString();
+    ip = text.substr(0, text.rfind(':'));
+    port = at.port;
+  }
+
+  bool Poll(short events, std::chrono::milliseconds longest) const {
+    pollfd watched{descriptor_, events, 0};
+    return ::poll(&watched, 1, static_cast<int>(longest.count())) > 0;
+  }
+
+  ssize_t Receive(char* into, std::size_t size) const {
+    if (!Poll(POLLIN, timeout_)) {
+      return -1;
+    }
+    return ::recv(descriptor_, into, size, 0);
+  }
+
+  const int descriptor_;
+  const std::chrono::milliseconds timeout_;
+  std::array<char, kReadBuffer> buffer_{};
+  std::size_t begin_ = 0;
+  std::size_t end_ = 0;
+};
+
+// cpp-httplib's queue of accepted connections over our pool.
+class pooled_queue : public httplib::TaskQueue {
+ public:
+  explicit pooled_queue(worker_pool::options chosen) : pool_(std::move(chosen)) {}
+  void enqueue(std::function<void()> task) override {
+    // A refused task would leak its socket, so the bound of the pool's queue is
+    // above the number of descriptors that a process may have.
+    pool_.Submit(std::move(task));
+  }
+  void shutdown() override { pool_.Stop(); }
+
+ private:
+  worker_pool pool_;
+};
+
+class library_server : public httplib::Server {
+ public:
+  library_server(std::chrono::seconds idle, std::chrono::seconds read) : idle_(idle), read_(read) {}
+
+  void WidenBacklog() { ::listen(svr_sock_, kBacklog); }
+  endpoint BoundTo() { return LocalEndpoint(svr_sock_); }
+  void StopServing() { stopping_ = true; }
+
+ private:
+  bool process_and_close_socket(socket_t descriptor) override {
+    current_descriptor = descriptor;
+    polled_stream stream(descriptor, read_);
+    while (WaitForRequest(stream)) {
+      bool closed = false;
+      if (!process_request(stream, stopping_, closed, nullptr) || closed) {
+        break;
+      }
+    }
+    current_descriptor = -1;
+    ::shutdown(descriptor, SHUT_WR);
+    ::close(descriptor);
+    return true;
+  }
+
+  bool WaitForRequest(const polled_stream& stream) const {
+    for (std::chrono::milliseconds waited{0}; waited < idle_; waited += kStopCheck) {
+      if (stream.WaitForRequest(kStopCheck)) {
+        return true;
+      }
+      if (stopping_) {
+        return false;
+      }
+    }
+    return false;
+  }
+
+  const std::chrono::milliseconds idle_;
+  const std::chrono::milliseconds read_;
+  std::atomic<bool> stopping_ = false;
+};
+
+bool HasBody(const httplib::Request& request) {
+  return request.has_header("Transfer-Encoding") ||
+         (request.has_header("Content-Length") &&
+          request.get_header_value("Content-Length") != "0");
+}
+
+http_request Translate(const httplib::Request& from) {
+  http_request request;
+  request.method = from.method;
+  request.target = from.target;
+  request.descriptor = current_descriptor;
+  request.has_body = HasBody(from);
+  request.headers.reserve(from.headers.size());
+  for (const auto& [name, value] : from.headers) {
+    request.headers.push_back({name, value});
+  }
+  return request;
+}
+
+void Translate(const http_response& from, httplib::Response& into) {
+  into.status = from.status;
+  for (const header_field& field : from.headers) {
+    into.set_header(field.name, field.value);
+  }
+  if (from.close) {
+    into.set_header("Connection", "close");
+  }
+  into.set_content(from.body, from.content_type.c_str());
+}
+
+}  // namespace
+
+std::optional<std::string_view> http_request::Header(std::string_view name) const {
+  for (const header_field& field : headers) {
+    if (field.name.size() == name.size() &&
+        strncasecmp(field.name.data(), name.data(), name.size()) == 0) {
+      return field.value;
+    }
+  }
+  return std::nullopt;
+}
+
+class http_server::state {
+ public:
+  state(options chosen, handler on_request)
+      : options_(std::move(chosen)),
+        on_request_(std::move(on_request)),
+        server_(options_.idle_timeout, options_.read_timeout) {
+    server_.set_tcp_nodelay(true);
+    server_.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
+    server_.new_task_queue = [this] {
+      return new pooled_queue({.name = options_.name,
+                               .threads = options_.threads,
+                               .stack_bytes = options_.stack_bytes,
+                               .queue_bound = std::numeric_limits<std::size_t>::max()});
+    };
+    // Requests without a body are answered here, before the library matches
+    // regular expressions against them.
+    server_.set_pre_routing_handler([this](const httplib::Request& from, httplib::Response& into) {
+      if (HasBody(from)) {
+        return httplib::Server::HandlerResponse::Unhandled;
+      }
+      Answer(Translate(from), into);
+      return httplib::Server::HandlerResponse::Handled;
+    });
+    const auto with_body = [this](const httplib::Request& from, httplib::Response& into,
+                                  const httplib::ContentReader& reader) {
+      AnswerWithBody(from, into, reader);
+    };
+    server_.Post(".*", with_body);
+    server_.Put(".*", with_body);
+    server_.Patch(".*", with_body);
+    server_.Delete(".*", with_body);
+  }
+
+  absl::Status Start(endpoint& at) {
+    const std::string text = at.ToString();
+    const std::string host = text.substr(0, text.rfind(':'));
+    const bool bound =
+        at.port == 0 ? server_.bind_to_any_port(host) > 0 : server_.bind_to_port(host, at.port);
+    if (!bound) {
+      return MakeStatus(result_code::kAddressInUse, "HTTP " + text);
+    }
+    server_.WidenBacklog();
+    at = server_.BoundTo();
+    thread_ = std::make_unique<joined_thread>(options_.name + "-accept", kAcceptStack,
+                                              [this] { server_.listen_after_bind(); });
+    while (!server_.is_running()) {
+      std::this_thread::yield();
+    }
+    return absl::OkStatus();
+  }
+
+  void Stop() {
+    server_.StopServing();
+    server_.stop();
+    thread_.reset();
+  }
+
+ private:
+  void Answer(const http_request& request, httplib::Response& into) {
+    http_response response;
+    on_request_(request, response);
+    Translate(response, into);
+  }
+
+  void AnswerWithBody(const httplib::Request& from, httplib::Response& into,
+                      const httplib::ContentReader& reader) {
+    http_request request = Translate(from);
+    request.read_body = [&reader](const std::function<bool(std::string_view)>& sink) {
+      return reader([&sink](const char* data, std::size_t length) { return sink({data, length}); });
+    };
+    Answer(request, into);
+  }
+
+  const options options_;
+  const handler on_request_;
+  library_server server_;
+  std::unique_ptr<joined_thread> thread_;
+};
+
+http_server::http_server(options chosen, handler on_request)
+    : state_(std::make_unique<state>(std::move(chosen), std::move(on_request))) {}
+
+http_server::~http_server() { Stop(); }
+
+absl::Status http_server::Start(endpoint& at) { return state_->Start(at); }
+
+void http_server::Stop() { state_->Stop(); }
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_node/runtime/call_router.cpp
@@ -0,0 +1,63 @@
+#include "cuminferry_node/runtime/call_router.h"
+
+namespace cuminferry {
+
+call_router::call_router(const node_settings& settings)
+    : choice_(lock_rank::kTargets,
+              target_chooser::options{.failure_domain = settings.failure_domain,
+                                      .region = settings.region,
+                                      .identity = DigestOf(settings.instance)}),
+      ratios_(lock_rank::kRetries) {}
+
+void call_router::UseTargets(std::string_view service, std::span<const target_info> targets) {
+  choice_.With(
+      [&](choice& state) { state.chooser.UseTargets(service, targets, boot_clock::Now()); });
+}
+
+void call_router::MarkLeaving(endpoint target) {
+  choice_.With([&](choice& state) { state.chooser.MarkLeaving(target, boot_clock::Now()); });
+}
+
+void call_router::MarkReachable(endpoint target) {
+  choice_.With([&](choice& state) { state.chooser.MarkReachable(target, boot_clock::Now()); });
+}
+
+std::optional<endpoint> call_router::ChooseTarget(std::string_view service,
+                                                  std::span<const endpoint> avoid) {
+  return choice_.With([&](choice& state) {
+    const instant now = boot_clock::Now();
+    const auto chosen = state.chooser.Choose(service, avoid, now, state.random);
+    if (chosen.has_value()) {
+      state.chooser.OnSent(*chosen, now);
+    }
+    return chosen;
+  });
+}
+
+void call_router::OnSent(endpoint target) {
+  choice_.With([&](choice& state) { state.chooser.OnSent(target, boot_clock::Now()); });
+}
+
+void call_router::OnEnded(endpoint target, target_outcome outcome, const advertised_load& load) {
+  choice_.With(
+      [&](choice& state) { state.chooser.OnEnded(target, outcome, load, boot_clock::Now()); });
+}
+
+void call_router::CountFirstAttempt(std::string_view row) {
+  ratios_.With([&](auto& ratios) {
+    auto found = ratios.find(row);
+    if (found == ratios.end()) {
+      found = ratios.emplace(std::string(row), retry_ratio()).first;
+    }
+    found->second.OnFirstAttempt();
+  });
+}
+
+bool call_router::TakeRetry(std::string_view row) {
+  return ratios_.With([&](auto& ratios) {
+    const auto found = ratios.find(row);
+    return found != ratios.end() && found->second.TakeOne();
+  });
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_node/runtime/serving_side.cpp
@@ -0,0 +1,614 @@
+#include "cuminferry_node/runtime/serving_side.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/node_hash_map.h>
+
+#include <algorithm>
+#include <atomic>
+#include <utility>
+
+#include "cuminferry_wire/messages/message_codec.h"
+
+namespace cuminferry {
+namespace {
+
+constexpr std::size_t kBackendStack = 256 * 1024;
+constexpr std::size_t kMostBackendThreads = 2048;
+constexpr std::size_t kLeastBackendThreads = 16;
+constexpr std::uint32_t kQueueBound = 1024;
+
+// A call from its beginning to its reply.
+struct pending_call {
+  incoming_call call;
+  std::shared_ptr<const table_shard> shard;
+  const request_row* row = nullptr;
+  serving_side::reply_hook on_reply;
+  std::shared_ptr<running_request> running;
+  /** The caller has gone before it ran. */
+  bool cancelled = false;
+};
+
+// What admission works on: the controller and the shard whose row numbers it uses.
+struct admission_state {
+  explicit admission_state(admission_controller::options chosen) : controller(std::move(chosen)) {}
+
+  admission_controller controller;
+  std::shared_ptr<const table_shard> shard;
+};
+
+claim_id ClaimOf(const ticket& claim) {
+  return {claim.home_incarnation, claim.window, claim.nonce_high, claim.nonce_low};
+}
+
+std::uint32_t RowNumber(const table_shard& shard, std::string_view name) {
+  const auto found = std::ranges::find(shard.rows, name, &request_row::name);
+  return static_cast<std::uint32_t>(found - shard.rows.begin());
+}
+
+// The number by which admission knows a row that was found in `shard`.
+std::uint32_t RowNumber(const admission_state& admission, const table_shard& shard,
+                        const request_row& row) {
+  if (admission.shard.get() == &shard) {
+    return static_cast<std::uint32_t>(&row - shard.rows.data());
+  }
+  return RowNumber(*admission.shard, row.name);
+}
+
+run_result RunResultOf(backend_end end) {
+  switch (end) {
+    case backend_end::kAnswered:
+    case backend_end::kTooLarge:
+      return run_result::kAnswered;
+    case backend_end::kShed:
+      return run_result::kOverload;
+    case backend_end::kTimedOut:
+      return run_result::kTimedOut;
+    case backend_end::kCancelled:
+      return run_result::kCancelled;
+    case backend_end::kNotSent:
+    case backend_end::kBrokenOff:
+      break;
+  }
+  return run_result::kFailed;
+}
+
+}  // namespace
+
+reply_message MakeNotRun(request_id request, result_code code,
+                         std::chrono::milliseconds retry_after) {
+  reply_message reply;
+  reply.request = request;
+  reply.end = call_end::kNotRun;
+  reply.code = static_cast<std::uint16_t>(code);
+  reply.http_status = static_cast<std::uint16_t>(DescribeResultCode(code).http_status);
+  reply.retry_after_millis = static_cast<std::uint32_t>(retry_after.count());
+  return reply;
+}
+
+reply_message MakeUnknown(request_id request, result_code code) {
+  reply_message reply = MakeNotRun(request, code);
+  reply.end = call_end::kUnknown;
+  return reply;
+}
+
+class serving_side::state {
+ public:
+  state(options chosen, backend_client& backend, request_records& records, node_metrics& metrics,
+        event_log& events)
+      : settings_(chosen.settings),
+        backend_(backend),
+        records_(records),
+        metrics_(metrics),
+        events_(events),
+        admission_(lock_rank::kAdmission,
+                   admission_controller::options{.control = settings_.control,
+                                                 .slots = settings_.backend_slots,
+                                                 .queue_bound = kQueueBound}),
+        claims_(lock_rank::kClaims, claim_book::options{.incarnation = chosen.incarnation},
+                boot_clock::Now()),
+        random_(lock_rank::kRetries, random_source::FromMachine()),
+        workers_({.name = "backend",
+                  .threads = BackendThreads(settings_),
+                  .stack_bytes = kBackendStack,
+                  .queue_bound = 2 * kMostBackendThreads}) {}
+
+  ~state() { workers_.Stop(); }
+
+  void UseTable(const table_shard& shard) {
+    auto kept = std::make_shared<const table_shard>(shard);
+    admission_.With([&](admission_state& admission) {
+      admission.controller.UseTable(*kept, boot_clock::Now());
+      admission.shard = std::move(kept);
+    });
+  }
+
+  call_key Begin(incoming_call call, reply_hook on_reply) {
+    const call_key key = next_key_.fetch_add(1);
+    pending_call pending{.call = std::move(call),
+                         .shard = CurrentShard(),
+                         .row = nullptr,
+                         .on_reply = std::move(on_reply),
+                         .running = nullptr,
+                         .cancelled = false};
+    const result_code fault = Prepare(pending);
+    if (fault != result_code::kOk) {
+      Reply(pending, MakeNotRun(pending.call.request, fault));
+      return key;
+    }
+    if (!pending.call.claim.empty() && !BeginClaim(pending)) {
+      return key;
+    }
+    Offer(key, std::move(pending));
+    return key;
+  }
+
+  void Cancel(call_key key) {
+    std::shared_ptr<running_request> running;
+    {
+      ranked_lock lock(calls_mutex_);
+      const auto found = calls_.find(key);
+      if (found == calls_.end()) {
+        return;
+      }
+      pending_call& pending = found->second;
+      if (pending.running != nullptr && !pending.call.claim.empty()) {
+        // Handed over: broken off, nobody would ever know what became of it. Its
+        // caller can ask for the answer by the ticket.
+        return;
+      }
+      pending.cancelled = true;
+      running = pending.running;
+    }
+    if (running != nullptr) {
+      running->Cancel();
+      return;
+    }
+    WithAdmission([&](admission_state& admission, admission_actions& actions) {
+      admission.controller.Abandon(key, boot_clock::Now(), actions);
+    });
+  }
+
+  void BeginWait(call_key key) {
+    WithAdmission([&](admission_state& admission, admission_actions& actions) {
+      admission.controller.BeginWait(key, boot_clock::Now(), actions);
+    });
+  }
+
+  void EndWait(call_key key) {
+    WithAdmission([&](admission_state& admission, admission_actions& actions) {
+      admission.controller.EndWait(key, boot_clock::Now(), actions);
+    });
+  }
+
+  void LearnThreshold(std::string_view caller_row, std::string_view callee_service,
+                      std::string_view callee_row, call_rank threshold) {
+    admission_.With([&](admission_state& admission) {
+      if (admission.shard == nullptr) {
+        return;
+      }
+      const std::uint32_t row = RowNumber(*admission.shard, caller_row);
+      if (row < admission.shard->rows.size()) {
+        admission.controller.LearnThreshold(row, callee_service, callee_row, threshold,
+                                            boot_clock::Now());
+      }
+    });
+  }
+
+  ask_reply_message Ask(const ask_message& question) {
+    const claim_id claim = ClaimOf(question.claim);
+    const claim_report report = claims_.With([&](claim_book& book) {
+      const instant now = boot_clock::Now();
+      return question.revoke != 0 ? book.Revoke(claim, now) : book.Ask(claim, now);
+    });
+    ask_reply_message reply;
+    reply.question = question.question;
+    reply.state = static_cast<std::uint8_t>(report.state);
+    reply.code = static_cast<std::uint16_t>(report.code);
+    if (report.state == claim_state::kCompleted) {
+      static_cast<void>(DecodeMessage(report.answer, reply.answer));
+    }
+    return reply;
+  }
+
+  void ReportHealth(const backend_health& health) {
+    if (!health.reachable || health.slots == 0) {
+      return;
+    }
+    admission_.With([&](admission_state& admission) {
+      admission.controller.ReportBackendCap(health.slots, boot_clock::Now());
+    });
+  }
+
+  void Drain() {
+    draining_ = true;
+    WithAdmission([&](admission_state& admission, admission_actions& actions) {
+      admission.controller.Drain(boot_clock::Now(), actions);
+    });
+  }
+
+  void Tick(instant now) {
+    WithAdmission([&](admission_state& admission, admission_actions& actions) {
+      admission.controller.Tick(now, actions);
+    });
+  }
+
+  load_advert Load() { return Load(nullptr, nullptr); }
+
+  // With the threshold of a row, where one is named.
+  load_advert Load(const table_shard* shard, const request_row* row) {
+    load_advert load;
+    admission_.With([&](admission_state& admission) {
+      load.in_flight = admission.controller.running() + admission.controller.queued();
+      load.limit = admission.controller.limit();
+      if (row != nullptr) {
+        const std::uint32_t number = RowNumber(admission, *shard, *row);
+        load.threshold = admission.controller.ThresholdOf(number, boot_clock::Now()).packed();
+      }
+    });
+    load.window = ClaimWindow();
+    load.leaving = draining_ ? 1 : 0;
+    return load;
+  }
+
+  std::uint32_t ClaimWindow() {
+    return claims_.With([](claim_book& book) { return book.Window(boot_clock::Now()); });
+  }
+
+  bool draining() const { return draining_; }
+
+  std::uint32_t running() {
+    return admission_.With([](admission_state& state) { return state.controller.running(); });
+  }
+  std::uint32_t queued() {
+    return admission_.With([](admission_state& state) { return state.controller.queued(); });
+  }
+  std::uint32_t limit() {
+    return admission_.With([](admission_state& state) { return state.controller.limit(); });
+  }
+
+ private:
+  static std::size_t BackendThreads(const node_settings& settings) {
+    const std::size_t wanted =
+        std::max<std::size_t>(settings.backend_slots * 2, settings.backend_connections);
+    return std::clamp(wanted, kLeastBackendThreads, kMostBackendThreads);
+  }
+
+  std::shared_ptr<const table_shard> CurrentShard() {
+    return admission_.With([](admission_state& admission) { return admission.shard; });
+  }
+
+  // Finds the row and fills in what a request that enters here gets from it.
+  result_code Prepare(pending_call& pending) {
+    if (pending.shard == nullptr) {
+      return result_code::kNoTableYet;
+    }
+    incoming_call& call = pending.call;
+    pending.row = pending.shard->FindRow(call.method, call.target);
+    if (pending.row == nullptr) {
+      return result_code::kNoSuchRow;
+    }
+    if (draining_ && call.claim.empty()) {
+      return result_code::kRefusedDraining;
+    }
+    if (call.enters_here) {
+      Enter(call, *pending.row);
+    }
+    if (!pending.row->idempotent && call.claim.empty()) {
+      return result_code::kTicketRequired;
+    }
+    return result_code::kOk;
+  }
+
+  void Enter(incoming_call& call, const request_row& row) {
+    const auto hash = random_.With(
+        [](random_source& random) { return static_cast<std::uint16_t>(random.Next()); });
+    call.rank = call_rank(row.weight, false, hash);
+    call.retries = row.retry_allowance;
+    call.deadline = std::min(call.deadline, boot_clock::Now() + row.deadline);
+  }
+
+  // False where the call was answered from what is known of its ticket.
+  bool BeginClaim(pending_call& pending) {
+    const claim_report report = claims_.With([&](claim_book& book) {
+      return book.Begin(ClaimOf(pending.call.claim), boot_clock::Now());
+    });
+    if (report.state == claim_state::kNeverSeen) {
+      return true;
+    }
+    Reply(pending, AnswerFrom(report, pending.call.request));
+    return false;
+  }
+
+  static reply_message AnswerFrom(const claim_report& report, request_id request) {
+    switch (report.state) {
+      case claim_state::kCompleted: {
+        reply_message kept;
+        if (DecodeMessage(report.answer, kept).ok()) {
+          return kept;
+        }
+        return MakeUnknown(request, result_code::kTicketAnswerForgotten);
+      }
+      case claim_state::kTombstone:
+        return MakeNotRun(request, report.code);
+      case claim_state::kWaiting:
+      case claim_state::kRunning:
+        return MakeUnknown(request, result_code::kTicketRunning);
+      case claim_state::kAnswerForgotten:
+        return MakeUnknown(request, result_code::kTicketAnswerForgotten);
+      case claim_state::kBrokenOff:
+        return MakeUnknown(request, result_code::kBackendFailed);
+      case claim_state::kRefused:
+      case claim_state::kNeverSeen:
+        break;
+    }
+    return MakeUnknown(request, report.code);
+  }
+
+  void Offer(call_key key, pending_call pending) {
+    offered_call offered{
+        .key = key, .row = 0, .rank = pending.call.rank, .deadline = pending.call.deadline};
+    const std::shared_ptr<const table_shard> shard = pending.shard;
+    const request_row& row = *pending.row;
+    {
+      ranked_lock lock(calls_mutex_);
+      calls_.emplace(key, std::move(pending));
+    }
+    WithAdmission([&](admission_state& admission, admission_actions& actions) {
+      offered.row = RowNumber(admission, *shard, row);
+      if (offered.row == admission.shard->rows.size()) {
+        // An edit took the row away since it was found.
+        actions.refuse.push_back({key, result_code::kNoSuchRow, std::chrono::milliseconds(0)});
+        return;
+      }
+      admission.controller.Offer(offered, boot_clock::Now(), actions);
+    });
+  }
+
+  // Runs an operation on the controller, then carries out what it decided, with
+  // no lock held.
+  template <typename Operation>
+  void WithAdmission(Operation&& operation) {
+    admission_actions actions;
+    admission_.With([&](admission_state& admission) { operation(admission, actions); });
+    for (const refused_call& refused : actions.refuse) {
+      Refuse(refused);
+    }
+    for (const call_key key : actions.start) {
+      if (!workers_.Submit([this, key] { Run(key); })) {
+        Refuse({key, result_code::kRefusedInstanceOnly, std::chrono::milliseconds(0)});
+        FinishAdmission(key, run_result::kFailed);
+      }
+    }
+  }
+
+  void FinishAdmission(call_key key, run_result result) {
+    WithAdmission([&](admission_state& admission, admission_actions& actions) {
+      admission.controller.Finish(key, result, boot_clock::Now(), actions);
+    });
+  }
+
+  bool TakePending(call_key key, pending_call& into) {
+    ranked_lock lock(calls_mutex_);
+    const auto found = calls_.find(key);
+    if (found == calls_.end()) {
+      return false;
+    }
+    into = std::move(found->second);
+    calls_.erase(found);
+    return true;
+  }
+
+  void Refuse(const refused_call& refused) {
+    pending_call pending;
+    if (!TakePending(refused.key, pending)) {
+      return;
+    }
+    if (!pending.call.claim.empty()) {
+      claims_.With([&](claim_book& book) {
+        book.EndUnrun(ClaimOf(pending.call.claim), refused.code, boot_clock::Now());
+      });
+    }
+    Reply(pending, MakeNotRun(pending.call.request, refused.code, refused.retry_after));
+  }
+
+  // On a worker: hands the call to the backend server and answers.
+  void Run(call_key key) {
+    auto running = MakeRunning(key);
+    if (running == nullptr) {
+      FinishAdmission(key, run_result::kCancelled);
+      return;
+    }
+    pending_call* pending = nullptr;
+    {
+      ranked_lock lock(calls_mutex_);
+      pending = &calls_.at(key);
+    }
+    // Node-based map: the address holds until TakePending() below, by this thread.
+    reply_message reply = MakeNotRun(pending->call.request, result_code::kCallerGone);
+    if (pending->cancelled) {
+      EndClaim(*pending, reply);
+      FinishAdmission(key, run_result::kCancelled);
+    } else if (HandOver(*pending)) {
+      reply = AskBackend(*pending, *running, key);
+    } else {
+      reply = MakeNotRun(pending->call.request, result_code::kTicketRevoked);
+      FinishAdmission(key, run_result::kCancelled);
+    }
+    pending_call ended;
+    if (TakePending(key, ended)) {
+      Reply(ended, std::move(reply));
+    }
+  }
+
+  std::shared_ptr<running_request> MakeRunning(call_key key) {
+    ranked_lock lock(calls_mutex_);
+    const auto found = calls_.find(key);
+    if (found == calls_.end()) {
+      return nullptr;
+    }
+    pending_call& pending = found->second;
+    pending.running = std::make_shared<running_request>(
+        running_request::identity{.key = key,
+                                  .id = pending.call.request,
+                                  .rank = pending.call.rank,
+                                  .deadline = pending.call.deadline,
+                                  .row = pending.row->name},
+        pending.call.retries);
+    return pending.running;
+  }
+
+  bool HandOver(const pending_call& pending) {
+    if (pending.call.claim.empty()) {
+      return true;
+    }
+    return claims_.With([&](claim_book& book) {
+      return book.HandOver(ClaimOf(pending.call.claim), boot_clock::Now());
+    });
+  }
+
+  reply_message AskBackend(const pending_call& pending, running_request& running, call_key key) {
+    const std::string handle = records_.Add(pending.running);
+    backend_request request{.method = pending.call.method,
+                            .target = pending.call.target,
+                            .headers = pending.call.headers,
+                            .body = pending.call.body,
+                            .more_body = pending.call.more_body,
+                            .deadline = pending.call.deadline,
+                            .largest_answer = pending.row->largest_answer,
+                            .idempotent = pending.row->idempotent};
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(pending.call.deadline -
+                                                                            boot_clock::Now());
+    request.headers.push_back({header_names::kContext, handle});
+    request.headers.push_back({header_names::kTimeLeft, std::to_string(left.count())});
+    backend_answer answer = backend_.Send(request, running.cancel());
+    records_.Remove(handle);
+    FinishAdmission(key, RunResultOf(answer.end));
+    reply_message reply = ReplyFrom(std::move(answer), pending.call.request);
+    reply.retries_left = running.WithRetries(
+        [](const retry_allowance& retries, std::uint32_t) { return retries.left(); });
+    EndClaim(pending, reply);
+    return reply;
+  }
+
+  static reply_message ReplyFrom(backend_answer answer, request_id request) {
+    switch (answer.end) {
+      case backend_end::kAnswered: {
+        reply_message reply;
+        reply.request = request;
+        reply.end = call_end::kCompleted;
+        reply.http_status = static_cast<std::uint16_t>(answer.http_status);
+        reply.headers = std::move(answer.headers);
+        reply.body = std::move(answer.body);
+        reply.body_digest = answer.body_digest;
+        return reply;
+      }
+      case backend_end::kShed:
+      case backend_end::kNotSent:
+        return MakeNotRun(request, result_code::kRefusedInstanceOnly);
+      case backend_end::kTimedOut:
+        return MakeUnknown(request, result_code::kDeadlineExceeded);
+      case backend_end::kTooLarge:
+        return MakeUnknown(request, result_code::kAnswerTooLarge);
+      case backend_end::kCancelled:
+        return MakeUnknown(request, result_code::kCallerGone);
+      case backend_end::kBrokenOff:
+        break;
+    }
+    return MakeUnknown(request, result_code::kBackendFailed);
+  }
+
+  void EndClaim(const pending_call& pending, const reply_message& reply) {
+    if (pending.call.claim.empty()) {
+      return;
+    }
+    const claim_id claim = ClaimOf(pending.call.claim);
+    claims_.With([&](claim_book& book) {
+      const instant now = boot_clock::Now();
+      if (reply.end == call_end::kCompleted) {
+        book.Complete(claim, EncodeMessage(reply), now);
+      } else if (reply.end == call_end::kNotRun) {
+        book.EndUnrun(claim, static_cast<result_code>(reply.code), now);
+      } else {
+        book.BreakOff(claim, now);
+      }
+    });
+  }
+
+  void Reply(const pending_call& pending, reply_message reply) {
+    const std::string_view row =
+        pending.row == nullptr ? "none" : std::string_view(pending.row->name);
+    reply.request = pending.call.request;
+    reply.load = Load(pending.shard.get(), pending.row);
+    if (reply.end == call_end::kNotRun) {
+      reply.retries_left = pending.call.retries;
+    }
+    metrics_.CountServed(row, reply.end, reply.code);
+    Record(pending, reply, row);
+    pending.on_reply(std::move(reply));
+  }
+
+  void Record(const pending_call& pending, const reply_message& reply, std::string_view row) {
+    event_kind kind = event_kind::kCallCompleted;
+    if (reply.end == call_end::kUnknown) {
+      kind = event_kind::kCallUnknown;
+    } else if (pending.call.request.low % settings_.sample_every != 0) {
+      return;
+    } else if (reply.end == call_end::kNotRun) {
+      kind = event_kind::kCallRefused;
+    }
+    events_.Add({.when = {},
+                 .kind = kind,
+                 .code = static_cast<result_code>(reply.code),
+                 .request = pending.call.request,
+                 .subject = std::string(row),
+                 .value = reply.http_status});
+  }
+
+  const node_settings settings_;
+  backend_client& backend_;
+  request_records& records_;
+  node_metrics& metrics_;
+  event_log& events_;
+  std::atomic<bool> draining_ = false;
+  std::atomic<call_key> next_key_ = 1;
+  section<admission_state> admission_;
+  section<claim_book> claims_;
+  section<random_source> random_;
+  ranked_mutex calls_mutex_{lock_rank::kNodeCalls};
+  // Node-based: Run() keeps a reference to its entry while others come and go.
+  absl::node_hash_map<call_key, pending_call> calls_ ABSL_GUARDED_BY(calls_mutex_);
+  worker_pool workers_;
+};
+
+serving_side::serving_side(options chosen, backend_client& backend, request_records& records,
+                           node_metrics& metrics, event_log& events)
+    : state_(std::make_unique<state>(std::move(chosen), backend, records, metrics, events)) {}
+serving_side::~serving_side() = default;
+
+void serving_side::UseTable(const table_shard& shard) { state_->UseTable(shard); }
+
+call_key serving_side::Begin(incoming_call call, reply_hook on_reply) {
+  return state_->Begin(std::move(call), std::move(on_reply));
+}
+
+void serving_side::Cancel(call_key key) { state_->Cancel(key); }
+void serving_side::BeginWait(call_key key) { state_->BeginWait(key); }
+void serving_side::EndWait(call_key key) { state_->EndWait(key); }
+
+void serving_side::LearnThreshold(std::string_view caller_row, std::string_view callee_service,
+                                  std::string_view callee_row, call_rank threshold) {
+  state_->LearnThreshold(caller_row, callee_service, callee_row, threshold);
+}
+
+ask_reply_message serving_side::Ask(const ask_message& question) { return state_->Ask(question); }
+void serving_side::ReportHealth(const backend_health& health) { state_->ReportHealth(health); }
+void serving_side::Drain() { state_->Drain(); }
+void serving_side::Tick(instant now) { state_->Tick(now); }
+load_advert serving_side::Load() { return state_->Load(); }
+std::uint32_t serving_side::ClaimWindow() { return state_->ClaimWindow(); }
+bool serving_side::draining() const { return state_->draining(); }
+std::uint32_t serving_side::running() { return state_->running(); }
+std::uint32_t serving_side::queued() { return state_->queued(); }
+std::uint32_t serving_side::limit() { return state_->limit(); }
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_node/runtime/serving_side.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cuminferry_node/backend/backend_client.h"
+#include "cuminferry_node/runtime/node_metrics.h"
+#include "cuminferry_node/runtime/running_request.h"
+#include "cuminferry_policy/claims/claim_book.h"
+#include "cuminferry_policy/cuminferry_policy.h"
+#include "cuminferry_table/cuminferry_table.h"
+#include "cuminferry_wire/cuminferry_wire.h"
+
+namespace cuminferry {
+
+/** A call for the own backend server, from a caller or from another node. */
+struct incoming_call {
+  request_id request;
+  std::string method;
+  /** Path and query. */
+  std::string target;
+  std::vector<header_field> headers;
+  std::string body;
+  /** The rest of a long body; empty where `body` is all. */
+  std::function<bool(std::string& part)> more_body;
+  /** Set by Begin() from the row where the request enters here. */
+  instant deadline;
+  /** A request that enters here gets its rank, deadline and retries from its row. */
+  bool enters_here = false;
+  call_rank rank;
+  std::uint8_t retries = 0;
+  /** Empty for idempotent rows. */
+  ticket claim;
+};
+
+/** Calls into the own backend server: finds the row, keeps to at most once,
+    admits, runs and answers.
+
+    Every call that is begun gets exactly one reply, through the hook given with it.
+*/
+class serving_side {
+ public:
+  using reply_hook = std::function<void(reply_message)>;
+
+  struct options {
+    node_settings settings;
+    incarnation_id incarnation = 0;
+  };
+
+  serving_side(options chosen, backend_client& backend, request_records& records,
+               node_metrics& metrics, event_log& events);
+  /** Waits for the calls that run. */
+  ~serving_side();
+  serving_side(const serving_side&) = delete;
+  serving_side& operator=(const serving_side&) = delete;
+
+  //============================================================================
+  /** Puts a version of the own service's rows in force. */
+  void UseTable(const table_shard& shard);
+
+  /** Begins a call. The hook is called once, on any thread, perhaps before this
+      returns. @return names the call for Cancel() */
+  call_key Begin(incoming_call call, reply_hook on_reply);
+
+  /** The caller has gone. The hook is still called. */
+  void Cancel(call_key key);
+
+  /** A request in the backend server waits, or waits no longer, for calls out. */
+  void BeginWait(call_key key);
+  void EndWait(call_key key);
+
+  /** A callee advertised the rank below which it refuses a row. */
+  void LearnThreshold(std::string_view caller_row, std::string_view callee_service,
+                      std::string_view callee_row, call_rank threshold);
+
+  /** What became of a ticket of this incarnation. */
+  ask_reply_message Ask(const ask_message& question);
+
+  /** The backend server's word on itself. */
+  void ReportHealth(const backend_health& health);
+
+  /** Refuses what waits and all that comes; what runs is finished. */
+  void Drain();
+
+  /** Moves time on; to be called every few milliseconds. */
+  void Tick(instant now);
+
+  //============================================================================
+  load_advert Load();
+  /** The claim window that new tickets are to be bound to. */
+  std::uint32_t ClaimWindow();
+  bool draining() const;
+  std::uint32_t running();
+  std::uint32_t queued();
+  std::uint32_t limit();
+
+ private:
+  class state;
+  std::unique_ptr<state> state_;
+};
+
+/** Replies that a node gives itself. */
+reply_message MakeNotRun(request_id request, result_code code,
+                         std::chrono::milliseconds retry_after = std::chrono::milliseconds(0));
+reply_message MakeUnknown(request_id request, result_code code);
+
+}  // namespace cuminferry
--- a/modules/cuminferry_wire/tcp/tcp_hub.cpp
+++ b/modules/cuminferry_wire/tcp/tcp_hub.cpp
@@ -136,9 +136,7 @@
   }
 
   ~state() {
-    stopping_ = true;
-    Wake();
-    thread_.reset();
+    Stop();
     {
       ranked_lock lock(mutex_);
       connections_.clear();
@@ -200,6 +198,12 @@
     }
   }
 
+  void Stop() {
+    stopping_ = true;
+    Wake();
+    thread_.reset();
+  }
+
   std::size_t connections() {
     ranked_lock lock(mutex_);
     return connections_.size();
@@ -359,6 +363,8 @@
 
 void tcp_hub::Close(connection_id connection) { state_->Close(connection); }
 
+void tcp_hub::Stop() { state_->Stop(); }
+
 std::size_t tcp_hub::connections() const { return state_->connections(); }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_wire/tcp/tcp_hub.h
+++ b/modules/cuminferry_wire/tcp/tcp_hub.h
@@ -67,6 +67,9 @@
   /** Closes one connection; on_closed is called. */
   void Close(connection_id connection);
 
+  /** Ends the thread: no hook runs after this, and nothing arrives any more. */
+  void Stop();
+
   //============================================================================
   std::size_t connections() const;
 
