Add stand-ins for the platform and for backend servers

Cause: nothing can be run or measured without what surrounds the system.

The backend server's stand-in works in slots (a sleep, no processor time), sheds with Cuminferry-Not-Run, notices a closed connection and the deadline, calls other services through its node, journals each run and its effect, and can lie about its health.

--- /dev/null
+++ b/extras/stand_ins/backend/answer_text.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry::stand_ins {
+
+/** The name of a whole request in its path: "?request=<name>". */
+inline constexpr char kRequestParameter[] = "request";
+
+/** An answer that shows whether it is whole and whose it is: a head with the
+    request's name, the number of filler bytes and the digest of both. */
+inline std::string MakeAnswerText(std::string_view request, std::size_t bytes) {
+  std::string filler(bytes, 'a');
+  for (std::size_t at = 0; at < filler.size(); ++at) {
+    filler[at] = static_cast<char>('a' + (at + request.size()) % 26);
+  }
+  const std::string content = std::string(request) + "\n" + filler;
+  return std::to_string(content.size()) + " " + std::to_string(DigestOf(content)) + "\n" + content;
+}
+
+/** Whether a text is the whole answer to the request of this name. */
+inline bool IsWholeAnswer(std::string_view text, std::string_view request) {
+  const std::size_t line = text.find('\n');
+  if (line == std::string_view::npos) {
+    return false;
+  }
+  const std::string_view content = text.substr(line + 1);
+  const std::string head = std::to_string(content.size()) + " " + std::to_string(DigestOf(content));
+  return text.substr(0, line) == head && content.substr(0, request.size()) == request &&
+         content.size() > request.size() && content[request.size()] == '\n';
+}
+
+}  // namespace cuminferry::stand_ins
--- /dev/null
+++ b/extras/stand_ins/backend/backend_stand_in.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <memory>
+
+#include "stand_ins/backend/backend_settings.h"
+
+namespace cuminferry::stand_ins {
+
+/** Takes the place of a backend server in tests and trials.
+
+    Works on requests in a bounded number of slots, calls other services through
+    its own node, gives up at deadlines and when its caller has gone, sheds what
+    it has no room for, and keeps a journal of every run.
+
+    For tests it takes, on its own port:
+    - `GET /stand-in/journal`, `POST /stand-in/clear`, `GET /stand-in/counters`
+    - `POST /stand-in/slow?factor=10`, `POST /stand-in/health?report=idle`,
+      `POST /stand-in/drain`
+*/
+class backend_stand_in {
+ public:
+  explicit backend_stand_in(backend_settings settings);
+  ~backend_stand_in();
+
+  absl::Status Start();
+  void Stop();
+
+  endpoint at() const;
+
+ private:
+  class state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace cuminferry::stand_ins
--- /dev/null
+++ b/extras/stand_ins/http/client_pool.cpp
@@ -0,0 +1,46 @@
+#include "stand_ins/http/client_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminferry::stand_ins {
+
+client_pool::client_pool(endpoint to, std::size_t idle_bound) : to_(to), idle_bound_(idle_bound) {}
+
+std::unique_ptr<httplib::Client> client_pool::Take(std::chrono::milliseconds longest) {
+  std::unique_ptr<httplib::Client> client;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!idle_.empty()) {
+      client = std::move(idle_.back());
+      idle_.pop_back();
+    }
+  }
+  if (client == nullptr) {
+    const std::string host = endpoint{to_.address, 0}.ToString();
+    client = std::make_unique<httplib::Client>(host.substr(0, host.rfind(':')), to_.port);
+    client->set_keep_alive(true);
+    client->set_tcp_nodelay(true);
+    client->set_url_encode(false);
+  }
+  longest = std::max(longest, std::chrono::milliseconds(1));
+  client->set_connection_timeout(longest);
+  client->set_read_timeout(longest);
+  client->set_write_timeout(longest);
+  return client;
+}
+
+void client_pool::Return(std::unique_ptr<httplib::Client> client) {
+  const std::lock_guard lock(mutex_);
+  if (idle_.size() < idle_bound_) {
+    idle_.push_back(std::move(client));
+  }
+}
+
+void client_pool::Clear() {
+  std::vector<std::unique_ptr<httplib::Client>> closing;
+  const std::lock_guard lock(mutex_);
+  closing.swap(idle_);
+}
+
+}  // namespace cuminferry::stand_ins
