Mend what the compiler found in the node's first form

Cause: thread-safety analysis and a lookup by string view. Change: the current attempt is read under its mutex; records in an ordered map.

--- a/modules/cuminferry_node/runtime/front_side.cpp
+++ b/modules/cuminferry_node/runtime/front_side.cpp
@@ -26,12 +26,11 @@
 class front_side::state {
  public:
   state(endpoint peer_address, incarnation_id incarnation, serving_side& serving,
-        egress_side& egress, table_store& tables, connection_watch& watch, std::string service)
+        egress_side& /*egress*/, table_store& tables, connection_watch& watch, std::string service)
       : peer_address_(peer_address),
         incarnation_(incarnation),
         service_(std::move(service)),
         serving_(serving),
-        egress_(egress),
         tables_(tables),
         watch_(watch) {}
 
@@ -132,7 +131,6 @@
   const incarnation_id incarnation_;
   const std::string service_;
   serving_side& serving_;
-  egress_side& egress_;
   table_store& tables_;
   connection_watch& watch_;
 };
--- a/modules/cuminferry_node/runtime/outgoing_call.cpp
+++ b/modules/cuminferry_node/runtime/outgoing_call.cpp
@@ -56,13 +56,14 @@
       return false;
     }
     body_chunk_message chunk;
-    chunk.attempt = current_->id();
+    const auto attempt = current();
+    chunk.attempt = attempt->id();
     chunk.offset = sent_bytes_;
     chunk.bytes = part.substr(0, std::min<std::uint64_t>({credit_, kChunkBytes, part.size()}));
     part.remove_prefix(chunk.bytes.size());
     credit_ -= chunk.bytes.size();
     sent_bytes_ += chunk.bytes.size();
-    parts_.links.Send(current_->connection(), FrameOf(chunk));
+    parts_.links.Send(attempt->connection(), FrameOf(chunk));
   }
   return true;
 }
@@ -76,10 +77,11 @@
   if (!end_.has_value()) {
     if (whole) {
       body_chunk_message last;
-      last.attempt = current_->id();
+      const auto attempt = current();
+      last.attempt = attempt->id();
       last.offset = sent_bytes_;
       last.last = 1;
-      parts_.links.Send(current_->connection(), FrameOf(last));
+      parts_.links.Send(attempt->connection(), FrameOf(last));
     }
     while (AwaitEnd(true) == step::kStreaming) {
     }
@@ -169,7 +171,8 @@
 }
 
 outgoing_call::step outgoing_call::AwaitEnd(bool streams) {
-  outgoing_attempt& attempt = *current_;
+  const auto held = current();
+  outgoing_attempt& attempt = *held;
   switch (attempt.Wait(about_.deadline)) {
     case outgoing_attempt::event::kReply: {
       reply_message reply = attempt.TakeReply();
@@ -370,6 +373,11 @@
   return cancelled_;
 }
 
+std::shared_ptr<outgoing_attempt> outgoing_call::current() {
+  ranked_lock lock(mutex_);
+  return current_;
+}
+
 reply_message outgoing_call::TakeEnd() {
   parts_.metrics.CountCalled(about_.row->name, end_->end, end_->code, attempts_);
   end_->request = about_.request;
--- a/modules/cuminferry_node/runtime/outgoing_call.h
+++ b/modules/cuminferry_node/runtime/outgoing_call.h
@@ -96,6 +96,7 @@
   void TakeBackRetries(std::uint8_t returned);
   void EndAttempt(target_outcome outcome, const load_advert& load);
   bool cancelled();
+  std::shared_ptr<outgoing_attempt> current();
   reply_message TakeEnd();
 
   const target_call about_;
--- a/modules/cuminferry_node/runtime/running_request.h
+++ b/modules/cuminferry_node/runtime/running_request.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -71,7 +72,7 @@
 
  private:
   ranked_mutex mutex_{lock_rank::kNodeCalls};
-  absl::flat_hash_map<std::string, std::shared_ptr<running_request>> requests_
+  std::map<std::string, std::shared_ptr<running_request>, std::less<>> requests_
       ABSL_GUARDED_BY(mutex_);
 };
 
