--- a/modules/cuminferry_node/backend/backend_connection.cpp
+++ b/modules/cuminferry_node/backend/backend_connection.cpp
@@ -91,8 +91,11 @@
   facts_.timed_out = stream.timed_out();
   // The library takes a chunk with a damaged end for the last one, and would
   // hand out the part before it as the whole.
-  facts_.whole = (done || without_body_) && (!chunked_ || stream.at_end_of_chunks());
-  clean_ = done && facts_.whole && !stream.has_left_over() && !stream.answered_early();
+  // Bytes after a body of the stated length show that the length is wrong, and
+  // then the body is a part.
+  facts_.whole = (done || without_body_) && (!chunked_ || stream.at_end_of_chunks()) &&
+                 !stream.has_left_over();
+  clean_ = done && facts_.whole && !stream.answered_early();
   return done;
 }
 
