Tell a ticket that is forgotten from one that expired

Cause: ticket_expired promises that the request did not run. The home can promise that only while it remembers the ticket's window; of an older one it knows nothing, and the one code said both. Changed: 409 ticket_forgotten, an end that is unknown. 400 keeps its number and meaning.

--- a/modules/cuminferry_core/result/result_code.cpp
+++ b/modules/cuminferry_core/result/result_code.cpp
@@ -110,6 +110,9 @@
                      "It ran and completed, but the answer is no longer kept."},
     result_code_info{kTicketRequired, "ticket_required", 400,
                      "Not run: a non-idempotent call between nodes came without a ticket."},
+    result_code_info{kTicketForgotten, "ticket_forgotten", 409,
+                     "The instance holds no memory of the ticket's claim window; whether it ran "
+                     "is unknown."},
 
     result_code_info{kFrameBadMagic, "frame_bad_magic", 0, "Not a frame of this protocol."},
     result_code_info{kFrameWrongVersion, "frame_wrong_version", 0,
--- a/modules/cuminferry_core/result/result_code.h
+++ b/modules/cuminferry_core/result/result_code.h
@@ -70,6 +70,7 @@
   kTicketTableFull = 406,
   kTicketAnswerForgotten = 407,
   kTicketRequired = 408,
+  kTicketForgotten = 409,
 
   kFrameBadMagic = 500,
   kFrameWrongVersion = 501,
