--- a/modules/cuminferry_node/peers/outgoing_attempt.cpp
+++ b/modules/cuminferry_node/peers/outgoing_attempt.cpp
@@ -16,7 +16,10 @@
     if (cancelled_) {
       return event::kCancelled;
     }
-    if (lost_) {
+    if (std::exchange(gone_, false)) {
+      return event::kGone;
+    }
+    if (std::exchange(lost_, false)) {
       return event::kLost;
     }
     if (credit_ > 0) {
@@ -63,9 +66,9 @@
   changed_.SignalAll();
 }
 
-void outgoing_attempt::MarkLost() {
+void outgoing_attempt::MarkLost(bool gone) {
   ranked_lock lock(mutex_);
-  lost_ = true;
+  (gone ? gone_ : lost_) = true;
   changed_.SignalAll();
 }
 
--- a/modules/cuminferry_node/peers/peer_links.cpp
+++ b/modules/cuminferry_node/peers/peer_links.cpp
@@ -30,6 +30,12 @@
   std::uint32_t outstanding = 0;
 };
 
+// Who waits for what comes under a number, and on which connection it must come.
+struct waiter {
+  std::shared_ptr<outgoing_attempt> attempt;
+  connection_id connection = 0;
+};
+
 template <typename Message>
 bool Decode(std::span<const char> payload, Message& into) {
   return DecodeMessage(payload, into).ok();
@@ -62,6 +68,19 @@
     return SendOrForget(std::move(attempt), FrameOf(question));
   }
 
+  bool AskFor(const std::shared_ptr<outgoing_attempt>& attempt, endpoint to,
+              ask_message& question) {
+    connection_id connection = 0;
+    {
+      ranked_lock lock(mutex_);
+      connection = ConnectionTo(to);
+      question.question = next_attempt_++;
+      attempt->MarkAsked();
+      AddWaiter(question.question, {attempt, connection});
+    }
+    return hub_->SendMessage(connection, question);
+  }
+
   void Abandon(const outgoing_attempt& attempt) {
     hub_->SendMessage(attempt.connection(), cancel_message{attempt.id()});
     Forget(attempt);
@@ -69,12 +88,13 @@
 
   void Forget(const outgoing_attempt& attempt) {
     ranked_lock lock(mutex_);
-    if (attempts_.erase(attempt.id()) == 0) {
-      return;
+    const auto found = waiters_.find(attempt.id());
+    if (found != waiters_.end()) {
+      NoteAnswered(found->second.connection);
+      waiters_.erase(found);
     }
-    const auto found = links_.find(attempt.connection());
-    if (found != links_.end() && found->second.outstanding > 0) {
-      --found->second.outstanding;
+    if (attempt.asked()) {
+      ForgetQuestions(attempt);
     }
   }
 
@@ -153,8 +173,8 @@
   void Stop() {
     hub_->Stop();
     ranked_lock lock(mutex_);
-    for (const auto& [id, attempt] : attempts_) {
-      attempt->MarkLost();
+    for (const auto& [id, waiting] : waiters_) {
+      waiting.attempt->MarkLost(false);
     }
     hello_came_.SignalAll();
   }
@@ -163,7 +183,7 @@
 
   std::size_t attempts_outstanding() {
     ranked_lock lock(mutex_);
-    return attempts_.size();
+    return waiters_.size();
   }
 
  private:
@@ -175,7 +195,7 @@
                           connection_id connection, message_type type,
                           std::span<const char> payload) { OnMessage(connection, type, payload); },
         .on_closed = [this](connection_id connection,
-                            const absl::Status& /*why*/) { OnClosed(connection); },
+                            const absl::Status& why) { OnClosed(connection, why); },
     };
   }
 
@@ -219,14 +239,35 @@
     ranked_lock lock(mutex_);
     const connection_id connection = ConnectionTo(to);
     auto attempt = std::make_shared<outgoing_attempt>(next_attempt_++, connection);
-    attempts_.emplace(attempt->id(), attempt);
-    link& known = links_.at(connection);
+    AddWaiter(attempt->id(), {attempt, connection});
+    return attempt;
+  }
+
+  void AddWaiter(attempt_id id, waiter waiting) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    link& known = links_.at(waiting.connection);
     if (known.outstanding == 0) {
       // Idle silence does not count: the other side had nothing to say.
       known.last_heard = std::max(known.last_heard, boot_clock::Now() - kHeartbeatEvery);
     }
     ++known.outstanding;
-    return attempt;
+    waiters_.emplace(id, std::move(waiting));
+  }
+
+  void ForgetQuestions(const outgoing_attempt& attempt) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    for (auto next = waiters_.begin(); next != waiters_.end();) {
+      const auto here = next++;
+      if (here->second.attempt.get() == &attempt) {
+        NoteAnswered(here->second.connection);
+        waiters_.erase(here);
+      }
+    }
+  }
+
+  void NoteAnswered(connection_id connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    const auto found = links_.find(connection);
+    if (found != links_.end() && found->second.outstanding > 0) {
+      --found->second.outstanding;
+    }
   }
 
   std::shared_ptr<outgoing_attempt> SendOrForget(std::shared_ptr<outgoing_attempt> attempt,
@@ -238,10 +279,15 @@
     return nullptr;
   }
 
-  std::shared_ptr<outgoing_attempt> FindAttempt(attempt_id id) {
+  // The attempt that waits for this number on this connection; nullptr where it
+  // was given up: what comes late finds nobody and is dropped.
+  std::shared_ptr<outgoing_attempt> FindAttempt(connection_id connection, attempt_id id) {
     ranked_lock lock(mutex_);
-    const auto found = attempts_.find(id);
-    return found == attempts_.end() ? nullptr : found->second;
+    const auto found = waiters_.find(id);
+    if (found == waiters_.end() || found->second.connection != connection) {
+      return nullptr;
+    }
+    return found->second.attempt;
   }
 
   void OnOpen(connection_id connection, bool accepted) {
@@ -262,7 +308,7 @@
     hub_->SendMessage(connection, hooks_.own_hello());
   }
 
-  void OnClosed(connection_id connection) {
+  void OnClosed(connection_id connection, const absl::Status& why) {
     std::vector<std::shared_ptr<outgoing_attempt>> lost;
     endpoint peer;
     bool unreachable = false;
@@ -276,15 +322,15 @@
       unreachable = found->second.outgoing;
       Detach(connection, found->second);
       links_.erase(found);
-      for (const auto& [id, attempt] : attempts_) {
-        if (attempt->connection() == connection) {
-          lost.push_back(attempt);
+      for (const auto& [id, waiting] : waiters_) {
+        if (waiting.connection == connection) {
+          lost.push_back(waiting.attempt);
         }
       }
       hello_came_.SignalAll();
     }
     for (const auto& attempt : lost) {
-      attempt->MarkLost();
+      attempt->MarkLost(CodeOf(why) == result_code::kTargetUnreachable);
     }
     hooks_.on_lost(connection);
     if (unreachable) {
@@ -353,13 +399,13 @@
       case message_type::kBodyChunk:
         return OnChunk(connection, payload);
       case message_type::kBodyCredit:
-        return OnCredit(payload);
+        return OnCredit(connection, payload);
       case message_type::kCancel:
         return OnCancel(connection, payload);
       case message_type::kAsk:
         return OnAsk(connection, payload);
       case message_type::kAskReply:
-        return OnAskReply(payload);
+        return OnAskReply(connection, payload);
       case message_type::kLeaving:
         hooks_.on_leaving(peer);
         return true;
@@ -419,9 +465,8 @@
     }
     events_.Observe(reply.sent);
     NoteLoad(connection, reply.load);
-    // A late reply to an attempt that was given up finds nobody and is dropped.
-    const auto attempt = FindAttempt(reply.attempt);
-    if (attempt != nullptr && attempt->connection() == connection) {
+    const auto attempt = FindAttempt(connection, reply.attempt);
+    if (attempt != nullptr) {
       attempt->Deliver(std::move(reply));
     }
     return true;
@@ -436,12 +481,12 @@
     return true;
   }
 
-  bool OnCredit(std::span<const char> payload) {
+  bool OnCredit(connection_id connection, std::span<const char> payload) {
     body_credit_message credit;
     if (!Decode(payload, credit)) {
       return false;
     }
-    const auto attempt = FindAttempt(credit.attempt);
+    const auto attempt = FindAttempt(connection, credit.attempt);
     if (attempt != nullptr) {
       attempt->AddCredit(credit.bytes);
     }
@@ -466,12 +511,12 @@
     return true;
   }
 
-  bool OnAskReply(std::span<const char> payload) {
+  bool OnAskReply(connection_id connection, std::span<const char> payload) {
     ask_reply_message reply;
     if (!Decode(payload, reply)) {
       return false;
     }
-    const auto attempt = FindAttempt(reply.question);
+    const auto attempt = FindAttempt(connection, reply.question);
     if (attempt != nullptr) {
       attempt->Deliver(std::move(reply));
     }
@@ -524,8 +569,7 @@
   absl::CondVar hello_came_;
   absl::flat_hash_map<connection_id, link> links_ ABSL_GUARDED_BY(mutex_);
   std::map<endpoint, connection_id> outgoing_ ABSL_GUARDED_BY(mutex_);
-  absl::flat_hash_map<attempt_id, std::shared_ptr<outgoing_attempt>> attempts_
-      ABSL_GUARDED_BY(mutex_);
+  absl::flat_hash_map<attempt_id, waiter> waiters_ ABSL_GUARDED_BY(mutex_);
   attempt_id next_attempt_ ABSL_GUARDED_BY(mutex_) = 1;
   std::unique_ptr<tcp_hub> hub_;
 };
@@ -544,6 +588,11 @@
   return state_->Ask(to, question);
 }
 
+bool peer_links::AskFor(const std::shared_ptr<outgoing_attempt>& attempt, endpoint to,
+                        ask_message& question) {
+  return state_->AskFor(attempt, to, question);
+}
+
 void peer_links::Abandon(const outgoing_attempt& attempt) { state_->Abandon(attempt); }
 void peer_links::Forget(const outgoing_attempt& attempt) { state_->Forget(attempt); }
 
--- a/modules/cuminferry_node/peers/peer_links.h
+++ b/modules/cuminferry_node/peers/peer_links.h
@@ -61,10 +61,12 @@
 
   /** Asks about a ticket; opens a connection where there is none. */
   std::shared_ptr<outgoing_attempt> Ask(endpoint to, ask_message& question);
+  /** As Ask(), but the answer is delivered to an attempt that exists. False: not sent. */
+  bool AskFor(const std::shared_ptr<outgoing_attempt>& attempt, endpoint to, ask_message& question);
 
   /** Tells the other node that the answer is no longer wanted, and forgets the attempt. */
   void Abandon(const outgoing_attempt& attempt);
-  /** Forgets an attempt that has ended. */
+  /** Forgets an attempt that has ended, and the questions that were asked for it. */
   void Forget(const outgoing_attempt& attempt);
 
   /** The identity of the node at an endpoint; waits for its hello where the
--- a/modules/cuminferry_node/runtime/egress_side.cpp
+++ b/modules/cuminferry_node/runtime/egress_side.cpp
@@ -106,13 +106,11 @@
     }
     about.rank = incoming.rank;
     about.deadline = std::min(incoming.deadline, boot_clock::Now() + about.row->deadline);
-    outgoing_call call(std::move(about), {.links = parts_.links,
-                                          .router = router_,
-                                          .metrics = parts_.metrics,
-                                          .events = parts_.events,
-                                          .blind_retries = false,
-                                          .on_threshold = {}});
-    return RunWithBody(request, call);
+    const std::shared_ptr<outgoing_call> call =
+        outgoing_call::Make(std::move(about), CallParts({}, {}, {}));
+    const connection_watch::guard guard(parts_.watch, request.descriptor,
+                                        [&call] { call->Cancel(); });
+    return RunWithBody(request, *call);
   }
 
   ask_reply_message AskHome(const ticket& claim, bool revoke, instant until) {
--- a/modules/cuminferry_node/runtime/egress_side.h
+++ b/modules/cuminferry_node/runtime/egress_side.h
@@ -28,6 +28,8 @@
     connection_watch& watch;
     node_metrics& metrics;
     event_log& events;
+    /** The own incarnation, for tickets. */
+    incarnation_id incarnation = 0;
     /** Begins to follow a service that is called for the first time. */
     std::function<void(std::string_view service)> follow;
   };
--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -175,6 +175,7 @@
             .watch = watch_,
             .metrics = metrics_,
             .events = events_,
+            .incarnation = incarnation_,
             .follow = [this](std::string_view service) { fleet_.Follow(service); }};
   }
 
--- a/modules/cuminferry_node/runtime/outgoing_call.h
+++ b/modules/cuminferry_node/runtime/outgoing_call.h
@@ -19,6 +19,8 @@
     Used by one thread, which waits; Cancel() may come from any other. Either
     Run() with a whole body, or OpenStream(), SendPart() and FinishStream() with a
     long one.
+
+    @see idempotent_call, claimed_call
 */
 class outgoing_call {
  public:
@@ -46,13 +48,18 @@
     call_router& router;
     node_metrics& metrics;
     event_log& events;
+    /** The own incarnation, for tickets. */
+    incarnation_id incarnation = 0;
     /** Baseline for measurements: each call is tried three times more, whatever came back. */
     bool blind_retries = false;
     /** A reply told the rank below which the callee refuses the row. */
     std::function<void(call_rank threshold)> on_threshold;
   };
 
-  outgoing_call(target_call about, parts chosen);
+  /** Makes the kind of call that the row asks for. */
+  static std::unique_ptr<outgoing_call> Make(target_call about, parts chosen);
+
+  virtual ~outgoing_call() = default;
   outgoing_call(const outgoing_call&) = delete;
   outgoing_call& operator=(const outgoing_call&) = delete;
 
@@ -71,47 +78,63 @@
   /** The caller has gone. From any thread. */
   void Cancel();
 
+ protected:
+  /** Whether a call has ended or its receiver waits for more of the body. */
+  enum class progress : std::uint8_t { kEnded, kStreaming };
+
+  outgoing_call(target_call about, parts chosen);
+
+  /** Makes attempts until the call ends, or the receiver wants more of the body. */
+  virtual progress Begin(const std::string& body, bool streams) = 0;
+  /** Goes on until the call ends, or the receiver wants more of the body. */
+  virtual progress Continue() = 0;
+
   //============================================================================
-  /** The ticket of the last attempt; empty for idempotent rows. */
-  const ticket& claim() const { return claim_; }
+  const target_call& about() const { return about_; }
+  parts& with() { return parts_; }
+  std::shared_ptr<outgoing_attempt> current();
+  bool cancelled();
+  bool streams() const { return streams_; }
+  bool ended() const { return end_.has_value(); }
 
- private:
-  enum class step : std::uint8_t { kEnded, kTryAgain, kStreaming };
-
-  step Attempt(const std::string& body, bool streams);
-  bool StartAttempt(const std::string& body, bool streams);
-  step AwaitEnd(bool streams);
-  step OnReply(reply_message reply);
-  step OnLost();
-  step OnRefused(const reply_message& reply);
-  step ResolveClaim();
-  step OnClaimReport(const ask_reply_message& report, bool& settled);
-  step EndWith(reply_message reply);
-  step EndUnknown(result_code code);
-  step RetryElsewhere(reply_message otherwise);
-  bool MayRetry();
-  bool MintTicket();
+  /** Sends one attempt to a target. False: no byte of it was sent. */
+  bool Send(endpoint target, const ticket& claim, const std::string& body);
+  /** Takes the credit that came with an attempt's event. */
+  void AddCredit(std::uint64_t bytes) { credit_ += bytes; }
+  /** Notes what a reply says besides its answer. */
+  void NoteReply(endpoint target, const reply_message& reply);
+  /** Notes that an attempt ended without a reply. */
+  void NoteNoReply(endpoint target, target_outcome outcome);
+  /** Takes one retry from the tree and from the path; false where either is spent. */
+  bool TakeRetry();
   bool IsWhole(const reply_message& reply) const;
+
+  progress EndWith(reply_message reply);
+  progress EndNotRun(result_code code);
+  progress EndUnknown(result_code code);
+
+ private:
   std::uint8_t LendRetries();
   void TakeBackRetries(std::uint8_t returned);
-  void EndAttempt(target_outcome outcome, const load_advert& load);
-  bool cancelled();
-  std::shared_ptr<outgoing_attempt> current();
+  void SendChunk(std::string bytes, bool last);
   reply_message TakeEnd();
 
   const target_call about_;
   parts parts_;
-  ticket claim_;
-  endpoint target_;
-  std::vector<endpoint> avoid_;
   std::uint32_t attempts_ = 0;
   std::uint8_t lent_ = 0;
+  bool streams_ = false;
   std::uint64_t sent_bytes_ = 0;
   std::uint64_t credit_ = 0;
   std::optional<reply_message> end_;
   ranked_mutex mutex_{lock_rank::kNodeCalls};
-  std::shared_ptr<outgoing_attempt> current_ ABSL_GUARDED_BY(mutex_);
+  // Never null: before the first sending it waits for nothing but Cancel().
+  std::shared_ptr<outgoing_attempt> current_ ABSL_GUARDED_BY(mutex_) =
+      std::make_shared<outgoing_attempt>(0, 0);
   bool cancelled_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
+/** Whether another instance may well take what this one refused. */
+bool IsThisInstanceOnly(result_code code);
+
 }  // namespace cuminferry
--- a/modules/cuminferry_wire/tcp/tcp_hub.cpp
+++ b/modules/cuminferry_wire/tcp/tcp_hub.cpp
@@ -290,6 +290,10 @@
     int failed = 0;
     socklen_t length = sizeof(failed);
     ::getsockopt(on.descriptor(), SOL_SOCKET, SO_ERROR, &failed, &length);
+    if (failed == ECONNREFUSED) {
+      End(on.id(), MakeStatus(result_code::kTargetUnreachable, "nothing listens there"));
+      return false;
+    }
     if (failed != 0) {
       End(on.id(), Lost(std::strerror(failed)));
       return false;
--- a/modules/cuminferry_wire/tcp/tcp_hub.h
+++ b/modules/cuminferry_wire/tcp/tcp_hub.h
@@ -30,7 +30,7 @@
     std::function<void(connection_id, bool accepted)> on_open;
     std::function<void(connection_id, message_type, std::span<const char> payload)> on_message;
     /** The connection is gone; nothing more will come of it. Also told for a
-        connect that failed. */
+        connect that failed: with kTargetUnreachable where nothing listens there. */
     std::function<void(connection_id, const absl::Status& why)> on_closed;
   };
 
