Remember tickets at their home and carry a call to one end at its sender

Cause: nothing bound a non-idempotent call to one run.

What the home says of a ticket that it does not find follows from the ticket's window: still accepted; remembered, so surely not run; or forgotten, so unknown. A full book closes the windows up to the present one rather than refuse without remembering it, since a second copy that comes when there is room again would run after its sender was told not_run. Ruled out: not_run for a ticket of another incarnation or of a forgotten window; an earlier copy may have run.

--- a/modules/cuminferry_policy/claims/claim_book.h
+++ b/modules/cuminferry_policy/claims/claim_book.h
@@ -16,9 +16,9 @@
   kRunning = 2,          ///< handed over; it runs or ran
   kCompleted = 3,        ///< it ran; the answer is kept
   kAnswerForgotten = 4,  ///< it ran and completed; the answer is no longer kept
-  kTombstone = 5,        ///< it did not run and never will
+  kTombstone = 5,        ///< it did not run and never will: the one ground for `not_run`
   kBrokenOff = 6,        ///< it was handed over and ended without an answer
-  kRefused = 7,          ///< not of this incarnation, or its window has passed
+  kRefused = 7,          ///< this arrival does not run; of others the home knows nothing
 };
 
 /** The part of a ticket that its home checks and remembers. */
@@ -43,6 +43,20 @@
 
     Bound to one incarnation and to claim windows of the home's own boot clock.
     Sans-I/O, guarded by the node with lock_rank::kClaims.
+
+    A ticket's window decides what the home may say of a ticket that it does not
+    find, and this order is what makes `not_run` true for ever:
+
+    - accepted windows (the present one and some before it): it may still run;
+    - remembered windows before those: each ticket that ran is still there, and
+      no new one is accepted. So this one did not run and never will: kTombstone;
+    - older ones, or those of another incarnation: nothing is known: kRefused.
+      This arrival does not run, but an earlier copy may have: `unknown`.
+
+    A ticket that waits or runs stays, however old its window becomes. After it
+    has ended it stays as long as a ticket of the window in which it ended.
+
+    A copy is an independent book; tests that try each course of events use it.
 */
 class claim_book {
  public:
@@ -51,13 +65,20 @@
     std::chrono::seconds window_length{60};
     /** Tickets of this many windows are accepted, the present one included. */
     std::uint32_t windows_kept = 3;
-    /** Most tickets remembered; one more is refused, none is forgotten early. */
+    /** For so many windows after those, a ticket is remembered but no new one is
+        accepted: a late first arrival can be told for sure that it did not run. */
+    std::uint32_t windows_remembered = 2;
+    /** Most tickets remembered, about 60 bytes each; one more is refused, none is
+        forgotten early. */
     std::size_t ticket_bound = 200'000;
     /** Most bytes of answers kept; the oldest go first, their tickets stay. */
     std::size_t answer_bytes_bound = 8 << 20;
   };
 
   explicit claim_book(options chosen, instant now);
+  claim_book(const claim_book& other);
+  claim_book(claim_book&& other) noexcept;
+  claim_book& operator=(claim_book&& other) noexcept;
   ~claim_book();
 
   //============================================================================
@@ -73,7 +94,8 @@
       False where it was revoked meanwhile: it must not be handed over. */
   bool HandOver(const claim_id& claim, instant now);
 
-  /** It ended before the hand-over: it never runs under this ticket. */
+  /** It ended before the hand-over, or the backend server is known not to have
+      run it (backend_end::kShed, kNotSent): it never runs under this ticket. */
   void EndUnrun(const claim_id& claim, result_code code, instant now);
 
   /** The backend server answered. */
@@ -85,7 +107,8 @@
   /** What became of it; nothing changes. */
   claim_report Ask(const claim_id& claim, instant now);
 
-  /** As Ask(), but one that was never seen or waits becomes a tombstone. */
+  /** As Ask(), but one that was never seen or waits becomes a tombstone. Where
+      that finds no room, the present windows close instead, to the same effect. */
   claim_report Revoke(const claim_id& claim, instant now);
 
   //============================================================================
--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -15,6 +15,11 @@
 #pragma once
 
 #include "cuminferry_policy/admission/admission_controller.h"
+#include "cuminferry_policy/claims/claim_book.h"
+#include "cuminferry_policy/claims/claim_end.h"
+#include "cuminferry_policy/claims/claim_sender.h"
+#include "cuminferry_policy/claims/claim_ticket.h"
+#include "cuminferry_policy/claims/ticket_text.h"
 #include "cuminferry_policy/rank/call_rank.h"
 #include "cuminferry_policy/retries/retry_allowance.h"
 #include "cuminferry_policy/targets/target_chooser.h"
--- a/tests/backend/scripted_backend.cpp
+++ b/tests/backend/scripted_backend.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <stdexcept>
 #include <utility>
 
 namespace cuminferry::testing {
@@ -85,8 +86,10 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(kLoopback);
   socklen_t length = sizeof(address);
-  ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
-  ::listen(listener_, 64);
+  if (::bind(listener_, reinterpret_cast<sockaddr*>(&address), length) != 0 ||
+      ::listen(listener_, 64) != 0) {
+    throw std::runtime_error("no port can be listened on");
+  }
   ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
   at_ = {kLoopback, ntohs(address.sin_port)};
   acceptor_ = std::thread([this] { Accept(); });
