Bind tickets: calls out carried by claim_sender, callers' tickets at the front

Cause: a non-idempotent call must never be sent again blindly. Change: calls out split into idempotent and claimed ones; the latter carry out what claim_sender decides, over any connection; GET/POST /ticket at the front; a ticket bound to another node is relayed there.

--- a/modules/cuminferry_node/runtime/egress_side.cpp
+++ b/modules/cuminferry_node/runtime/egress_side.cpp
@@ -26,6 +26,12 @@
   return !service.empty();
 }
 
+// The rank of a request that enters the fleet here.
+call_rank EntryRank(const request_row& row) {
+  thread_local random_source random = random_source::FromMachine();
+  return {row.weight, false, static_cast<std::uint16_t>(random.Next())};
+}
+
 reply_message RunWithBody(const http_request& request, outgoing_call& call) {
   if (!request.has_body) {
     return call.Run({});
@@ -68,8 +74,8 @@
     const std::string row = about.row->name;
     const std::string service = about.service;
     // Shared with the hook: a cancel that has begun may come after the call's end.
-    const auto call = std::make_shared<outgoing_call>(std::move(about),
-                                                      CallParts(parent->about().row, service, row));
+    const std::shared_ptr<outgoing_call> call =
+        outgoing_call::Make(std::move(about), CallParts(parent->about().row, service, row));
     bool first = false;
     const std::uint64_t child = parent->BeginChild([call] { call->Cancel(); }, first);
     if (first) {
@@ -104,7 +110,7 @@
     if (about.row == nullptr) {
       return MakeNotRun(incoming.request, result_code::kNoSuchRow);
     }
-    about.rank = incoming.rank;
+    about.rank = EntryRank(*about.row);
     about.deadline = std::min(incoming.deadline, boot_clock::Now() + about.row->deadline);
     const std::shared_ptr<outgoing_call> call =
         outgoing_call::Make(std::move(about), CallParts({}, {}, {}));
--- a/modules/cuminferry_node/runtime/front_side.cpp
+++ b/modules/cuminferry_node/runtime/front_side.cpp
@@ -5,16 +5,45 @@
 #include <utility>
 
 #include "cuminferry_node/runtime/body_pipe.h"
+#include "cuminferry_node/runtime/claimed_call.h"
 #include "cuminferry_node/runtime/http_replies.h"
+#include "cuminferry_policy/claims/ticket_text.h"
 
 namespace cuminferry {
 namespace {
 
 /** A body up to this size is read before the request is admitted. */
 constexpr std::size_t kInlineBody = 64 * 1024;
+/** How long a question to another node about a ticket waits for its answer. */
+constexpr std::chrono::seconds kAskTimeout{1};
+constexpr std::string_view kTicketPath = "/ticket/";
+constexpr std::string_view kRevokePath = "/revoke";
+
 /** Bounds the time that a caller may ask for; the row's deadline bounds it further. */
 constexpr std::chrono::hours kLongestTime{24};
 
+std::string_view NameOf(claim_state state) {
+  switch (state) {
+    case claim_state::kNeverSeen:
+      return "never_seen";
+    case claim_state::kWaiting:
+      return "waiting";
+    case claim_state::kRunning:
+      return "running";
+    case claim_state::kCompleted:
+      return "completed";
+    case claim_state::kAnswerForgotten:
+      return "answer_forgotten";
+    case claim_state::kTombstone:
+      return "not_run";
+    case claim_state::kBrokenOff:
+      return "broken_off";
+    case claim_state::kRefused:
+      return "refused";
+  }
+  return "invalid";
+}
+
 // The reply to a call, for the thread that waits for it.
 struct awaited_reply {
   absl::Notification came;
@@ -26,30 +55,34 @@
 class front_side::state {
  public:
   state(endpoint peer_address, incarnation_id incarnation, serving_side& serving,
-        egress_side& /*egress*/, table_store& tables, connection_watch& watch, std::string service)
+        egress_side& egress, table_store& tables, connection_watch& watch, std::string service)
       : peer_address_(peer_address),
         incarnation_(incarnation),
         service_(std::move(service)),
         serving_(serving),
+        egress_(egress),
         tables_(tables),
         watch_(watch) {}
 
   void Serve(const http_request& request, http_response& response) {
+    if (request.target.starts_with(kTicketPath)) {
+      ServeTicket(request, response);
+      return;
+    }
     incoming_call call;
     call.request = NewRequestId();
     call.enters_here = true;
     call.method = request.method;
     call.target = request.target;
-    const instant now = boot_clock::Now();
-    if (!ReadTimeLeft(request, now, now + kLongestTime, call.deadline)) {
-      response.close = request.has_body;
-      ToHttp(MakeNotRun(call.request, result_code::kBadRequestHeader), response);
-      return;
-    }
     call.headers = HeadersToPassOn(request.headers);
-    BindTicket(call);
-    reply_message reply = RunLocally(request, std::move(call));
+    const instant now = boot_clock::Now();
+    const result_code fault = ReadOwnHeaders(request, now, call);
+    reply_message reply =
+        fault != result_code::kOk ? MakeNotRun(call.request, fault) : RunAtHome(request, call);
     response.close = request.has_body && reply.end != call_end::kCompleted;
+    if (!call.claim.empty()) {
+      response.headers.push_back({header_names::kTicket, ticket_text::Write(FromWire(call.claim))});
+    }
     ToHttp(reply, response);
   }
 
@@ -59,15 +92,83 @@
     return {random.Next(), random.Next()};
   }
 
-  void BindTicket(incoming_call& call) {
+  result_code ReadOwnHeaders(const http_request& request, instant now, incoming_call& call) {
+    if (!ReadTimeLeft(request, now, now + kLongestTime, call.deadline)) {
+      return result_code::kBadRequestHeader;
+    }
     const auto shard = tables_.Find(service_);
     const request_row* row = shard == nullptr ? nullptr : shard->FindRow(call.method, call.target);
     if (row == nullptr || row->idempotent) {
+      return result_code::kOk;
+    }
+    const auto text = request.Header(header_names::kTicket);
+    if (!text.has_value()) {
+      call.claim = NewTicket();
+      return result_code::kOk;
+    }
+    claim_ticket given;
+    if (!ticket_text::Read(*text, given)) {
+      return result_code::kTicketMalformed;
+    }
+    call.claim = ToWire(given);
+    return result_code::kOk;
+  }
+
+  ticket NewTicket() {
+    random_source random = random_source::FromMachine();
+    const claim_target self{peer_address_, incarnation_, serving_.ClaimWindow()};
+    return ToWire(MintTicket(self, incarnation_, random));
+  }
+
+  // A ticket's request runs where the ticket is bound to, whichever node it comes to.
+  reply_message RunAtHome(const http_request& request, incoming_call call) {
+    if (!call.claim.empty() && call.claim.home != peer_address_) {
+      return egress_.Relay(request, std::move(call));
+    }
+    return RunLocally(request, std::move(call));
+  }
+
+  // GET /ticket/<ticket>, POST /ticket/<ticket>/revoke, POST /ticket/ for a new one.
+  void ServeTicket(const http_request& request, http_response& response) {
+    std::string_view text = request.target;
+    text.remove_prefix(kTicketPath.size());
+    if (text.empty() && request.method == "POST") {
+      response.body = ticket_text::Write(FromWire(NewTicket())) + "\n";
       return;
     }
-    thread_local random_source random = random_source::FromMachine();
-    call.claim = {peer_address_, incarnation_, serving_.ClaimWindow(), random.Next(),
-                  random.Next()};
+    const bool revoke = request.method == "POST" && text.ends_with(kRevokePath);
+    if (revoke) {
+      text.remove_suffix(kRevokePath.size());
+    }
+    claim_ticket asked;
+    if (!ticket_text::Read(text, asked)) {
+      ToHttp(MakeNotRun({}, result_code::kTicketMalformed), response);
+      return;
+    }
+    AnswerTicket(ToWire(asked), revoke, response);
+  }
+
+  void AnswerTicket(const ticket& asked, bool revoke, http_response& response) {
+    ask_reply_message report;
+    if (asked.home == peer_address_) {
+      ask_message question;
+      question.claim = asked;
+      question.revoke = revoke ? 1 : 0;
+      report = serving_.Ask(question);
+    } else {
+      report = egress_.AskHome(asked, revoke, boot_clock::Now() + duration(kAskTimeout));
+    }
+    if (report.code == static_cast<std::uint16_t>(result_code::kTicketHomeUnreachable)) {
+      ToHttp(MakeUnknown({}, result_code::kTicketHomeUnreachable), response);
+      return;
+    }
+    const auto state = static_cast<claim_state>(report.state);
+    if (state == claim_state::kCompleted) {
+      ToHttp(report.answer, response);
+      return;
+    }
+    response.headers.push_back({header_names::kCode, std::to_string(report.code)});
+    response.body = std::string(NameOf(state)) + "\n";
   }
 
   reply_message RunLocally(const http_request& request, incoming_call call) {
@@ -131,6 +232,7 @@
   const incarnation_id incarnation_;
   const std::string service_;
   serving_side& serving_;
+  egress_side& egress_;
   table_store& tables_;
   connection_watch& watch_;
 };
--- a/modules/cuminferry_node/runtime/outgoing_call.cpp
+++ b/modules/cuminferry_node/runtime/outgoing_call.cpp
@@ -176,7 +176,8 @@
 //==============================================================================
 std::uint8_t outgoing_call::LendRetries() {
   if (about_.parent == nullptr) {
-    return 0;
+    // Relayed: the request's tree begins at the other node.
+    return about_.row->retry_allowance;
   }
   return about_.parent->WithRetries([](retry_allowance& retries, std::uint32_t outstanding) {
     return retries.Lend(outstanding > 0 ? outstanding - 1 : 0);
