Admit by rank, limit and threshold instead of first come, first served

Cause: the first form of the admission controller ran what came first, refused only at a full queue of 1024, and knew neither rank nor threshold. Under overload all requests of a tree wait out their deadlines.

Changed: typed sections on a blackboard, and controllers over them: a queue ordered by rank with eviction of the lowest, a concurrency limit on self time that tests each cut, a threshold rank placed by the histogram of offered ranks, thresholds of callees learned per row, a bulkhead per callee service, row limits and shares, refusal of what can't finish in time. BeginWait() has an overload that names the callee service.

--- a/modules/cuminferry_policy/admission/admission_controller.h
+++ b/modules/cuminferry_policy/admission/admission_controller.h
@@ -91,6 +91,11 @@
 
   /** A running call begins, or ends, to wait for calls that it made itself. */
   void BeginWait(call_key key, instant now, admission_actions& out);
+  /** As above, naming the service that it waits for, so that one slow service
+      can't hold all slots. Preferred. With several calls outstanding at once,
+      each BeginWait() has its EndWait(). */
+  void BeginWait(call_key key, std::string_view callee_service, instant now,
+                 admission_actions& out);
   void EndWait(call_key key, instant now, admission_actions& out);
 
   /** A running call has ended. */
--- /dev/null
+++ b/modules/cuminferry_policy/admission/offered_load.cpp
@@ -0,0 +1,133 @@
+#include "cuminferry_policy/admission/offered_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminferry {
+namespace {
+
+constexpr std::uint32_t kHashValues = 1U << 16;
+constexpr std::uint32_t kHashesPerBucket = kHashValues / offered_load::kBuckets;
+constexpr double kMemorySeconds = std::chrono::duration<double>(offered_load::kMemory).count();
+/** How long the former rate of a level that is refused further up is remembered. */
+constexpr double kRememberedSeconds = 5.0;
+/** A level with less than this is forgotten. */
+constexpr float kLeastRemembered = 0.01F;
+
+std::uint32_t LevelNumber(call_rank rank) { return rank.packed() >> 16; }
+
+call_rank RankAt(std::uint32_t level, double hash) {
+  const double bounded = std::clamp(hash, 0.0, static_cast<double>(kHashValues - 1));
+  return call_rank((level << 16) | static_cast<std::uint32_t>(bounded));
+}
+
+}  // namespace
+
+offered_load::level& offered_load::LevelOf(std::uint32_t number) {
+  auto place =
+      std::lower_bound(levels_.begin(), levels_.end(), number,
+                       [](const level& one, std::uint32_t wanted) { return one.number < wanted; });
+  if (place != levels_.end() && place->number == number) {
+    return *place;
+  }
+  if (levels_.size() >= kLevelBound) {
+    return place == levels_.begin() ? *place : *std::prev(place);
+  }
+  level fresh;
+  fresh.number = number;
+  return *levels_.insert(place, fresh);
+}
+
+void offered_load::Record(call_rank rank) {
+  if (levels_.capacity() == 0) {
+    levels_.reserve(kLevelBound);
+  }
+  level& into = LevelOf(LevelNumber(rank));
+  const float weight = static_cast<float>(1.0 / kMemorySeconds);
+  into.counts[rank.hash() / kHashesPerBucket] += weight;
+  into.total += weight;
+  into.remembered = std::max(into.remembered, into.total);
+}
+
+void offered_load::Decay(duration passed) {
+  const double seconds = std::chrono::duration<double>(passed).count();
+  const auto keep = static_cast<float>(std::exp(-seconds / kMemorySeconds));
+  const auto remember = static_cast<float>(std::exp(-seconds / kRememberedSeconds));
+  for (level& one : levels_) {
+    one.total *= keep;
+    one.remembered = std::max(one.remembered * remember, one.total);
+    for (float& count : one.counts) {
+      count *= keep;
+    }
+  }
+  std::erase_if(levels_, [](const level& one) { return one.remembered < kLeastRemembered; });
+}
+
+void offered_load::Clear() { levels_.clear(); }
+
+double offered_load::rate() const {
+  double sum = 0;
+  for (const level& one : levels_) {
+    sum += one.total;
+  }
+  return sum;
+}
+
+double offered_load::RateAbove(call_rank threshold) const {
+  double sum = 0;
+  for (const level& one : levels_) {
+    if (one.number > LevelNumber(threshold)) {
+      sum += one.total;
+    } else if (one.number == LevelNumber(threshold)) {
+      const std::size_t cut = threshold.hash() / kHashesPerBucket;
+      const double inside = threshold.hash() % kHashesPerBucket;
+      sum += one.counts[cut] * (1.0 - inside / kHashesPerBucket);
+      for (std::size_t bucket = cut + 1; bucket < kBuckets; ++bucket) {
+        sum += one.counts[bucket];
+      }
+    }
+  }
+  return sum;
+}
+
+call_rank offered_load::ThresholdForRate(double rate) const {
+  double left = rate;
+  for (auto one = levels_.rbegin(); one != levels_.rend(); ++one) {
+    if (one->total < left) {
+      left -= one->total;
+      continue;
+    }
+    for (std::size_t bucket = kBuckets; bucket-- > 0;) {
+      const double count = one->counts[bucket];
+      if (count < left) {
+        left -= count;
+        continue;
+      }
+      const double part = count > 0 ? std::max(left, 0.0) / count : 0.0;
+      return RankAt(one->number, (static_cast<double>(bucket + 1) - part) * kHashesPerBucket);
+    }
+  }
+  return {};
+}
+
+call_rank offered_load::Lower(call_rank from, double by_rate) const {
+  double left = by_rate;
+  double top = from.hash();
+  for (auto one = levels_.rbegin(); one != levels_.rend(); ++one) {
+    if (one->number > LevelNumber(from)) {
+      continue;
+    }
+    if (one->number < LevelNumber(from)) {
+      top = kHashValues;
+    }
+    const double density = std::max(one->total, one->remembered) / kHashValues;
+    const double available = density * top;
+    if (available >= left && density > 0) {
+      return RankAt(one->number, top - left / density);
+    }
+    left -= available;
+  }
+  return {};
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_policy/admission/offered_load.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_policy/rank/call_rank.h"
+
+namespace cuminferry {
+
+/** How many calls per second ask to run, by rank: a histogram that forgets.
+
+    A level is a weight together with the under-way bit; within a level the
+    hash is cut into buckets. Levels are bounded; one more than the bound is
+    counted with the nearest level below it.
+*/
+class offered_load {
+ public:
+  static constexpr std::size_t kBuckets = 32;
+  static constexpr std::size_t kLevelBound = 64;
+  /** What was offered longer ago than this counts little. */
+  static constexpr std::chrono::milliseconds kMemory{200};
+
+  /** Counts one call. */
+  void Record(call_rank rank);
+  /** Lets the time pass. */
+  void Decay(duration passed);
+  /** Forgets all. */
+  void Clear();
+
+  //============================================================================
+  /** Calls per second of a rank at or above `threshold`. */
+  double RateAbove(call_rank threshold) const;
+  double rate() const;
+
+  /** The lowest rank such that no more than `rate` calls per second are at or above it. */
+  call_rank ThresholdForRate(double rate) const;
+
+  /** The rank that lies below `from` by as many calls per second. What is
+      refused further up is not seen here, so the density below the threshold
+      is taken from the same level above it, or from before it was refused. */
+  call_rank Lower(call_rank from, double by_rate) const;
+
+ private:
+  struct level {
+    std::uint32_t number = 0;
+    std::array<float, kBuckets> counts{};
+    float total = 0;
+    /** The highest rate of late; forgotten slowly. */
+    float remembered = 0;
+  };
+
+  level& LevelOf(std::uint32_t number);
+
+  /** By ascending number. */
+  std::vector<level> levels_;
+};
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_policy/admission/threshold_controller.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "cuminferry_policy/blackboard/admission_blackboard.h"
+
+namespace cuminferry {
+
+/** Moves the rank below which new requests are refused for this instance's load.
+
+    A queue that stands longer than a part of the time that calls take means
+    that more is offered than ends. The threshold then goes to the rank above
+    which just as much is offered as the instance can end: in one step, as the
+    offered ranks are known. While slots are free it goes down, the quicker the
+    longer they stay free.
+
+    Reads calls, queue and limit; writes threshold_section and the ends per
+    second in limit_section.
+*/
+class threshold_controller {
+ public:
+  explicit threshold_controller(admission_blackboard& board) : board_(board) {}
+
+  void OnEnded() { ++ends_since_tick_; }
+  void OnTick(instant now);
+  /** Forgets what was learned from the load before a pause of this process. */
+  void Reset(instant now);
+
+  //============================================================================
+  /** The queue length that is aimed at under overload. */
+  double AimedQueue() const;
+  /** The queue length beyond which the lowest rank is evicted. */
+  std::size_t LongestQueue() const;
+  /** How long a call waits that has so many ahead of it. */
+  duration WaitBehind(std::size_t ahead) const;
+
+ private:
+  /** Calls per second that the slots allow at the present times. */
+  double RateOfSlots() const;
+  void FollowEnds(duration passed);
+  void Move(duration passed);
+
+  admission_blackboard& board_;
+  instant last_tick_;
+  std::uint32_t ends_since_tick_ = 0;
+  duration idle_for_{0};
+};
+
+}  // namespace cuminferry
--- a/modules/cuminferry_policy/rank/call_rank.h
+++ b/modules/cuminferry_policy/rank/call_rank.h
@@ -34,6 +34,13 @@
   /** The same request's rank for a call further down its tree. */
   constexpr call_rank UnderWay() const { return call_rank(packed_ | 0x10000U); }
 
+  /** This rank as a threshold for new requests, where it is one for the calls
+      that they will make: `rank.UnderWay() < threshold` is the same as
+      `rank < threshold.ForNewRequests()` for a rank that is not under way. */
+  constexpr call_rank ForNewRequests() const {
+    return under_way() ? call_rank(packed_ & ~0x10000U) : call_rank(packed_ & ~0xFFFFU);
+  }
+
   constexpr auto operator<=>(const call_rank&) const = default;
 
  private:
