Run overload scenarios in virtual time, written in Lua

Cause: the decisions under overload could not be measured without the running node.

Changed: a scenario runner for tests: node cores with their fake backend servers, links with a delay, open-loop callers that retry, and fifteen verbs.

--- /dev/null
+++ b/tests/policy/scenario_script.cpp
@@ -0,0 +1,257 @@
+#include "policy/scenario_script.h"
+
+#include <algorithm>
+#include <lua.hpp>
+#include <memory>
+
+#include "policy/scenario_world.h"
+
+namespace cuminferry::testing {
+namespace {
+
+/** What the verbs of one running script work on. */
+struct script {
+  std::unique_ptr<scenario_world> world;
+  scenario_result result;
+};
+
+script& ScriptOf(lua_State* lua) { return **static_cast<script**>(lua_getextraspace(lua)); }
+scenario_world& WorldOf(lua_State* lua) { return *ScriptOf(lua).world; }
+
+constexpr std::int64_t kStartMicros = 1'000'000;
+
+instant AtMillis(double millis) {
+  return FromMicros(kStartMicros + static_cast<std::int64_t>(millis * 1000));
+}
+
+double Number(lua_State* lua, const char* key, double fallback) {
+  lua_getfield(lua, 1, key);
+  const double value = luaL_optnumber(lua, -1, fallback);
+  lua_pop(lua, 1);
+  return value;
+}
+
+std::string Text(lua_State* lua, const char* key, const char* fallback = "") {
+  lua_getfield(lua, 1, key);
+  std::string value = luaL_optstring(lua, -1, fallback);
+  lua_pop(lua, 1);
+  return value;
+}
+
+/** service{name=, targets=, slots=} */
+int Service(lua_State* lua) {
+  WorldOf(lua).AddService(Text(lua, "name"), static_cast<std::uint32_t>(Number(lua, "targets", 4)),
+                          static_cast<std::uint32_t>(Number(lua, "slots", 20)));
+  return 0;
+}
+
+void ReadCalls(lua_State* lua, fake_row& row) {
+  lua_getfield(lua, 1, "calls");
+  for (lua_Integer place = 1; lua_istable(lua, -1) && lua_geti(lua, -1, place) == LUA_TTABLE;
+       ++place) {
+    fake_callee callee;
+    lua_geti(lua, -1, 1);
+    lua_geti(lua, -2, 2);
+    lua_geti(lua, -3, 3);
+    callee.service = luaL_checkstring(lua, -3);
+    callee.row = luaL_checkstring(lua, -2);
+    callee.probability = luaL_optnumber(lua, -1, 1.0);
+    lua_pop(lua, 4);
+    row.calls.push_back(callee);
+  }
+}
+
+/** row{service=, name=, weight=, self_ms=, deadline_ms=, target_limit=,
+    calls={{service, row, probability}, ...}} */
+int Row(lua_State* lua) {
+  fake_row row;
+  row.row.name = Text(lua, "name");
+  row.row.service = Text(lua, "service");
+  row.row.weight = static_cast<std::uint16_t>(Number(lua, "weight", 100));
+  row.row.deadline =
+      std::chrono::milliseconds(static_cast<std::int64_t>(Number(lua, "deadline_ms", 1000)));
+  row.row.target_limit = static_cast<std::uint32_t>(Number(lua, "target_limit", 0));
+  row.self_ms = Number(lua, "self_ms", 50);
+  ReadCalls(lua, row);
+  WorldOf(lua).AddRow(row.row.service, row);
+  return 0;
+}
+
+/** load{service=, row=, rate=, from=, till=, retries=, impatient_ms=} */
+int Load(lua_State* lua) {
+  fake_load load;
+  load.service = Text(lua, "service");
+  load.row = Text(lua, "row");
+  load.per_second = Number(lua, "rate", 1);
+  load.from = AtMillis(Number(lua, "from", 0));
+  load.until = AtMillis(Number(lua, "till", 1e9));
+  load.retries = static_cast<std::uint32_t>(Number(lua, "retries", 0));
+  load.impatient_ms = Number(lua, "impatient_ms", 0);
+  WorldOf(lua).AddLoad(load);
+  return 0;
+}
+
+/** slow{service=, factor=, at=}: backend servers take that much longer from then on. */
+int Slow(lua_State* lua) {
+  scenario_world& world = WorldOf(lua);
+  const std::string service = Text(lua, "service");
+  const double factor = Number(lua, "factor", 10);
+  world.At(AtMillis(Number(lua, "at", 0)), [&world, service, factor] {
+    for (fake_node* node : world.NodesOf(service)) {
+      node->slow_factor = factor;
+    }
+  });
+  return 0;
+}
+
+/** report{service=, says="full"|"idle"} */
+int Report(lua_State* lua) {
+  for (fake_node* node : WorldOf(lua).NodesOf(Text(lua, "service"))) {
+    node->report = Text(lua, "says");
+  }
+  return 0;
+}
+
+/** pause{service=, from=, till=}: the first node of the service does nothing meanwhile. */
+int Pause(lua_State* lua) {
+  fake_node* node = WorldOf(lua).NodesOf(Text(lua, "service")).front();
+  const instant until = AtMillis(Number(lua, "till", 0));
+  WorldOf(lua).At(AtMillis(Number(lua, "from", 0)), [node, until] { node->paused_until = until; });
+  return 0;
+}
+
+/** run(ms): lets the time go on to this many milliseconds from the start. */
+int Run(lua_State* lua) {
+  WorldOf(lua).RunUntil(AtMillis(luaL_checknumber(lua, 1)));
+  return 0;
+}
+
+/** goodput(row, from, till): whole requests completed per second. */
+int Goodput(lua_State* lua) {
+  const double from = luaL_checknumber(lua, 2);
+  const double till = luaL_checknumber(lua, 3);
+  const double sum = scenario_world::Sum(WorldOf(lua).completed[luaL_checkstring(lua, 1)],
+                                         AtMillis(from), AtMillis(till));
+  lua_pushnumber(lua, sum * 1000 / (till - from));
+  return 1;
+}
+
+/** completed(row, from, till): the part of those offered that completed in the end. */
+int Completed(lua_State* lua) {
+  const std::string row = luaL_checkstring(lua, 1);
+  const instant from = AtMillis(luaL_checknumber(lua, 2));
+  const instant till = AtMillis(luaL_checknumber(lua, 3));
+  const double offered = scenario_world::Sum(WorldOf(lua).offered[row], from, till);
+  const double good = scenario_world::Sum(WorldOf(lua).completed_of_offered[row], from, till);
+  lua_pushnumber(lua, offered > 0 ? good / offered : 1);
+  return 1;
+}
+
+/** wasted(from, till): the part of the backend servers' work done for attempts that failed. */
+int Wasted(lua_State* lua) {
+  const instant from = AtMillis(luaL_checknumber(lua, 1));
+  const instant till = AtMillis(luaL_checknumber(lua, 2));
+  const double used = scenario_world::Sum(WorldOf(lua).used, from, till);
+  lua_pushnumber(lua, used > 0 ? scenario_world::Sum(WorldOf(lua).wasted, from, till) / used : 0);
+  return 1;
+}
+
+/** recovery(row, since, level): milliseconds until the row's goodput, over 500 ms, is back at
+    the level and stays there for another 500 ms; up to 60,000. */
+int Recovery(lua_State* lua) {
+  const auto& done = WorldOf(lua).completed[luaL_checkstring(lua, 1)];
+  const double since = luaL_checknumber(lua, 2);
+  const double level = luaL_checknumber(lua, 3);
+  constexpr double kSpan = 500;
+  double after = 0;
+  for (; after < 60'000; after += 50) {
+    const instant from = AtMillis(since + after);
+    const instant middle = AtMillis(since + after + kSpan);
+    const instant till = AtMillis(since + after + 2 * kSpan);
+    if (scenario_world::Sum(done, from, middle) * 2 >= level &&
+        scenario_world::Sum(done, middle, till) * 2 >= level) {
+      break;
+    }
+  }
+  lua_pushnumber(lua, after);
+  return 1;
+}
+
+/** inversions(from, till): refusals of a weight for load while, in the same 50 ms and in the
+    300 ms before it, requests of a lower weight entered. */
+int Inversions(lua_State* lua) {
+  constexpr int kReactionBuckets = 6;
+  scenario_world& world = WorldOf(lua);
+  const std::int64_t from = ToMicros(AtMillis(luaL_checknumber(lua, 1)));
+  const std::int64_t till = ToMicros(AtMillis(luaL_checknumber(lua, 2)));
+  double sum = 0;
+  for (const auto& [weight, buckets] : world.refused) {
+    const auto weights_below = world.entered.lower_bound(weight);
+    for (const auto& refusals : buckets) {
+      const std::int64_t bucket = refusals.first;
+      const std::int64_t at = bucket * scenario_world::kBucketMicros;
+      bool all = at >= from && at < till;
+      for (int back = 0; back <= kReactionBuckets && all; ++back) {
+        all = std::any_of(world.entered.begin(), weights_below,
+                          [&](const auto& lower) { return lower.second.contains(bucket - back); });
+      }
+      sum += all ? refusals.second : 0;
+    }
+  }
+  lua_pushnumber(lua, sum);
+  return 1;
+}
+
+/** limit(service): the present concurrency limits of its nodes, together. */
+int Limit(lua_State* lua) {
+  double sum = 0;
+  for (const fake_node* node : WorldOf(lua).NodesOf(luaL_checkstring(lua, 1))) {
+    sum += node->admission->limit();
+  }
+  lua_pushnumber(lua, sum);
+  return 1;
+}
+
+/** expect(holds, what) */
+int Expect(lua_State* lua) {
+  if (lua_toboolean(lua, 1) == 0) {
+    ScriptOf(lua).result.failures.emplace_back(luaL_checkstring(lua, 2));
+  }
+  return 0;
+}
+
+/** note(what, value): a figure for the report. */
+int Note(lua_State* lua) {
+  ScriptOf(lua).result.notes.push_back(std::string(luaL_checkstring(lua, 1)) + ": " +
+                                       luaL_tolstring(lua, 2, nullptr));
+  return 0;
+}
+
+}  // namespace
+
+scenario_result RunScenario(const std::string& file, const std::string& control,
+                            std::uint64_t seed) {
+  script running;
+  running.world = std::make_unique<scenario_world>(seed);
+  running.world->control = control.empty() ? "full" : control;
+  const std::unique_ptr<lua_State, decltype(&lua_close)> lua(luaL_newstate(), lua_close);
+  luaL_openlibs(lua.get());
+  *static_cast<script**>(lua_getextraspace(lua.get())) = &running;
+  const luaL_Reg verbs[] = {
+      {"service", Service}, {"row", Row},           {"load", Load},
+      {"slow", Slow},       {"report", Report},     {"pause", Pause},
+      {"run", Run},         {"goodput", Goodput},   {"completed", Completed},
+      {"wasted", Wasted},   {"recovery", Recovery}, {"inversions", Inversions},
+      {"limit", Limit},     {"expect", Expect},     {"note", Note}};
+  for (const luaL_Reg& verb : verbs) {
+    lua_register(lua.get(), verb.name, verb.func);
+  }
+  lua_pushstring(lua.get(), running.world->control.c_str());
+  lua_setglobal(lua.get(), "control");
+  if (luaL_dofile(lua.get(), file.c_str()) != LUA_OK) {
+    running.result.failures.emplace_back(lua_tostring(lua.get(), -1));
+  }
+  return running.result;
+}
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/policy/scenario_world.cpp
@@ -0,0 +1,336 @@
+#include "policy/scenario_world.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminferry::testing {
+namespace {
+
+constexpr duration kTick{5000};
+constexpr std::uint32_t kBlindRetries = 3;
+
+duration Millis(double millis) { return duration(static_cast<std::int64_t>(millis * 1000)); }
+
+}  // namespace
+
+/** One attempt of a caller: a whole tree of calls. */
+struct fake_attempt {
+  std::uint16_t weight = 0;
+  double work = 0;
+  bool over = false;
+  bool good = false;
+  std::set<std::shared_ptr<fake_call>> live;
+};
+
+struct fake_call {
+  call_key key = 0;
+  fake_node* node = nullptr;
+  const fake_row* row = nullptr;
+  std::uint32_t row_index = 0;
+  call_rank rank;
+  instant deadline;
+  std::shared_ptr<fake_attempt> attempt;
+  std::function<void(scenario_world::reply)> done;
+  bool in_backend = false;
+  bool has_slot = false;
+  bool over = false;
+};
+
+void scenario_world::AddService(const std::string& name, std::uint32_t targets,
+                                std::uint32_t slots) {
+  shards_[name].service.name = name;
+  for (std::uint32_t target = 0; target < targets; ++target) {
+    auto node = std::make_unique<fake_node>();
+    node->service = name;
+    node->slots = slots;
+    node->admission =
+        std::make_unique<admission_controller>(admission_controller::options{control, slots, 1024});
+    nodes_.push_back(std::move(node));
+  }
+}
+
+void scenario_world::AddRow(const std::string& service, fake_row row) {
+  shards_[service].rows.push_back(row.row);
+  rows_[service].push_back(std::move(row));
+  for (fake_node* node : NodesOf(service)) {
+    node->admission->UseTable(shards_[service], now_);
+  }
+}
+
+void scenario_world::AddLoad(const fake_load& load) {
+  At(load.from, [this, load] { Arrivals(load); });
+}
+
+void scenario_world::At(instant when, std::function<void()> action) {
+  events_.push({when, order_++, std::move(action)});
+}
+
+std::vector<fake_node*> scenario_world::NodesOf(const std::string& service) {
+  std::vector<fake_node*> found;
+  for (const auto& node : nodes_) {
+    if (node->service == service) {
+      found.push_back(node.get());
+    }
+  }
+  return found;
+}
+
+double scenario_world::Sum(const bucket_counts& counts, instant from, instant until) {
+  double sum = 0;
+  for (auto at = counts.lower_bound(Bucket(from)); at != counts.lower_bound(Bucket(until)); ++at) {
+    sum += at->second;
+  }
+  return sum;
+}
+
+void scenario_world::RunUntil(instant end) {
+  if (!ticking_) {
+    ticking_ = true;
+    Tick();
+  }
+  while (!events_.empty() && events_.top().when <= end) {
+    const event next = events_.top();
+    events_.pop();
+    now_ = next.when;
+    next.action();
+  }
+  now_ = end;
+}
+
+void scenario_world::Tick() {
+  for (const auto& node : nodes_) {
+    if (node->paused_until > now_) {
+      continue;
+    }
+    if (!node->report.empty()) {
+      node->admission->ReportBackendCap(node->report == "full" ? 0 : node->slots, now_);
+    }
+    node->admission->Tick(now_, node->actions);
+    Do(*node);
+  }
+  At(now_ + kTick, [this] { Tick(); });
+}
+
+void scenario_world::Arrivals(const fake_load& load) {
+  if (now_ >= load.until) {
+    return;
+  }
+  offered[load.row][Bucket(now_)] += 1;
+  Attempt(load, Bucket(now_), 0);
+  const double gap_ms = -std::log(1.0 - random_.Fraction()) * 1000.0 / load.per_second;
+  At(now_ + Millis(gap_ms), [this, load] { Arrivals(load); });
+}
+
+void scenario_world::Attempt(const fake_load& load, std::int64_t arrived, std::uint32_t tries) {
+  const std::vector<fake_row>& rows = rows_[load.service];
+  const fake_row& row = *std::find_if(
+      rows.begin(), rows.end(), [&](const fake_row& one) { return one.row.name == load.row; });
+  auto attempt = std::make_shared<fake_attempt>();
+  attempt->weight = row.row.weight;
+  const instant deadline = now_ + row.row.deadline;
+  const auto finish = [this, load, arrived, tries, attempt](const reply& what) {
+    if (attempt->over) {
+      return;
+    }
+    attempt->over = true;
+    attempt->good = what.good;
+    if (what.good) {
+      completed[load.row][Bucket(now_)] += 1;
+      completed_of_offered[load.row][arrived] += 1;
+      return;
+    }
+    wasted[Bucket(now_)] += attempt->work;
+    if (what.refused) {
+      refused[attempt->weight][Bucket(now_)] += 1;
+    }
+    if (tries < load.retries) {
+      const double wait_ms = load.impatient_ms > 0 ? load.impatient_ms : what.retry_ms + 10;
+      At(now_ + Millis(wait_ms * (0.5 + random_.Fraction())),
+         [this, load, arrived, tries] { Attempt(load, arrived, tries + 1); });
+    }
+  };
+  At(deadline, [this, attempt, finish] {
+    if (!attempt->over) {
+      finish(reply{});
+      Cancel(attempt);
+    }
+  });
+  const call_rank rank(row.row.weight, false, static_cast<std::uint16_t>(random_.Next()));
+  Send(load.service, load.row, rank, deadline, attempt, finish);
+}
+
+void scenario_world::Send(const std::string& service, const std::string& row, call_rank rank,
+                          instant deadline, std::shared_ptr<fake_attempt> attempt,
+                          std::function<void(reply)> done) {
+  auto call = std::make_shared<fake_call>();
+  const std::vector<fake_node*> targets = NodesOf(service);
+  fake_node* one = targets[random_.Below(targets.size())];
+  fake_node* other = targets[random_.Below(targets.size())];
+  call->node = one->in_flight <= other->in_flight ? one : other;
+  ++call->node->in_flight;
+  const std::vector<fake_row>& rows = rows_[service];
+  while (rows[call->row_index].row.name != row) {
+    ++call->row_index;
+  }
+  call->row = &rows[call->row_index];
+  call->key = next_key_++;
+  call->rank = rank;
+  call->deadline = deadline;
+  call->attempt = std::move(attempt);
+  call->done = std::move(done);
+  At(now_ + link, [this, call] { Offer(*call->node, call); });
+}
+
+void scenario_world::Offer(fake_node& node, const std::shared_ptr<fake_call>& call) {
+  if (node.paused_until > now_) {
+    At(node.paused_until, [this, &node, call] { Offer(node, call); });
+    return;
+  }
+  node.calls[call->key] = call;
+  call->attempt->live.insert(call);
+  node.admission->Offer({call->key, call->row_index, call->rank, call->deadline}, now_,
+                        node.actions);
+  Do(node);
+}
+
+void scenario_world::Do(fake_node& node) {
+  admission_actions actions;
+  std::swap(actions, node.actions);
+  for (const call_key key : actions.start) {
+    const std::shared_ptr<fake_call> call = node.calls.at(key);
+    call->in_backend = true;
+    if (!call->rank.under_way()) {
+      entered[call->attempt->weight][Bucket(now_)] += 1;
+    }
+    const auto begin = [this, call] {
+      call->has_slot = true;
+      RunHalf(call, false);
+    };
+    if (node.busy < node.slots) {
+      ++node.busy;
+      begin();
+    } else {
+      node.backend_queue.emplace_back(begin);
+    }
+  }
+  node.most_running = std::max(node.most_running, node.admission->running());
+  for (const refused_call& refusal : actions.refuse) {
+    const std::shared_ptr<fake_call> call = node.calls.at(refusal.key);
+    node.calls.erase(refusal.key);
+    call->over = true;
+    call->attempt->live.erase(call);
+    reply what;
+    what.refused = refusal.code == result_code::kRefusedOverload;
+    what.retry_ms = static_cast<double>(refusal.retry_after.count());
+    Reply(call, what);
+  }
+}
+
+void scenario_world::RunHalf(const std::shared_ptr<fake_call>& call, bool last) {
+  const double factor = call->node->slow_factor * (0.5 + random_.Fraction()) / 2;
+  const double work_ms = call->row->self_ms * factor;
+  At(now_ + Millis(work_ms), [this, call, last, work_ms] {
+    if (call->over) {
+      return;
+    }
+    used[Bucket(now_)] += work_ms / 1000;
+    call->attempt->work += work_ms / 1000;
+    if (call->attempt->over && !call->attempt->good) {
+      wasted[Bucket(now_)] += work_ms / 1000;
+    }
+    if (last) {
+      End(call, run_result::kAnswered);
+    } else {
+      CallNext(call, 0);
+    }
+  });
+}
+
+void scenario_world::CallNext(const std::shared_ptr<fake_call>& call, std::size_t next) {
+  while (next < call->row->calls.size() &&
+         random_.Fraction() >= call->row->calls[next].probability) {
+    ++next;
+  }
+  if (next == call->row->calls.size()) {
+    RunHalf(call, true);
+    return;
+  }
+  CallOut(call, next, 0);
+}
+
+void scenario_world::CallOut(const std::shared_ptr<fake_call>& call, std::size_t next,
+                             std::uint32_t tries) {
+  const fake_callee& callee = call->row->calls[next];
+  const bool blind = control == "none";
+  fake_node& node = *call->node;
+  node.admission->BeginWait(call->key, callee.service, now_, node.actions);
+  Do(node);
+  auto answered = std::make_shared<bool>(false);
+  const auto done = [this, call, next, tries, blind, answered, &node](const reply& what) {
+    if (call->over || *answered) {
+      return;
+    }
+    *answered = true;
+    const fake_callee& callee = call->row->calls[next];
+    node.admission->LearnThreshold(call->row_index, callee.service, callee.row, what.threshold,
+                                   now_);
+    node.admission->EndWait(call->key, now_, node.actions);
+    Do(node);
+    if (what.good) {
+      CallNext(call, next + 1);
+    } else if (blind && tries < kBlindRetries) {
+      CallOut(call, next, tries + 1);
+    } else {
+      End(call, run_result::kFailed);
+    }
+  };
+  const instant deadline = blind ? now_ + call->row->row.deadline : call->deadline;
+  if (blind) {
+    At(deadline, [done] { done(reply{}); });
+  }
+  Send(callee.service, callee.row, call->rank.UnderWay(), deadline, call->attempt, done);
+}
+
+void scenario_world::End(const std::shared_ptr<fake_call>& call, run_result result) {
+  fake_node& node = *call->node;
+  call->over = true;
+  call->attempt->live.erase(call);
+  node.calls.erase(call->key);
+  if (call->has_slot) {
+    --node.busy;
+    while (!node.backend_queue.empty() && node.busy < node.slots) {
+      const auto begin = node.backend_queue.front();
+      node.backend_queue.pop_front();
+      ++node.busy;
+      begin();
+    }
+  }
+  node.admission->Finish(call->key, result, now_, node.actions);
+  Do(node);
+  reply what;
+  what.good = result == run_result::kAnswered;
+  Reply(call, what);
+}
+
+void scenario_world::Cancel(const std::shared_ptr<fake_attempt>& attempt) {
+  if (control == "none") {
+    return;
+  }
+  const std::set<std::shared_ptr<fake_call>> live = attempt->live;
+  for (const std::shared_ptr<fake_call>& call : live) {
+    if (call->in_backend) {
+      End(call, run_result::kTimedOut);
+    } else if (!call->over) {
+      call->node->admission->Abandon(call->key, now_, call->node->actions);
+      Do(*call->node);
+    }
+  }
+}
+
+void scenario_world::Reply(const std::shared_ptr<fake_call>& call, reply what) {
+  --call->node->in_flight;
+  what.threshold = call->node->admission->ThresholdOf(call->row_index, now_);
+  At(now_ + link, [call, what] { call->done(what); });
+}
+
+}  // namespace cuminferry::testing
