Let calls that wait on a slow service wait apart from the others

Cause: the bulkhead held back calls of rows that wait on the slow service, but they stayed in the common queue and counted as offered load. The threshold rose above the weight of rows that never call that service, and they were refused in their place.

Changed: while a service's part of the slots is bounded, calls of rows that mostly call it wait in a short queue of their own and count neither for the common queue nor for the threshold.

--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -122,7 +122,7 @@
   void Abandon(call_key key, admission_actions& out) {
     const std::optional<queued_call> taken = board_.queue.TakeKey(key);
     if (taken.has_value()) {
-      --RowOf(taken->row).queued;
+      NoteDequeued(*taken);
       out.refuse.push_back({key, result_code::kCallerGone, kNoRetryHint});
     }
   }
@@ -259,7 +259,10 @@
   }
 
   void OfferRanked(const offered_call& call, instant now, admission_actions& out) {
-    board_.offered.Record(call.rank);
+    const bool apart = board_.IsBounded(call.row);
+    if (!apart) {
+      board_.offered.Record(call.rank);
+    }
     if (now + QuickestRun(call.row, now) > call.deadline) {
       out.refuse.push_back({call.key, result_code::kDeadlineExceeded, kNoRetryHint});
       return;
@@ -268,7 +271,7 @@
       out.refuse.push_back(Overload(call.key, call.row, call.rank, now));
       return;
     }
-    if (board_.queue.empty() && MayStart(call.row)) {
+    if (board_.queued_together() == 0 && MayStart(call.row)) {
       Start(call.key, call.row, now, out);
       return;
     }
@@ -284,34 +287,39 @@
 
   bool IsBelowThreshold(const offered_call& call, instant now) {
     const bool idle = board_.queue.empty() && board_.HasRoom();
-    if (!idle && call.rank < board_.threshold.own) {
+    if (!idle && !board_.IsBounded(call.row) && call.rank < board_.threshold.own) {
       return true;
     }
     const bool below = call.rank < learned_.Of(call.row, now).ForNewRequests();
     return below && !learned_.TakeProbe(call.row, now);
   }
 
-  /** Keeps the queue short. A row that is held back by a limit of its own may
-      not fill it either. */
+  /** Keeps the queue short: of what waits in it together, the lowest rank goes. */
   void EvictLowest(std::uint32_t row, instant now, admission_actions& out) {
     const row_record& record = board_.rows.rows[row];
-    if (board_.queue.size() > threshold_.LongestQueue()) {
-      RefuseAt(0, now, out);
-      return;
-    }
-    if (record.queued <= std::max<std::uint32_t>(1, record.limit())) {
-      return;
+    const bool apart = board_.IsBounded(row);
+    const std::size_t together = apart ? board_.queued_apart : board_.queued_together();
+    const std::size_t most = apart ? bulkhead_.LongestApart() : threshold_.LongestQueue();
+    if (together > most) {
+      EvictFirst(now, out,
+                 [&](const queued_call& call) { return board_.IsBounded(call.row) == apart; });
+    } else if (record.queued > std::max<std::uint32_t>(1, record.limit())) {
+      EvictFirst(now, out, [&](const queued_call& call) { return call.row == row; });
+      out.refuse.back().code = result_code::kFleetLimitReached;
     }
+  }
+
+  template <typename Condition>
+  void EvictFirst(instant now, admission_actions& out, Condition&& condition) {
     const std::vector<queued_call>& calls = board_.queue.calls();
-    const auto lowest = std::find_if(calls.begin(), calls.end(),
-                                     [&](const queued_call& call) { return call.row == row; });
-    RefuseAt(static_cast<std::size_t>(lowest - calls.begin()), now, out);
-    out.refuse.back().code = result_code::kFleetLimitReached;
+    const auto lowest = std::find_if(calls.begin(), calls.end(), condition);
+    if (lowest != calls.end()) {
+      RefuseAt(static_cast<std::size_t>(lowest - calls.begin()), now, out);
+    }
   }
 
   void RefuseAt(std::size_t place, instant now, admission_actions& out) {
-    const queued_call call = board_.queue.TakeAt(place);
-    --RowOf(call.row).queued;
+    const queued_call call = Dequeue(place);
     out.refuse.push_back(Overload(call.key, call.row, call.rank, now));
   }
 
@@ -353,6 +361,18 @@
     waiting.arrived = now;
     board_.queue.Insert(waiting);
     ++board_.rows.rows[call.row].queued;
+    board_.queued_apart += board_.IsBounded(call.row) ? 1 : 0;
+  }
+
+  queued_call Dequeue(std::size_t place) {
+    const queued_call call = board_.queue.TakeAt(place);
+    NoteDequeued(call);
+    return call;
+  }
+
+  void NoteDequeued(const queued_call& call) {
+    --board_.rows.rows[call.row].queued;
+    board_.queued_apart -= board_.IsBounded(call.row) && board_.queued_apart > 0 ? 1 : 0;
   }
 
   /** Starts the highest ranks while there is room, passing over rows that are
@@ -364,8 +384,7 @@
       if (!MayStart(board_.queue.calls()[place].row)) {
         continue;
       }
-      const queued_call call = board_.queue.TakeAt(place);
-      --board_.rows.rows[call.row].queued;
+      const queued_call call = Dequeue(place);
       if (CanStillFinish(call, now)) {
         Start(call.key, call.row, now, out);
       } else {
@@ -429,7 +448,7 @@
       if (!condition(call)) {
         return false;
       }
-      --board_.rows.rows[call.row].queued;
+      NoteDequeued(call);
       out.refuse.push_back({call.key, code, kNoRetryHint});
       return true;
     });
--- a/modules/cuminferry_policy/admission/learned_thresholds.cpp
+++ b/modules/cuminferry_policy/admission/learned_thresholds.cpp
@@ -29,6 +29,11 @@
   return *middle;
 }
 
+/** Whether requests of the row mostly make this call. */
+bool MakesCallMostly(const row_paths& row, const learned_path& path) {
+  return path.calls >= kMostly * std::max(row.ended, 1.0F);
+}
+
 /** The record of a path; replaces the one unused longest where all are taken. */
 learned_path& PathOf(row_paths& row, std::string_view service, std::string_view callee_row) {
   for (learned_path& path : row.paths) {
@@ -53,10 +58,6 @@
 
 }  // namespace
 
-bool MakesCallMostly(const row_paths& row, const learned_path& path) {
-  return path.calls >= kMostly * std::max(row.ended, 1.0F);
-}
-
 void learned_thresholds::Learn(std::uint32_t row, std::string_view callee_service,
                                std::string_view callee_row, call_rank threshold, instant now) {
   if (row >= board_.paths.rows.size()) {
@@ -64,6 +65,9 @@
   }
   learned_path& path = PathOf(board_.paths.rows[row], callee_service, callee_row);
   path.calls += 1;
+  if (path.callee == learned_path::kNoCallee) {
+    path.callee = board_.waits.PlaceOf(callee_service);
+  }
   if (!IsFresh(path, now)) {
     path.replies = 0;
   }
@@ -71,11 +75,23 @@
   ++path.replies;
   path.last_reply = now;
   path.median = MedianOf(path);
+  NoteCallees(row);
+}
+
+void learned_thresholds::NoteCallees(std::uint32_t row) {
+  std::uint64_t callees = 0;
+  for (const learned_path& path : board_.paths.rows[row].paths) {
+    if (path.callee != learned_path::kNoCallee && MakesCallMostly(board_.paths.rows[row], path)) {
+      callees |= std::uint64_t{1} << path.callee;
+    }
+  }
+  board_.rows.rows[row].callees = callees;
 }
 
 void learned_thresholds::OnEnded(std::uint32_t row) {
   row_paths& record = board_.paths.rows[row];
   record.ended += 1;
+  NoteCallees(row);
   if (record.ended < kForgetAt) {
     return;
   }
--- a/modules/cuminferry_policy/admission/learned_thresholds.h
+++ b/modules/cuminferry_policy/admission/learned_thresholds.h
@@ -13,7 +13,7 @@
     last replies, as the targets of one callee service differ. It counts for a
     row only where the row's requests mostly make that call.
 
-    Writes paths_section.
+    Writes paths_section and row_record::callees.
 */
 class learned_thresholds {
  public:
@@ -38,10 +38,9 @@
   bool TakeProbe(std::uint32_t row, instant now);
 
  private:
+  void NoteCallees(std::uint32_t row);
+
   admission_blackboard& board_;
 };
 
-/** Whether requests of the row mostly make this call. */
-bool MakesCallMostly(const row_paths& row, const learned_path& path);
-
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/admission/path_bulkhead.cpp
+++ b/modules/cuminferry_policy/admission/path_bulkhead.cpp
@@ -2,87 +2,81 @@
 
 #include <algorithm>
 
-#include "cuminferry_policy/admission/learned_thresholds.h"
-
 namespace cuminferry {
 namespace {
 
+using std::chrono::milliseconds;
+
 /** Part of the slots that calls waiting on one service may hold. */
 constexpr double kLargestPart = 0.6;
+/** Part of the slots that may wait apart. */
+constexpr double kApartPart = 0.125;
+constexpr double kLeastApart = 4;
 /** A row that offered a call this short a time ago wants slots. */
-constexpr std::chrono::milliseconds kWantsFor{1000};
+constexpr milliseconds kWantsFor{1000};
+/** A part stays bounded for so long after it was last nearly full. */
+constexpr milliseconds kBoundedFor{500};
+
+std::uint64_t BitOf(std::uint32_t place) { return std::uint64_t{1} << place; }
 
 }  // namespace
 
-std::uint32_t path_bulkhead::CalleeOf(std::string_view service) {
-  std::vector<callee_waits>& callees = board_.waits.callees;
-  for (std::size_t place = 0; place < callees.size(); ++place) {
-    if (callees[place].service == service) {
-      return static_cast<std::uint32_t>(place);
-    }
-  }
-  if (callees.size() >= waits_section::kCalleeBound) {
-    return running_call::kNoCallee;
-  }
-  callees.push_back({std::string(service), 0, false});
-  return static_cast<std::uint32_t>(callees.size() - 1);
+std::uint32_t path_bulkhead::MostWaiting() const {
+  return static_cast<std::uint32_t>(std::max(1.0, board_.fixed.slots * kLargestPart));
+}
+
+std::size_t path_bulkhead::LongestApart() const {
+  return static_cast<std::size_t>(std::max(kLeastApart, board_.fixed.slots * kApartPart));
 }
 
 void path_bulkhead::BeginWait(running_call& call, std::string_view callee_service) {
   if (callee_service.empty()) {
     return;
   }
-  call.callee = CalleeOf(callee_service);
+  call.callee = board_.waits.PlaceOf(callee_service);
   if (call.callee != running_call::kNoCallee) {
     ++board_.waits.callees[call.callee].waiting;
+    NoteFull(call.callee);
   }
 }
 
 void path_bulkhead::EndWait(running_call& call) {
   if (call.callee != running_call::kNoCallee) {
     --board_.waits.callees[call.callee].waiting;
+    NoteFull(call.callee);
     call.callee = running_call::kNoCallee;
   }
 }
 
-bool path_bulkhead::UsesCallee(std::uint32_t row, const callee_waits& callee) const {
-  const row_paths& record = board_.paths.rows[row];
-  return std::any_of(record.paths.begin(), record.paths.end(), [&](const learned_path& path) {
-    return path.callee_service == callee.service && MakesCallMostly(record, path);
-  });
-}
-
-bool path_bulkhead::OthersWantSlots(const callee_waits& callee, instant now) const {
-  const std::vector<row_record>& rows = board_.rows.rows;
-  for (std::uint32_t row = 0; row < rows.size(); ++row) {
-    const bool wants = rows[row].last_offer != instant() && now - rows[row].last_offer < kWantsFor;
-    if (wants && !UsesCallee(row, callee)) {
-      return true;
-    }
-  }
-  return false;
+void path_bulkhead::NoteFull(std::uint32_t place) {
+  const bool bounded = (board_.waits.bounded & BitOf(place)) != 0;
+  const bool full = bounded && board_.waits.callees[place].waiting >= MostWaiting();
+  board_.waits.full &= ~BitOf(place);
+  board_.waits.full |= full ? BitOf(place) : 0;
 }
 
-std::uint32_t path_bulkhead::MostWaiting() const {
-  return static_cast<std::uint32_t>(std::max(1.0, board_.fixed.slots * kLargestPart));
+bool path_bulkhead::OthersWantSlots(std::uint64_t callee, instant now) const {
+  return std::any_of(board_.rows.rows.begin(), board_.rows.rows.end(), [&](const row_record& row) {
+    const bool wants = row.last_offer != instant() && now - row.last_offer < kWantsFor;
+    return wants && (row.callees & callee) == 0;
+  });
 }
 
 void path_bulkhead::OnTick(instant now) {
-  any_bounded_ = false;
-  for (callee_waits& callee : board_.waits.callees) {
-    callee.bounded = callee.waiting >= MostWaiting() / 2 && OthersWantSlots(callee, now);
-    any_bounded_ = any_bounded_ || callee.bounded;
-  }
-}
-
-bool path_bulkhead::Holds(std::uint32_t row) const {
-  if (!any_bounded_) {
-    return false;
+  for (std::uint32_t place = 0; place < board_.waits.callees.size(); ++place) {
+    callee_waits& callee = board_.waits.callees[place];
+    const bool nearly_full = callee.waiting + LongestApart() >= MostWaiting();
+    if (nearly_full && OthersWantSlots(BitOf(place), now)) {
+      callee.bounded_until = now + kBoundedFor;
+    }
+    board_.waits.bounded &= ~BitOf(place);
+    board_.waits.bounded |= now < callee.bounded_until ? BitOf(place) : 0;
+    NoteFull(place);
   }
-  return std::any_of(
-      board_.waits.callees.begin(), board_.waits.callees.end(), [&](const callee_waits& callee) {
-        return callee.bounded && callee.waiting >= MostWaiting() && UsesCallee(row, callee);
-      });
+  const std::vector<queued_call>& calls = board_.queue.calls();
+  board_.queued_apart = static_cast<std::size_t>(
+      std::count_if(calls.begin(), calls.end(),
+                    [&](const queued_call& call) { return board_.IsBounded(call.row); }));
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/admission/path_bulkhead.h
+++ b/modules/cuminferry_policy/admission/path_bulkhead.h
@@ -10,11 +10,12 @@
 
     A call that waits for a callee holds its slot. When a deep service slows
     down, the calls that wait for it would hold every slot, and rows that never
-    use it would be refused. So calls of a row start only while the calls that
-    wait on each service that the row mostly calls hold less than a part of the
-    slots. It binds only while rows that don't use the service want slots.
+    use it would be refused. So where such other rows want slots, the calls that
+    wait on one service hold at most a part of them. Calls of rows that mostly
+    call it then wait apart, in a short queue, and count neither for the queue
+    nor for the threshold of the others.
 
-    Reads paths_section and rows_section, writes waits_section.
+    Reads rows_section; writes waits_section and queued_apart.
 */
 class path_bulkhead {
  public:
@@ -24,20 +25,23 @@
   void BeginWait(running_call& call, std::string_view callee_service);
   /** It waits no longer. */
   void EndWait(running_call& call);
-  /** Finds out which services' callers are to be held back now. */
+  /** Finds out which services' parts of the slots are to be bounded now. */
   void OnTick(instant now);
 
+  //============================================================================
   /** Whether no call of the row may start now. */
-  bool Holds(std::uint32_t row) const;
+  bool Holds(std::uint32_t row) const {
+    return (board_.rows.rows[row].callees & board_.waits.full) != 0;
+  }
+  /** Most calls that wait apart. */
+  std::size_t LongestApart() const;
 
  private:
   std::uint32_t MostWaiting() const;
-  std::uint32_t CalleeOf(std::string_view service);
-  bool UsesCallee(std::uint32_t row, const callee_waits& callee) const;
-  bool OthersWantSlots(const callee_waits& callee, instant now) const;
+  void NoteFull(std::uint32_t place);
+  bool OthersWantSlots(std::uint64_t callee, instant now) const;
 
   admission_blackboard& board_;
-  bool any_bounded_ = false;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/admission/threshold_controller.cpp
+++ b/modules/cuminferry_policy/admission/threshold_controller.cpp
@@ -86,7 +86,7 @@
 }
 
 void threshold_controller::Move(duration passed) {
-  const double queue = static_cast<double>(board_.queue.size());
+  const double queue = static_cast<double>(board_.queued_together());
   const double ends = board_.limit.ends_per_second;
   const double wanted =
       std::max(ends * kLeastPartOffered, ends + (AimedQueue() - queue) / kCorrectSeconds);
--- a/modules/cuminferry_policy/blackboard/admission_blackboard.h
+++ b/modules/cuminferry_policy/blackboard/admission_blackboard.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <limits>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
@@ -37,6 +38,8 @@
   double quickest_micros = 0;
   instant last_end;
   instant last_offer;
+  /** Bit set over waits_section::callees: the services that its requests mostly call. */
+  std::uint64_t callees = 0;
 
   std::uint32_t limit() const { return target_limit < share ? target_limit : share; }
 };
@@ -87,11 +90,15 @@
 
 /** What a callee said of one of its rows, on replies to calls of one own row. */
 struct learned_path {
+  static constexpr std::uint32_t kNoCallee = std::numeric_limits<std::uint32_t>::max();
+
   /** Replies of late that the threshold is the median of. */
   static constexpr std::size_t kReplies = 8;
 
   std::string callee_service;
   std::string callee_row;
+  /** Place in waits_section::callees, or kNoCallee. */
+  std::uint32_t callee = kNoCallee;
   std::array<call_rank, kReplies> thresholds;
   std::uint32_t replies = 0;
   /** Calls over this path, forgotten together with row_paths::ended. */
@@ -118,14 +125,22 @@
 struct callee_waits {
   std::string service;
   std::uint32_t waiting = 0;
-  /** Rows that do not call it want slots, so its part of the slots is bounded. */
-  bool bounded = false;
+  /** Until when its part of the slots is bounded. */
+  instant bounded_until;
 };
 
 struct waits_section {
   static constexpr std::size_t kCalleeBound = 64;
 
   std::vector<callee_waits> callees;
+  /** Bit sets over callees: those whose part of the slots is bounded, and of
+      them those that have it in full. */
+  std::uint64_t bounded = 0;
+  std::uint64_t full = 0;
+
+  /** The place of a service; a new one where it was not known. learned_path::kNoCallee
+      where all are taken. */
+  std::uint32_t PlaceOf(std::string_view service);
 };
 
 /** What the controllers of one instance's admission read and write. They never
@@ -137,6 +152,8 @@
   calls_section calls;
   rank_queue queue;
   offered_load offered;
+  /** Of the queued calls, those whose row is bounded; see IsBounded(). */
+  std::size_t queued_apart = 0;
   limit_section limit;
   threshold_section threshold;
   paths_section paths;
@@ -145,6 +162,13 @@
   std::uint32_t running() const { return static_cast<std::uint32_t>(calls.running.size()); }
   /** Calls that use the backend server now, those that wait for others left out. */
   std::uint32_t active() const { return running() - calls.waiting; }
+  /** Whether calls of the row wait apart, for a bounded part of the slots. */
+  bool IsBounded(std::uint32_t row) const { return (rows.rows[row].callees & waits.bounded) != 0; }
+  /** Queued calls that wait for the slots in common. The count of those apart is
+      made anew with each tick, and may be above the truth in between. */
+  std::size_t queued_together() const {
+    return queue.size() - (queued_apart < queue.size() ? queued_apart : queue.size());
+  }
   bool HasRoom() const {
     return running() < fixed.slots && active() < static_cast<std::uint32_t>(limit.limit);
   }
