Spread tables between nodes and decide from direct evidence who leaves

Cause: the first form of the fleet runtime read everything from the platform every 500 ms, so its reads grew with the fleet, and it knew nothing of peers.

Changed: the decisions stand in cuminferry_fleet, free of I/O: a directory of versions that only rise, an epidemic of datagrams, contents from peers with the platform as one reader per region and as fallback, reads at a period proportional to the fleet, members by direct evidence before the list. The runtime binds them to UDP, the node's connections and one platform thread; one thread alone calls the node's hooks, so an older table can't overtake a newer. OnPeerLeaving now means "it said so" and lasts until another incarnation is heard of; OnPeerLost is for connections that ended.

--- a/modules/cuminferry_fleet/cuminferry_fleet.h
+++ b/modules/cuminferry_fleet/cuminferry_fleet.h
@@ -2,12 +2,14 @@
     cuminferry_fleet: what the fleet knows of itself, as decisions free of
     threads, sockets and clocks.
 
-    - platform/ the values that the configuration service publishes
-    - tables/   which table version is in force and how versions spread
-    - members/  which instances live, leave or are gone
+    - platform/ the values that the configuration service publishes, when to read them
+    - tables/   which versions are known and in force, how they spread, whence contents come
+    - members/  which instances live, leave or are gone, and whom to tell news
+    - agent/    all of it together, for one node
 
     May use cuminferry_core and cuminferry_table.
 */
 #pragma once
 
+#include "cuminferry_fleet/agent/fleet_agent.h"
 #include "cuminferry_fleet/platform/published_values.h"
--- a/modules/cuminferry_node/fleet/fleet_runtime.cpp
+++ b/modules/cuminferry_node/fleet/fleet_runtime.cpp
@@ -2,33 +2,93 @@
 
 #include <algorithm>
 #include <atomic>
-#include <map>
+#include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
 
+#include "cuminferry_node/fleet/gossip_codec.h"
 #include "cuminferry_node/fleet/platform_client.h"
 
 namespace cuminferry {
 namespace {
 
-constexpr std::size_t kReaderStack = 256 * 1024;
-constexpr std::chrono::milliseconds kPollPeriod{500};
+using json = nlohmann::json;
+
+constexpr std::size_t kThreadStack = 256 * 1024;
 constexpr std::chrono::milliseconds kLongestRead{2000};
+// Datagrams that come this close together are answered in one go.
+constexpr std::chrono::milliseconds kShortestWait{1};
+
+target_info TargetFrom(const member& one) {
+  return {.at = one.info.peer,
+          .instance = one.info.instance,
+          .failure_domain = one.info.failure_domain,
+          .region = one.info.region,
+          .leaving = one.leaving};
+}
+
+fleet_agent::options AgentOptions(const node_settings& settings, incarnation_id incarnation) {
+  return {.instance = settings.instance,
+          .service = settings.service,
+          .failure_domain = settings.failure_domain,
+          .region = settings.region,
+          .self = settings.peer,
+          .incarnation = incarnation,
+          .seeds = settings.seeds,
+          .reads = {}};
+}
 
-target_info TargetFrom(const published_instance& listed) {
-  return {listed.peer, listed.instance, listed.failure_domain, listed.region, listed.leaving};
+member_hello HelloFrom(const hello_message& hello) {
+  return {.info = {.instance = hello.instance,
+                   .failure_domain = hello.failure_domain,
+                   .region = hello.region,
+                   .peer = hello.listens_at,
+                   .target_slot = 0,
+                   .leaving = hello.load.leaving != 0},
+          .incarnation = hello.incarnation};
+}
+
+read_end EndOf(const absl::Status& status) {
+  if (status.ok()) {
+    return read_end::kValue;
+  }
+  switch (CodeOf(status)) {
+    case result_code::kPlatformBadValue:
+      return read_end::kNoSuchKey;
+    case result_code::kReadBudgetSpent:
+      return read_end::kRefused;
+    default:
+      return read_end::kUnreachable;
+  }
+}
+
+json TablesJson(const fleet_status& status) {
+  json tables = json::array();
+  for (const value_version& one : status.in_force) {
+    if (KindOf(one.name) == value_kind::kShard) {
+      tables.push_back({{"service", one.name}, {"version", one.version}, {"digest", one.digest}});
+    }
+  }
+  return tables;
 }
 
 }  // namespace
 
-// First form: polls the platform and knows nothing of peers.
+// Three threads: one reads datagrams, one waits for the platform, and one, the
+// only one that calls the hooks, does what the agent decides. Were hooks called
+// by several threads, an older table could reach the node after a newer one.
 class fleet_runtime::state {
  public:
-  state(const node_settings& settings, event_log& events, hooks chosen)
+  state(const node_settings& settings, incarnation_id incarnation, event_log& events, hooks chosen)
       : settings_(settings),
         events_(events),
         hooks_(std::move(chosen)),
-        platform_(settings.platform) {}
+        platform_(settings.platform),
+        agent_(AgentOptions(settings, incarnation), boot_clock::Now(),
+               random_source::FromMachine()),
+        udp_([this](endpoint, message_type type, std::span<const char> payload) {
+          OnDatagram(type, payload);
+        }) {}
 
   ~state() {
     {
@@ -37,135 +97,254 @@
       changed_.SignalAll();
     }
     reader_.reset();
+    worker_.reset();
   }
 
   absl::Status Start() {
-    Follow(settings_.service);
-    reader_ = std::make_unique<joined_thread>("fleet", kReaderStack, [this] { Run(); });
+    endpoint at = settings_.peer;
+    const absl::Status opened = udp_.Open(at);
+    if (!opened.ok()) {
+      return opened;
+    }
+    worker_ = std::make_unique<joined_thread>("fleet", kThreadStack, [this] { Work(); });
+    reader_ = std::make_unique<joined_thread>("platform", kThreadStack, [this] { ReadPlatform(); });
     return absl::OkStatus();
   }
 
-  void Follow(std::string_view service) {
+  // Hands an event to the agent and lets the worker do what follows from it.
+  template <typename Event>
+  void Handle(Event&& event) {
     ranked_lock lock(mutex_);
-    followed_.try_emplace(std::string(service));
-    changed_.Signal();
+    std::forward<Event>(event)(agent_, boot_clock::Now());
+    handled_ = true;
+    changed_.SignalAll();
   }
 
-  std::uint64_t table_version() const { return table_version_; }
+  void OnPeerMessage(endpoint from, message_type type, std::span<const char> payload) {
+    if (type == message_type::kShardRequest) {
+      OnShardRequest(from, payload);
+    } else if (type == message_type::kShardReply) {
+      OnShardReply(from, payload);
+    }
+  }
+
+  fleet_status status() const {
+    ranked_lock lock(mutex_);
+    return agent_.status(boot_clock::Now());
+  }
+
+  std::uint64_t table_version() const {
+    ranked_lock lock(mutex_);
+    return agent_.table_version();
+  }
 
   std::string StatusJson() const {
-    return "{\"table_version\":" + std::to_string(table_version_) + "}";
+    const fleet_status now_is = status();
+    const json gossip = {{"sent", now_is.digests_sent},
+                         {"received", now_is.digests_received},
+                         {"bytes", datagram_bytes_.load()}};
+    const json platform = {{"reachable", now_is.platform_reachable},
+                           {"reads", now_is.platform_reads},
+                           {"failed_reads", now_is.platform_failed_reads},
+                           {"stale", now_is.platform_stale}};
+    return json{{"table_version", now_is.table_version},
+                {"tables", TablesJson(now_is)},
+                {"tables_rejected", now_is.rejected},
+                {"table_conflicts", now_is.conflicts},
+                {"contents_wanted", now_is.wanted_contents},
+                {"fleet_size", now_is.fleet_size},
+                {"peers", now_is.peers},
+                {"catching_up", now_is.catching_up},
+                {"platform", platform},
+                {"gossip", gossip}}
+        .dump();
   }
 
+  std::uint64_t datagram_bytes() const { return datagram_bytes_; }
+
  private:
-  struct followed_service {
-    std::uint64_t version = 0;
-    std::uint64_t list_version = 0;
-  };
+  void OnDatagram(message_type type, std::span<const char> payload) {
+    datagram_bytes_ += payload.size() + kFrameHeaderBytes;
+    gossip_message message;
+    if (type != message_type::kGossip || !DecodeMessage(payload, message).ok()) {
+      return;
+    }
+    events_.Observe(message.sent);
+    const spread_digest digest = FromMessage(std::move(message));
+    Handle([&](fleet_agent& agent, instant now) { agent.OnDigest(digest, now); });
+  }
 
-  void Run() {
-    while (!WaitForNextPoll()) {
-      Poll();
+  void OnShardRequest(endpoint from, std::span<const char> payload) {
+    shard_request_message message;
+    if (DecodeMessage(payload, message).ok()) {
+      const content_request request{from, message.service, message.newer_than};
+      Handle([&](fleet_agent& agent, instant now) { agent.OnContentRequest(request, from, now); });
     }
   }
 
-  bool WaitForNextPoll() {
-    ranked_lock lock(mutex_);
-    if (!stopping_ && table_version_ > 0) {
-      mutex_.WaitFor(changed_, absl::FromChrono(kPollPeriod));
+  void OnShardReply(endpoint from, std::span<const char> payload) {
+    shard_reply_message message;
+    if (DecodeMessage(payload, message).ok()) {
+      const content_reply reply{from, message.service, message.version, std::move(message.json)};
+      Handle([&](fleet_agent& agent, instant now) { agent.OnContentReply(reply, from, now); });
     }
-    return stopping_;
   }
 
-  void Poll() {
-    const absl::StatusOr<std::string> text = platform_.Read(kIndexKey, kLongestRead);
-    const absl::StatusOr<published_index> index =
-        text.ok() ? published_index::Parse(*text) : text.status();
-    if (!index.ok()) {
-      ranked_lock lock(mutex_);
-      mutex_.WaitFor(changed_, absl::FromChrono(kPollPeriod));
-      return;
+  //============================================================================
+  void Work() {
+    while (WaitForWork()) {
+      Perform(NextActions());
     }
-    for (const auto& [service, known] : Followed()) {
-      ReadShard(service, known.version, *index);
-      ReadInstances(service, known.list_version);
+  }
+
+  bool WaitForWork() {
+    ranked_lock lock(mutex_);
+    while (!stopping_ && !handled_) {
+      const instant now = boot_clock::Now();
+      const duration left = agent_.next_due(now) - now;
+      if (left <= duration::zero()) {
+        break;
+      }
+      mutex_.WaitFor(changed_, absl::FromChrono(std::max<duration>(left, kShortestWait)));
     }
-    table_version_ = std::max(table_version_.load(), index->version);
+    handled_ = false;
+    return !stopping_;
   }
 
-  std::map<std::string, followed_service> Followed() {
+  fleet_actions NextActions() {
     ranked_lock lock(mutex_);
-    return followed_;
+    agent_.OnTick(boot_clock::Now());
+    fleet_actions actions = agent_.TakeActions();
+    if (actions.platform_read.has_value()) {
+      next_read_ = std::move(actions.platform_read);
+      changed_.SignalAll();
+    }
+    return actions;
   }
 
-  void ReadShard(const std::string& service, std::uint64_t known, const published_index& index) {
-    const auto line = std::find_if(index.shards.begin(), index.shards.end(),
-                                   [&](const auto& shard) { return shard.service == service; });
-    if (line == index.shards.end() || line->version <= known) {
-      return;
+  // Without the lock: the hooks take locks of the node that come before it.
+  void Perform(const fleet_actions& actions) {
+    for (const timeline_event& event : actions.events) {
+      events_.Add(event);
     }
-    const auto text = platform_.Read(kShardKeyPrefix + service, kLongestRead);
-    const auto shard = text.ok() ? ParseShard(*text) : text.status();
-    if (!shard.ok() || shard->version <= known) {
-      return;
+    for (const table_shard& shard : actions.in_force) {
+      hooks_.on_shard(shard);
     }
-    {
-      ranked_lock lock(mutex_);
-      followed_[service].version = shard->version;
+    for (const std::string& service : actions.changed_services) {
+      TellTargets(service);
+    }
+    TellNode(actions);
+    for (const outgoing_digest& one : actions.digests) {
+      const std::string frame = FrameOf(ToMessage(one.digest, events_.Now()));
+      datagram_bytes_ += frame.size();
+      udp_.Send(one.to, frame);
+    }
+    for (const content_request& one : actions.requests) {
+      SendToPeer(one.to, FrameOf(shard_request_message{one.name, one.newer_than}));
+    }
+    for (const content_reply& one : actions.replies) {
+      SendToPeer(one.to, FrameOf(shard_reply_message{one.name, one.version, one.text}));
     }
-    events_.Add({.kind = event_kind::kTableInForce,
-                 .subject = service,
-                 .value = static_cast<std::int64_t>(shard->version)});
-    hooks_.on_shard(*shard);
   }
 
-  void ReadInstances(const std::string& service, std::uint64_t known) {
-    const auto text = platform_.Read(kInstancesKeyPrefix + service, kLongestRead);
-    const auto list = text.ok() ? published_instances::Parse(*text) : text.status();
-    if (!list.ok() || list->version <= known) {
-      return;
+  void TellNode(const fleet_actions& actions) {
+    if (actions.self_leaving && hooks_.on_self_leaving) {
+      hooks_.on_self_leaving();
     }
+    if (actions.pause.has_value() && hooks_.on_pause) {
+      hooks_.on_pause(*actions.pause);
+    }
+  }
+
+  void TellTargets(const std::string& service) {
+    std::vector<target_info> targets;
     {
       ranked_lock lock(mutex_);
-      followed_[service].list_version = list->version;
+      const std::vector<member> members = agent_.members(service);
+      std::transform(members.begin(), members.end(), std::back_inserter(targets), TargetFrom);
     }
-    std::vector<target_info> targets;
-    std::transform(list->instances.begin(), list->instances.end(), std::back_inserter(targets),
-                   TargetFrom);
     hooks_.on_targets(service, targets);
   }
 
+  void SendToPeer(endpoint to, std::string frame) {
+    if (!hooks_.send(to, std::move(frame))) {
+      Handle([to](fleet_agent& agent, instant now) { agent.OnUnreachable(to, now); });
+    }
+  }
+
+  //============================================================================
+  void ReadPlatform() {
+    while (const std::optional<std::string> name = NextRead()) {
+      const auto value = platform_.Read(PlatformKeyOf(*name), kLongestRead);
+      const std::string_view text = value.ok() ? std::string_view(*value) : std::string_view();
+      Handle([&](fleet_agent& agent, instant now) {
+        agent.OnPlatformRead(*name, EndOf(value.status()), text, now);
+      });
+    }
+  }
+
+  std::optional<std::string> NextRead() {
+    ranked_lock lock(mutex_);
+    while (!stopping_ && !next_read_.has_value()) {
+      mutex_.Wait(changed_);
+    }
+    return stopping_ ? std::nullopt : std::exchange(next_read_, std::nullopt);
+  }
+
   const node_settings settings_;
   event_log& events_;
   const hooks hooks_;
   platform_client platform_;
-  std::atomic<std::uint64_t> table_version_ = 0;
-  ranked_mutex mutex_{lock_rank::kTable};
+  std::atomic<std::uint64_t> datagram_bytes_ = 0;
+  mutable ranked_mutex mutex_{lock_rank::kTable};
   absl::CondVar changed_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
-  std::map<std::string, followed_service> followed_ ABSL_GUARDED_BY(mutex_);
+  bool handled_ ABSL_GUARDED_BY(mutex_) = false;
+  std::optional<std::string> next_read_ ABSL_GUARDED_BY(mutex_);
+  fleet_agent agent_ ABSL_GUARDED_BY(mutex_);
+  std::unique_ptr<joined_thread> worker_;
   std::unique_ptr<joined_thread> reader_;
+  udp_socket udp_;
 };
 
-fleet_runtime::fleet_runtime(const node_settings& settings, incarnation_id /*incarnation*/,
+fleet_runtime::fleet_runtime(const node_settings& settings, incarnation_id incarnation,
                              event_log& events, hooks chosen)
-    : state_(std::make_unique<state>(settings, events, std::move(chosen))) {}
+    : state_(std::make_unique<state>(settings, incarnation, events, std::move(chosen))) {}
 
 fleet_runtime::~fleet_runtime() = default;
 
 absl::Status fleet_runtime::Start() { return state_->Start(); }
 
-void fleet_runtime::Follow(std::string_view service) { state_->Follow(service); }
+void fleet_runtime::Follow(std::string_view service) {
+  state_->Handle([&](fleet_agent& agent, instant now) { agent.Follow(service, now); });
+}
+
+void fleet_runtime::OnPeerMessage(endpoint from, message_type type, std::span<const char> payload) {
+  state_->OnPeerMessage(from, type, payload);
+}
 
-void fleet_runtime::OnPeerMessage(endpoint /*from*/, message_type /*type*/,
-                                  std::span<const char> /*payload*/) {}
+void fleet_runtime::OnHello(const hello_message& hello) {
+  const member_hello said = HelloFrom(hello);
+  state_->Handle([&](fleet_agent& agent, instant now) { agent.OnHello(hello.service, said, now); });
+}
 
-void fleet_runtime::OnHello(const hello_message& /*hello*/) {}
+void fleet_runtime::OnPeerLeaving(endpoint peer, incarnation_id incarnation) {
+  state_->Handle(
+      [&](fleet_agent& agent, instant now) { agent.OnPeerLeaving(peer, incarnation, now); });
+}
 
-void fleet_runtime::OnPeerLeaving(endpoint /*peer*/) {}
+void fleet_runtime::OnPeerLost(endpoint peer) {
+  state_->Handle([&](fleet_agent& agent, instant now) { agent.OnPeerLost(peer, now); });
+}
 
 std::uint64_t fleet_runtime::table_version() const { return state_->table_version(); }
 
 std::string fleet_runtime::StatusJson() const { return state_->StatusJson(); }
 
+fleet_status fleet_runtime::status() const { return state_->status(); }
+
+bool fleet_runtime::catching_up() const { return state_->status().catching_up; }
+
+std::uint64_t fleet_runtime::datagram_bytes() const { return state_->datagram_bytes(); }
+
 }  // namespace cuminferry
--- a/modules/cuminferry_node/fleet/fleet_runtime.h
+++ b/modules/cuminferry_node/fleet/fleet_runtime.h
@@ -27,6 +27,12 @@
     /** Sends a frame to another node over the node's connection to it, opening
         one where there is none. False where that can't be. */
     std::function<bool(endpoint peer, std::string frame)> send;
+    /** The platform's list names this very instance as leaving. May be empty;
+        called again with each list that says so. */
+    std::function<void()> on_self_leaving;
+    /** This process did not run for so long; what it held true may have passed.
+        May be empty. */
+    std::function<void(duration gap)> on_pause;
   };
 
   fleet_runtime(const node_settings& settings, incarnation_id incarnation, event_log& events,
@@ -46,14 +52,26 @@
 
   /** Another node was heard of directly, by its hello. */
   void OnHello(const hello_message& hello);
-  /** Another node said that it is leaving, or its connection ended for good. */
-  void OnPeerLeaving(endpoint peer);
+  /** Another node said that it is leaving: it gets nothing new until another
+      incarnation of it is heard of.
+      @param incarnation as its leaving_message has it; 0: the one last heard of */
+  void OnPeerLeaving(endpoint peer, incarnation_id incarnation = 0);
+  /** Another node's connections ended and it can't be reached: it gets nothing
+      new until anything is heard of it. */
+  void OnPeerLost(endpoint peer);
 
   //============================================================================
   /** Highest version of the whole table that is known here. */
   std::uint64_t table_version() const;
   /** For /status: versions in force, platform state, members known. */
   std::string StatusJson() const;
+  /** The numbers behind StatusJson(). */
+  fleet_status status() const;
+  /** After a pause, until a peer or the platform has answered: thresholds and
+      members may be out of date. */
+  bool catching_up() const;
+  /** Bytes of the datagrams sent and received. */
+  std::uint64_t datagram_bytes() const;
 
  private:
   class state;
