Add the caller library, its example and its tests

Cause: a caller that sends a doubtful filing again doubles it, and one that gives up on the first refusal loses what a moment's patience would get.

caller::builder takes std::function hooks for resolver, transport and clock. A call ends as completed_call, call_not_run or call_unknown. It is tried again only after not_run or where the request is idempotent; a doubtful end of another request is cleared up by its ticket and never sent again. retry_manners also plays impatient callers, for the load tool. The transport over cpp-httplib puts non-idempotent requests on new connections only. Its client pool replaces the one of the stand-ins.

Weighed and left out: sending an Idempotency-Key again to the same node after a lost answer. A node that restarted in between has forgotten the key, and the filing would run twice.

--- a/extras/stand_ins/backend/backend_stand_in.cpp
+++ b/extras/stand_ins/backend/backend_stand_in.cpp
@@ -7,11 +7,11 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cuminferry_caller/cuminferry_caller.h"
 #include "cuminferry_table/cuminferry_table.h"
 #include "stand_ins/backend/answer_text.h"
 #include "stand_ins/backend/run_journal.h"
 #include "stand_ins/backend/slot_queue.h"
-#include "stand_ins/http/client_pool.h"
 #include "stand_ins/http/http_host.h"
 
 namespace cuminferry::stand_ins {
--- a/extras/stand_ins/http/client_pool.cpp
+++ b/modules/cuminferry_caller/transport/client_pool.cpp
@@ -1,12 +1,32 @@
-#include "stand_ins/http/client_pool.h"
+#include "cuminferry_caller/transport/client_pool.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace cuminferry::stand_ins {
+namespace cuminferry {
+namespace {
+
+void SetTimeouts(httplib::Client& client, std::chrono::milliseconds longest) {
+  longest = std::max(longest, std::chrono::milliseconds(1));
+  client.set_connection_timeout(longest);
+  client.set_read_timeout(longest);
+  client.set_write_timeout(longest);
+}
+
+}  // namespace
 
 client_pool::client_pool(endpoint to, std::size_t idle_bound) : to_(to), idle_bound_(idle_bound) {}
 
+std::unique_ptr<httplib::Client> client_pool::Make(std::chrono::milliseconds longest) const {
+  const std::string host = endpoint{to_.address, 0}.ToString();
+  auto client = std::make_unique<httplib::Client>(host.substr(0, host.rfind(':')), to_.port);
+  client->set_keep_alive(true);
+  client->set_tcp_nodelay(true);
+  client->set_url_encode(false);
+  SetTimeouts(*client, longest);
+  return client;
+}
+
 std::unique_ptr<httplib::Client> client_pool::Take(std::chrono::milliseconds longest) {
   std::unique_ptr<httplib::Client> client;
   {
@@ -17,16 +37,9 @@
     }
   }
   if (client == nullptr) {
-    const std::string host = endpoint{to_.address, 0}.ToString();
-    client = std::make_unique<httplib::Client>(host.substr(0, host.rfind(':')), to_.port);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_url_encode(false);
+    return Make(longest);
   }
-  longest = std::max(longest, std::chrono::milliseconds(1));
-  client->set_connection_timeout(longest);
-  client->set_read_timeout(longest);
-  client->set_write_timeout(longest);
+  SetTimeouts(*client, longest);
   return client;
 }
 
@@ -43,4 +56,4 @@
   closing.swap(idle_);
 }
 
-}  // namespace cuminferry::stand_ins
+}  // namespace cuminferry
--- a/extras/stand_ins/http/client_pool.h
+++ b/modules/cuminferry_caller/transport/client_pool.h
@@ -9,7 +9,7 @@
 
 #include "cuminferry_core/cuminferry_core.h"
 
-namespace cuminferry::stand_ins {
+namespace cuminferry {
 
 /** Kept-alive client connections to one endpoint, the last used first, so that
     the surplus of a surge idles and is closed. Safe to use from all threads. */
@@ -18,6 +18,9 @@
   /** @param idle_bound most connections kept open between requests */
   explicit client_pool(endpoint to, std::size_t idle_bound = 64);
 
+  /** A client that is not connected yet. Every timeout is `longest`. */
+  std::unique_ptr<httplib::Client> Make(std::chrono::milliseconds longest) const;
+
   /** A client that may be connected already. Every timeout is `longest`. */
   std::unique_ptr<httplib::Client> Take(std::chrono::milliseconds longest);
 
@@ -34,4 +37,4 @@
   std::vector<std::unique_ptr<httplib::Client>> idle_;
 };
 
-}  // namespace cuminferry::stand_ins
+}  // namespace cuminferry
--- /dev/null
+++ b/tests/caller/http_transport_test.cpp
@@ -0,0 +1,119 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
+
+#include "cuminferry_caller/cuminferry_caller.h"
+#include "stand_ins/http/http_host.h"
+#include "support/property.h"
+
+namespace cuminferry {
+namespace {
+
+constexpr endpoint kAnyLocal{0x7F000001, 0};
+
+// Accepts one connection, answers it with a fixed text and closes.
+class raw_server {
+ public:
+  explicit raw_server(std::string text) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    ::bind(socket_, reinterpret_cast<sockaddr*>(&address), size);
+    ::listen(socket_, 1);
+    ::getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
+    at_ = {INADDR_LOOPBACK, ntohs(address.sin_port)};
+    thread_ = std::thread([this, text = std::move(text)] { AnswerOne(text); });
+  }
+  ~raw_server() {
+    thread_.join();
+    ::close(socket_);
+  }
+  endpoint at() const { return at_; }
+
+ private:
+  void AnswerOne(const std::string& text) const {
+    const int connection = ::accept(socket_, nullptr, nullptr);
+    char request[2048];
+    static_cast<void>(!::read(connection, request, sizeof(request)));
+    static_cast<void>(!::write(connection, text.data(), text.size()));
+    ::close(connection);
+  }
+
+  int socket_;
+  endpoint at_;
+  std::thread thread_;
+};
+
+transport_request Post(endpoint to) {
+  return {.to = to, .method = "POST", .path = "/permits", .headers = {}, .body = "draw"};
+}
+
+}  // namespace
+
+class http_transport_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(http_transport_test);
+  CPPUNIT_TEST(Answer_Whole_ComesWithItsHeaders);
+  CPPUNIT_TEST(Answer_CutShort_IsNoAnswer);
+  CPPUNIT_TEST(Answer_ClosedWithoutAWord_IsNoAnswerAndNotSentAgain);
+  CPPUNIT_TEST(Answer_OverItsBound_IsNoAnswer);
+  CPPUNIT_TEST(Port_NobodyListens_IsNotConnected);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Answer_Whole_ComesWithItsHeaders() {
+    stand_ins::http_host host({});
+    host.SetHandler([](const stand_ins::incoming_request& request, httplib::Response& response) {
+      response.set_header(header_names::kEnd, "completed");
+      response.set_content(request.head.method + request.body, "text/plain");
+    });
+    CPPUNIT_ASSERT(host.Start(kAnyLocal).ok());
+    const transport_answer answer = MakeHttpTransport()(Post(host.at()));
+    CPPUNIT_ASSERT(answer.end == transport_end::kAnswered);
+    CPPUNIT_ASSERT(answer.Header("cuminferry-end") == "completed");
+    CPPUNIT_ASSERT_EQUAL(std::string("POSTdraw"), answer.body);
+  }
+
+  // A node dies in the middle of an answer. Half a map must not pass for a map.
+  void Answer_CutShort_IsNoAnswer() {
+    const raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf a m");
+    const transport_answer answer = MakeHttpTransport()(Post(server.at()));
+    CPPUNIT_ASSERT(answer.end == transport_end::kNoAnswer);
+  }
+
+  // A node takes the filing and closes. The server accepts a single connection, so
+  // a library that quietly sent the filing again would wait for the time-out.
+  void Answer_ClosedWithoutAWord_IsNoAnswerAndNotSentAgain() {
+    const raw_server server("");
+    const transport_answer answer = MakeHttpTransport()(Post(server.at()));
+    CPPUNIT_ASSERT(answer.end == transport_end::kNoAnswer);
+  }
+
+  // A runaway answer would fill the caller's memory.
+  void Answer_OverItsBound_IsNoAnswer() {
+    stand_ins::http_host host({});
+    host.SetHandler([](const stand_ins::incoming_request&, httplib::Response& response) {
+      response.set_content(std::string(5000, 'x'), "text/plain");
+    });
+    CPPUNIT_ASSERT(host.Start(kAnyLocal).ok());
+    const transport_answer answer = MakeHttpTransport(4000)(Post(host.at()));
+    CPPUNIT_ASSERT(answer.end == transport_end::kNoAnswer);
+  }
+
+  void Port_NobodyListens_IsNotConnected() {
+    endpoint gone;
+    {
+      stand_ins::http_host host({});
+      host.SetHandler([](const stand_ins::incoming_request&, httplib::Response&) {});
+      CPPUNIT_ASSERT(host.Start(kAnyLocal).ok());
+      gone = host.at();
+    }
+    CPPUNIT_ASSERT(MakeHttpTransport()(Post(gone)).end == transport_end::kNotConnected);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_transport_test);
+
+}  // namespace cuminferry
