Add open-loop callers and a trial of real processes

Cause: decisions under overload can only be judged by whole requests that cross real processes.

extras/load plays Poisson arrivals that don't wait for answers, each caller retrying hard or politely, and records every attempt. extras/trial starts the platform's stand-in and a backend server with its node for each target of the table, loads them before, in and after a surge, and works out goodput, doubles, false not_runs, wasted work, amplification, weight order and recovery from what callers were told and what backend servers journalled.

--- /dev/null
+++ b/extras/load/load_runner.cpp
@@ -0,0 +1,240 @@
+#include "load/load_runner.h"
+
+#include <time.h>
+
+#include <algorithm>
+#include <cmath>
+#include <mutex>
+#include <utility>
+
+#include "stand_ins/backend/answer_text.h"
+
+namespace cuminferry::load {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kPathNumbers = 1000;
+constexpr std::size_t kLargestAnswer = 16 << 20;
+constexpr std::size_t kCallerStack = 192 * 1024;
+constexpr char kNumberMark[] = "{n}";
+constexpr char kTicketPath[] = "/ticket/";
+
+// The whole request that this thread is playing the caller of.
+thread_local request_record* playing = nullptr;
+thread_local instant playing_since;
+
+void SleepUntil(instant when) {
+  const duration left = when - boot_clock::Now();
+  if (left > duration(0)) {
+    const timespec time{left.count() / 1'000'000, (left.count() % 1'000'000) * 1000};
+    ::nanosleep(&time, nullptr);
+  }
+}
+
+std::string PathOf(const load_kind& kind, const request_record& record, std::uint64_t number) {
+  std::string path = kind.path;
+  const std::size_t mark = path.find(kNumberMark);
+  if (mark != std::string::npos) {
+    path.replace(mark, sizeof(kNumberMark) - 1, std::to_string(number));
+  }
+  return path + "?" + stand_ins::kRequestParameter + "=" + record.name();
+}
+
+end_kind EndOf(const call_result& result, const request_record& record) {
+  if (std::holds_alternative<call_not_run>(result)) {
+    return end_kind::kNotRun;
+  }
+  const auto* completed = std::get_if<completed_call>(&result);
+  if (completed == nullptr) {
+    return end_kind::kUnknown;
+  }
+  if (completed->http_status != 200) {
+    return end_kind::kFailed;
+  }
+  const std::string_view name = stand_ins::NameOfWholeAnswer(completed->body);
+  const std::string own = record.name() + ".";
+  return name.substr(0, own.size()) == own ? end_kind::kWell : end_kind::kForeign;
+}
+
+result_code CodeOf(const call_result& result) {
+  if (const auto* refused = std::get_if<call_not_run>(&result)) {
+    return refused->code;
+  }
+  const auto* unknown = std::get_if<call_unknown>(&result);
+  return unknown == nullptr ? result_code::kOk : unknown->code;
+}
+
+// Adds the attempt to the request's name, so that the journals of backend
+// servers tell attempts apart, and notes when each was sent.
+transport NumberAttempts(transport inner) {
+  return [inner = std::move(inner)](const transport_request& wanted) {
+    if (wanted.path.rfind(kTicketPath, 0) == 0) {
+      return inner(wanted);
+    }
+    transport_request numbered = wanted;
+    numbered.path += "." + std::to_string(wanted.attempt);
+    playing->attempts.push_back({.sent = boot_clock::Now() - playing_since});
+    return inner(numbered);
+  };
+}
+
+void NoteAttempt(const call_result& result) {
+  if (playing->attempts.empty()) {
+    return;
+  }
+  attempt_record& attempt = playing->attempts.back();
+  attempt.ended = boot_clock::Now() - playing_since;
+  attempt.end = EndOf(result, *playing);
+  attempt.code = CodeOf(result);
+}
+
+// One run of a plan.
+class running_load {
+ public:
+  running_load(const load_plan& plan, caller::resolver resolve)
+      : plan_(plan),
+        random_(plan.seed),
+        caller_(*caller::builder()
+                     .WithResolver(std::move(resolve))
+                     .WithTransport(NumberAttempts(MakeHttpTransport(kLargestAnswer)))
+                     .WithManners(plan.manners)
+                     .WithSeed(plan.seed)
+                     .WithAttemptHook(
+                         [](std::uint32_t, const call_result& result) { NoteAttempt(result); })
+                     .Build()),
+        callers_({.name = "caller",
+                  .threads = plan.callers,
+                  .stack_bytes = kCallerStack,
+                  .queue_bound = plan.callers}) {}
+
+  load_result Run(const std::function<void(std::size_t)>& on_phase) {
+    started_ = boot_clock::Now();
+    instant next = started_;
+    for (std::size_t phase = 0; phase < plan_.phases.size(); ++phase) {
+      result_.phase_starts.push_back(next - started_);
+      if (on_phase) {
+        on_phase(phase);
+      }
+      next = RunPhase(phase, next);
+    }
+    result_.phase_starts.push_back(next - started_);
+    callers_.Stop();
+    std::sort(result_.requests.begin(), result_.requests.end(),
+              [](const request_record& left, const request_record& right) {
+                return left.number < right.number;
+              });
+    return std::move(result_);
+  }
+
+ private:
+  // Sends the arrivals of one phase; returns its end.
+  instant RunPhase(std::size_t phase, instant begun) {
+    const instant end = begun + plan_.phases[phase].length;
+    instant next = begun + Gap(plan_.phases[phase].rate);
+    while (next < end) {
+      SleepUntil(next);
+      Arrive(phase, next);
+      next += Gap(plan_.phases[phase].rate);
+    }
+    SleepUntil(end);
+    return end;
+  }
+
+  duration Gap(double rate) {
+    const double seconds = rate > 0 ? -std::log(1.0 - random_.Fraction()) / rate : 1e6;
+    return duration(static_cast<std::int64_t>(seconds * 1e6));
+  }
+
+  void Arrive(std::size_t phase, instant when) {
+    request_record record;
+    record.number = next_number_++;
+    record.kind = DrawKind();
+    record.phase = phase;
+    record.arrived = when - started_;
+    const std::uint64_t number = random_.Below(kPathNumbers);
+    const bool sent =
+        callers_.Submit([this, record, number]() mutable { Play(std::move(record), number); });
+    if (!sent) {
+      ++result_.not_sent;
+    }
+  }
+
+  std::size_t DrawKind() {
+    double all = 0.0;
+    for (const load_kind& kind : plan_.kinds) {
+      all += kind.share;
+    }
+    double drawn = random_.Fraction() * all;
+    std::size_t at = 0;
+    while (at + 1 < plan_.kinds.size() && drawn >= plan_.kinds[at].share) {
+      drawn -= plan_.kinds[at].share;
+      ++at;
+    }
+    return at;
+  }
+
+  void Play(request_record record, std::uint64_t number) {
+    const load_kind& kind = plan_.kinds[record.kind];
+    playing = &record;
+    playing_since = started_;
+    const duration lag = boot_clock::Now() - started_ - record.arrived;
+    call_request request{.service = kind.service,
+                         .method = kind.method,
+                         .path = PathOf(kind, record, number),
+                         .headers = {},
+                         .body = {},
+                         .idempotent = kind.idempotent};
+    if (kind.method != "GET") {
+      request.headers.push_back({"Content-Type", "text/plain"});
+      request.body.assign(kind.body_bytes, 'b');
+    }
+    request.longest_attempt = kind.patience;
+    request.longest = (kind.patience + plan_.manners.longest_pause) * plan_.manners.attempts;
+    record.end = EndOf(caller_.Call(request), record);
+    record.ended = boot_clock::Now() - started_;
+    playing = nullptr;
+    Keep(std::move(record), lag);
+  }
+
+  void Keep(request_record record, duration lag) {
+    const std::lock_guard lock(mutex_);
+    result_.worst_lag = std::max(result_.worst_lag, lag);
+    result_.requests.push_back(std::move(record));
+  }
+
+  const load_plan& plan_;
+  random_source random_;
+  caller caller_;
+  instant started_;
+  std::uint64_t next_number_ = 0;
+  std::mutex mutex_;
+  load_result result_;
+  worker_pool callers_;
+};
+
+}  // namespace
+
+retry_manners HardManners() {
+  return {.attempts = 4,
+          .first_pause = milliseconds(100),
+          .longest_pause = milliseconds(200),
+          .heeds_retry_after = false,
+          .repeats_failures = true};
+}
+
+retry_manners PoliteManners() { return {.attempts = 3, .repeats_failures = true}; }
+
+load_runner::load_runner(caller::resolver resolve) : resolve_(std::move(resolve)) {}
+
+load_runner& load_runner::OnPhase(std::function<void(std::size_t)> hook) {
+  on_phase_ = std::move(hook);
+  return *this;
+}
+
+load_result load_runner::Run(const load_plan& plan) {
+  running_load running(plan, resolve_);
+  return running.Run(on_phase_);
+}
+
+}  // namespace cuminferry::load
--- a/extras/stand_ins/backend/answer_text.h
+++ b/extras/stand_ins/backend/answer_text.h
@@ -22,16 +22,20 @@
   return std::to_string(content.size()) + " " + std::to_string(DigestOf(content)) + "\n" + content;
 }
 
-/** Whether a text is the whole answer to the request of this name. */
-inline bool IsWholeAnswer(std::string_view text, std::string_view request) {
+/** The name of the request that a text is the whole answer to; empty where the
+    text is no whole answer. */
+inline std::string_view NameOfWholeAnswer(std::string_view text) {
   const std::size_t line = text.find('\n');
   if (line == std::string_view::npos) {
-    return false;
+    return {};
   }
   const std::string_view content = text.substr(line + 1);
   const std::string head = std::to_string(content.size()) + " " + std::to_string(DigestOf(content));
-  return text.substr(0, line) == head && content.substr(0, request.size()) == request &&
-         content.size() > request.size() && content[request.size()] == '\n';
+  const std::size_t name_end = content.find('\n');
+  if (text.substr(0, line) != head || name_end == std::string_view::npos) {
+    return {};
+  }
+  return content.substr(0, name_end);
 }
 
 }  // namespace cuminferry::stand_ins
--- a/extras/stand_ins/backend/backend_stand_in.cpp
+++ b/extras/stand_ins/backend/backend_stand_in.cpp
@@ -228,7 +228,7 @@
 
   call_end EndOf(const httplib::Response& answer, const std::string& name) {
     if (answer.status == kOk) {
-      if (IsWholeAnswer(answer.body, name)) {
+      if (NameOfWholeAnswer(answer.body) == name) {
         return call_end::kWell;
       }
       ++foreign_;
--- /dev/null
+++ b/extras/trial/demo.cpp
@@ -0,0 +1,7 @@
+#include "trial/demo.h"
+
+namespace cuminferry::trial {
+
+int RunDemo(const deployment_plan&, const std::string&) { return 1; }
+
+}  // namespace cuminferry::trial
--- /dev/null
+++ b/extras/trial/demo.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+#include "trial/deployment_plan.h"
+
+namespace cuminferry::trial {
+
+/** Starts a small deployment, files a permit, reads a map, edits the table, and
+    tells what happens for a newcomer. Returns the program's exit code. */
+int RunDemo(const deployment_plan& plan, const std::string& programs);
+
+}  // namespace cuminferry::trial
--- /dev/null
+++ b/extras/trial/deployment.cpp
@@ -0,0 +1,373 @@
+#include "trial/deployment.h"
+
+#include <stdlib.h>
+#include <time.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cuminferry_fleet/cuminferry_fleet.h"
+#include "trial/port_finder.h"
+
+namespace cuminferry::trial {
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kLoopback = 0x7F000001;
+// Peers listen on an address of their failure domain: 127.0.10.1, 127.0.11.1, ...
+constexpr std::uint32_t kFirstDomainAddress = 0x7F000A01;
+constexpr std::uint32_t kDomainAddressStep = 0x100;
+constexpr duration kLongestStart = std::chrono::seconds(20);
+constexpr timespec kPollPause{0, 20'000'000};
+constexpr milliseconds kAskTimeout{2000};
+constexpr int kOk = 200;
+
+std::string FileName(std::string instance) {
+  std::replace(instance.begin(), instance.end(), '/', '_');
+  return instance;
+}
+
+void WriteText(const std::string& file, const std::string& text) { std::ofstream(file) << text; }
+
+std::uint64_t VersionOf(const json& status) {
+  return status.is_object() ? status.value("table_version", std::uint64_t(0)) : 0;
+}
+
+}  // namespace
+
+class deployment::state {
+ public:
+  state(const deployment_plan& plan, options chosen) : plan_(plan), options_(std::move(chosen)) {}
+
+  ~state() {
+    for (running_target& target : targets_) {
+      target.node_process.reset();
+      target.backend_process.reset();
+    }
+    platform_process_.reset();
+    if (!options_.keep_files && !folder_.empty()) {
+      std::error_code ignored;
+      std::filesystem::remove_all(folder_, ignored);
+    }
+  }
+
+  absl::Status Start() {
+    absl::Status status = MakeFolder();
+    if (status.ok()) {
+      PlanTargets();
+      status = StartPlatform();
+    }
+    for (std::size_t at = 0; status.ok() && at < targets_.size(); ++at) {
+      status = StartBackend(targets_[at]);
+    }
+    for (std::size_t at = 0; status.ok() && at < targets_.size(); ++at) {
+      status = SpawnNode(targets_[at]);
+    }
+    if (status.ok() && !WaitForTable(plan_.table.version(), kLongestStart)) {
+      status = MakeStatus(result_code::kNoTableYet,
+                          "nodes have no table after " +
+                              std::to_string(kLongestStart / std::chrono::seconds(1)) +
+                              " s; logs in " + folder_);
+      options_.keep_files = true;
+    }
+    return status;
+  }
+
+  //============================================================================
+  absl::Status PublishTable(const std::string& text) {
+    const auto client = MakeClient(platform_);
+    const httplib::Result answer = client->Put("/stand-in/table", text, "application/json");
+    if (!answer || answer->status != kOk) {
+      return MakeStatus(result_code::kTableNotJson,
+                        answer ? answer->body : std::string("the platform doesn't answer"));
+    }
+    return absl::OkStatus();
+  }
+
+  bool WaitForTable(std::uint64_t version, duration longest) {
+    const instant until = boot_clock::Now() + longest;
+    for (running_target& target : targets_) {
+      while (target.node_process != nullptr && !HasTable(target, version)) {
+        if (boot_clock::Now() >= until) {
+          return false;
+        }
+        ::nanosleep(&kPollPause, nullptr);
+      }
+    }
+    return true;
+  }
+
+  absl::Status StartNode(running_target& target) {
+    const absl::Status status = SpawnNode(target);
+    if (!status.ok()) {
+      return status;
+    }
+    const instant until = boot_clock::Now() + kLongestStart;
+    while (!HasTable(target, 1)) {
+      if (boot_clock::Now() >= until) {
+        return MakeStatus(result_code::kNoTableYet, target.instance);
+      }
+      ::nanosleep(&kPollPause, nullptr);
+    }
+    return absl::OkStatus();
+  }
+
+  absl::Status StartBackend(running_target& target) {
+    const service_plan* service = plan_.FindService(target.service);
+    const service_entry& entry = plan_.table.FindShard(target.service)->service;
+    stand_ins::backend_settings settings;
+    settings.service = target.service;
+    settings.instance = target.instance;
+    settings.listen = target.backend;
+    settings.egress = target.egress;
+    settings.slots = entry.slots;
+    settings.connections = entry.connections;
+    settings.queue = entry.connections - entry.slots;
+    settings.seed = options_.seed * 1000 + ++backends_started_;
+    settings.journal_file = JournalFileOf(target);
+    stand_ins::ParseHealthReport(options_.health, settings.health);
+    if (service != nullptr) {
+      settings.cold = service->cold;
+      settings.kinds = service->kinds;
+    }
+    const std::string file = folder_ + "/backend-" + FileName(target.instance) + ".json";
+    WriteText(file, settings.ToJson());
+    return Spawn(
+        {options_.programs + "/extras/stand_ins/cuminferry-backend-stand-in", "--settings", file},
+        "backend-" + FileName(target.instance), target.backend_process);
+  }
+
+  std::vector<running_target>& targets() { return targets_; }
+  endpoint platform() const { return platform_; }
+  const std::string& folder() const { return folder_; }
+  std::string JournalFileOf(const running_target& target) const {
+    return folder_ + "/journal-" + FileName(target.instance);
+  }
+
+  static std::unique_ptr<httplib::Client> MakeClient(endpoint to) {
+    return client_pool(to).Make(kAskTimeout);
+  }
+
+ private:
+  absl::Status MakeFolder() {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "cuminferry-trial-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) {
+      return MakeStatus(result_code::kSettingsFileUnreadable, pattern);
+    }
+    folder_ = pattern;
+    return absl::OkStatus();
+  }
+
+  void PlanTargets() {
+    const std::vector<std::string> domains = plan_.Domains();
+    const std::size_t count =
+        options_.domains == 0 ? domains.size() : std::min(options_.domains, domains.size());
+    for (const table_shard& shard : plan_.table.shards()) {
+      for (const service_entry::domain_targets& one : shard.service.domains) {
+        const auto domain = static_cast<std::size_t>(
+            std::find(domains.begin(), domains.end(), one.failure_domain) - domains.begin());
+        for (std::uint32_t slot = 0; domain < count && slot < one.targets; ++slot) {
+          PlanTarget(shard.service.name, one.failure_domain, domain, slot);
+        }
+      }
+    }
+  }
+
+  void PlanTarget(const std::string& service, const std::string& domain, std::size_t domain_index,
+                  std::uint32_t slot) {
+    running_target target;
+    target.instance = domain + "/" + service + "-" + std::to_string(slot + 1);
+    target.service = service;
+    target.failure_domain = domain;
+    target.target_slot = slot;
+    target.front = FreeEndpoint(kLoopback);
+    target.egress = FreeEndpoint(kLoopback);
+    target.admin = FreeEndpoint(kLoopback);
+    target.backend = FreeEndpoint(kLoopback);
+    target.peer = FreeEndpoint(kFirstDomainAddress +
+                               static_cast<std::uint32_t>(domain_index) * kDomainAddressStep);
+    targets_.push_back(std::move(target));
+  }
+
+  endpoint FreeEndpoint(std::uint32_t address) { return {address, ports_.Next(address)}; }
+
+  //============================================================================
+  absl::Status StartPlatform() {
+    platform_ = FreeEndpoint(kLoopback);
+    const absl::Status status =
+        Spawn({options_.programs + "/extras/stand_ins/cuminferry-platform-stand-in", "--listen",
+               platform_.ToString()},
+              "platform", platform_process_);
+    if (!status.ok()) {
+      return status;
+    }
+    const instant until = boot_clock::Now() + kLongestStart;
+    while (Ask(platform_, "GET", "/stand-in/counters").empty()) {
+      if (boot_clock::Now() >= until) {
+        return MakeStatus(result_code::kPlatformUnreachable, platform_.ToString());
+      }
+      ::nanosleep(&kPollPause, nullptr);
+    }
+    for (const table_shard& shard : plan_.table.shards()) {
+      PublishInstances(shard.service.name);
+    }
+    return PublishTable(plan_.table_text);
+  }
+
+  void PublishInstances(const std::string& service) {
+    published_instances list;
+    list.service = service;
+    list.version = 1;
+    for (const running_target& target : targets_) {
+      if (target.service == service) {
+        list.instances.push_back({target.instance, target.failure_domain, plan_.region, target.peer,
+                                  target.target_slot, false});
+      }
+    }
+    Ask(platform_, "PUT", "/stand-in/instances/" + service, list.ToJson());
+  }
+
+  absl::Status SpawnNode(running_target& target) {
+    const service_entry& entry = plan_.table.FindShard(target.service)->service;
+    const json settings{{"instance", target.instance},
+                        {"service", target.service},
+                        {"failure_domain", target.failure_domain},
+                        {"region", plan_.region},
+                        {"target_slot", target.target_slot},
+                        {"front", target.front.ToString()},
+                        {"egress", target.egress.ToString()},
+                        {"peer", target.peer.ToString()},
+                        {"admin", target.admin.ToString()},
+                        {"backend", target.backend.ToString()},
+                        {"backend_slots", entry.slots},
+                        {"backend_connections", entry.connections},
+                        {"platform", {platform_.ToString()}},
+                        {"seeds", SeedsFor(target)},
+                        {"control", options_.control}};
+    const std::string file = folder_ + "/node-" + FileName(target.instance) + ".json";
+    WriteText(file, settings.dump(2));
+    return Spawn({options_.programs + "/extras/node/cuminferry-node", "--settings", file},
+                 "node-" + FileName(target.instance), target.node_process);
+  }
+
+  // A few peers over the domains, so that a start without the platform works too.
+  json SeedsFor(const running_target& target) const {
+    json seeds = json::array();
+    for (const running_target& other : targets_) {
+      if (other.service == target.service && other.instance != target.instance) {
+        seeds.push_back(other.peer.ToString());
+      }
+    }
+    return seeds;
+  }
+
+  absl::Status Spawn(const std::vector<std::string>& command, const std::string& name,
+                     std::unique_ptr<child_process>& into) {
+    into.reset();
+    absl::StatusOr<child_process> started =
+        child_process::Start(command, folder_ + "/" + name + ".log");
+    if (!started.ok()) {
+      return started.status();
+    }
+    into = std::make_unique<child_process>(*std::move(started));
+    return absl::OkStatus();
+  }
+
+  static bool HasTable(const running_target& target, std::uint64_t version) {
+    const std::string text = Ask(target.admin, "GET", "/status");
+    return VersionOf(json::parse(text, nullptr, false)) >= version;
+  }
+
+  const deployment_plan& plan_;
+  options options_;
+  std::string folder_;
+  port_finder ports_;
+  endpoint platform_;
+  std::unique_ptr<child_process> platform_process_;
+  std::vector<running_target> targets_;
+  std::uint64_t backends_started_ = 0;
+};
+
+deployment::deployment(std::unique_ptr<state> made) : state_(std::move(made)) {}
+deployment::~deployment() = default;
+
+absl::StatusOr<std::unique_ptr<deployment>> deployment::Start(const deployment_plan& plan,
+                                                              options chosen) {
+  auto made = std::make_unique<state>(plan, std::move(chosen));
+  const absl::Status status = made->Start();
+  if (!status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<deployment>(new deployment(std::move(made)));
+}
+
+absl::Status deployment::PublishTable(const std::string& text) {
+  return state_->PublishTable(text);
+}
+
+bool deployment::WaitForTable(std::uint64_t version, duration longest) {
+  return state_->WaitForTable(version, longest);
+}
+
+void deployment::SetPlatformMode(std::string_view mode) {
+  Ask(platform(), "POST", "/stand-in/mode?mode=" + std::string(mode));
+}
+
+void deployment::SlowDown(std::string_view service, double factor) {
+  for (const running_target* target : TargetsOf(service)) {
+    Ask(target->backend, "POST", "/stand-in/slow?factor=" + std::to_string(factor));
+  }
+}
+
+absl::Status deployment::StartNode(running_target& target) { return state_->StartNode(target); }
+
+absl::Status deployment::StartBackend(running_target& target) {
+  return state_->StartBackend(target);
+}
+
+std::string deployment::Ask(endpoint at, std::string_view method, const std::string& path,
+                            const std::string& body) {
+  const auto client = state::MakeClient(at);
+  httplib::Request request;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  const httplib::Result answer = client->send(request);
+  return answer && answer->status == kOk ? answer->body : std::string();
+}
+
+std::vector<running_target>& deployment::targets() { return state_->targets(); }
+
+std::vector<running_target*> deployment::TargetsOf(std::string_view service) {
+  std::vector<running_target*> found;
+  for (running_target& target : targets()) {
+    if (target.service == service) {
+      found.push_back(&target);
+    }
+  }
+  return found;
+}
+
+std::vector<endpoint> deployment::FrontsOf(std::string_view service) {
+  std::vector<endpoint> fronts;
+  for (const running_target* target : TargetsOf(service)) {
+    fronts.push_back(target->front);
+  }
+  return fronts;
+}
+
+endpoint deployment::platform() const { return state_->platform(); }
+
+const std::string& deployment::folder() const { return state_->folder(); }
+
+std::string deployment::JournalFileOf(const running_target& target) const {
+  return state_->JournalFileOf(target);
+}
+
+}  // namespace cuminferry::trial
--- /dev/null
+++ b/extras/trial/measures.cpp
@@ -0,0 +1,449 @@
+#include "trial/measures.h"
+
+#include <algorithm>
+#include <cstdarg>
+#include <cstdio>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace cuminferry::trial {
+namespace {
+
+using load::attempt_record;
+using load::end_kind;
+using load::load_kind;
+using load::load_plan;
+using load::load_result;
+using load::request_record;
+using nlohmann::json;
+
+constexpr char kBefore[] = "before";
+constexpr char kSurge[] = "surge";
+constexpr char kAfter[] = "after";
+constexpr double kNormalShare = 0.95;
+constexpr duration kRecoveryWindow = std::chrono::seconds(1);
+constexpr duration kRecoveryStep = std::chrono::milliseconds(100);
+constexpr duration kOrderBin = std::chrono::milliseconds(250);
+constexpr double kMicrosPerMilli = 1000.0;
+constexpr double kMicrosPerSecond = 1e6;
+
+double Seconds(duration time) { return static_cast<double>(time.count()) / kMicrosPerSecond; }
+
+double Ratio(std::uint64_t part, std::uint64_t whole) {
+  return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+}
+
+double Percentile(std::vector<duration>& sorted, double part) {
+  if (sorted.empty()) {
+    return 0.0;
+  }
+  const auto at = static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1));
+  return static_cast<double>(sorted[at].count()) / kMicrosPerMilli;
+}
+
+void CountEnd(end_kind end, row_measure& into) {
+  switch (end) {
+    case end_kind::kWell:
+      ++into.well;
+      break;
+    case end_kind::kFailed:
+      ++into.failed;
+      break;
+    case end_kind::kNotRun:
+      ++into.not_run;
+      break;
+    case end_kind::kUnknown:
+      ++into.unknown;
+      break;
+    case end_kind::kForeign:
+      ++into.foreign;
+      break;
+  }
+}
+
+std::size_t FindPhase(const load_plan& load, std::string_view name) {
+  for (std::size_t at = 0; at < load.phases.size(); ++at) {
+    if (load.phases[at].name == name) {
+      return at;
+    }
+  }
+  return load.phases.size();
+}
+
+row_measure MeasureRow(const load_plan& load, const load_result& result, std::size_t kind,
+                       std::size_t phase) {
+  row_measure row;
+  row.row = load.kinds[kind].row;
+  row.weight = load.kinds[kind].weight;
+  row.phase = load.phases[phase].name;
+  row.seconds = Seconds(load.phases[phase].length);
+  std::vector<duration> latencies;
+  for (const request_record& request : result.requests) {
+    if (request.kind != kind || request.phase != phase) {
+      continue;
+    }
+    ++row.offered;
+    CountEnd(request.end, row);
+    if (request.end == end_kind::kWell) {
+      latencies.push_back(request.latency());
+    }
+  }
+  std::sort(latencies.begin(), latencies.end());
+  row.p50_ms = Percentile(latencies, 0.5);
+  row.p99_ms = Percentile(latencies, 0.99);
+  return row;
+}
+
+void MeasureRows(const load_plan& load, const load_result& result, trial_measures& into) {
+  for (std::size_t kind = 0; kind < load.kinds.size(); ++kind) {
+    for (const char* phase : {kBefore, kSurge, kAfter}) {
+      const std::size_t at = FindPhase(load, phase);
+      if (at < load.phases.size()) {
+        into.rows.push_back(MeasureRow(load, result, kind, at));
+      }
+    }
+  }
+  std::stable_sort(
+      into.rows.begin(), into.rows.end(),
+      [](const row_measure& left, const row_measure& right) { return left.weight > right.weight; });
+}
+
+//==============================================================================
+// Whole requests by the moment of their answer, as callers feel a service.
+double GoodputWithin(const load_result& result, const std::set<std::size_t>& kinds, duration from,
+                     duration to) {
+  const auto well = std::count_if(
+      result.requests.begin(), result.requests.end(), [&](const request_record& request) {
+        return request.end == end_kind::kWell && request.ended >= from && request.ended < to &&
+               kinds.count(request.kind) > 0;
+      });
+  return to > from ? static_cast<double>(well) / Seconds(to - from) : 0.0;
+}
+
+std::set<std::size_t> KindsCrossing(const deployment_plan& plan, const load_plan& load) {
+  std::set<std::size_t> kinds;
+  for (std::size_t at = 0; at < load.kinds.size(); ++at) {
+    if (plan.VisitsOf(load.kinds[at], plan.bottleneck) > 0.0) {
+      kinds.insert(at);
+    }
+  }
+  return kinds;
+}
+
+std::set<std::size_t> AllKinds(const load_plan& load) {
+  std::set<std::size_t> kinds;
+  for (std::size_t at = 0; at < load.kinds.size(); ++at) {
+    kinds.insert(at);
+  }
+  return kinds;
+}
+
+void MeasureGoodput(const deployment_plan& plan, const load_plan& load, const load_result& result,
+                    trial_measures& into) {
+  into.capacity = plan.Capacity();
+  const std::size_t before = FindPhase(load, kBefore);
+  const std::size_t surge = FindPhase(load, kSurge);
+  const std::vector<duration>& starts = result.phase_starts;
+  if (before < load.phases.size()) {
+    into.before_goodput = GoodputWithin(result, AllKinds(load), starts[before], starts[before + 1]);
+  }
+  if (surge < load.phases.size()) {
+    into.surge_goodput = GoodputWithin(result, AllKinds(load), starts[surge], starts[surge + 1]);
+    into.surge_bottleneck_goodput =
+        GoodputWithin(result, KindsCrossing(plan, load), starts[surge], starts[surge + 1]);
+  }
+}
+
+//==============================================================================
+struct share_count {
+  std::uint64_t arrived = 0;
+  std::uint64_t well = 0;
+  double share() const { return arrived > 0 ? Ratio(well, arrived) : 1.0; }
+};
+
+share_count CountArrivals(const load_result& result, duration from, duration to) {
+  share_count count;
+  for (const request_record& request : result.requests) {
+    if (request.arrived >= from && request.arrived < to) {
+      ++count.arrived;
+      count.well += request.end == end_kind::kWell ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+double MeasureRecovery(const load_plan& load, const load_result& result) {
+  const std::size_t before = FindPhase(load, kBefore);
+  const std::size_t after = FindPhase(load, kAfter);
+  if (before == load.phases.size() || after == load.phases.size()) {
+    return -1.0;
+  }
+  const std::vector<duration>& starts = result.phase_starts;
+  const double wanted =
+      kNormalShare * CountArrivals(result, starts[before], starts[before + 1]).share();
+  const duration end = starts[after + 1];
+  for (duration at = starts[after]; at + kRecoveryWindow <= end; at += kRecoveryStep) {
+    if (CountArrivals(result, at, at + kRecoveryWindow).share() >= wanted &&
+        CountArrivals(result, at, end).share() >= wanted) {
+      return Seconds(at - starts[after]);
+    }
+  }
+  return -1.0;
+}
+
+void MeasureSeconds(const load_result& result, trial_measures& into) {
+  for (const request_record& request : result.requests) {
+    const auto second = static_cast<std::size_t>(Seconds(request.arrived));
+    if (second >= into.arrived_each_second.size()) {
+      into.arrived_each_second.resize(second + 1);
+      into.well_each_second.resize(second + 1);
+    }
+    ++into.arrived_each_second[second];
+    into.well_each_second[second] += request.end == end_kind::kWell ? 1 : 0;
+  }
+}
+
+//==============================================================================
+bool IsRefusalForLoad(const attempt_record& attempt) {
+  return attempt.end == end_kind::kNotRun && (attempt.code == result_code::kRefusedOverload ||
+                                              attempt.code == result_code::kRefusedInstanceOnly ||
+                                              attempt.code == result_code::kFleetLimitReached);
+}
+
+// In each stretch of a quarter second: refusals for load of a row while a lower
+// row that needs the same bottleneck was admitted and went well.
+void MeasureOrder(const deployment_plan& plan, const load_plan& load, const load_result& result,
+                  trial_measures& into) {
+  const std::set<std::size_t> crossing = KindsCrossing(plan, load);
+  std::map<std::int64_t, std::uint16_t> lowest_admitted;
+  std::uint16_t lowest = UINT16_MAX;
+  for (const std::size_t kind : crossing) {
+    lowest = std::min(lowest, load.kinds[kind].weight);
+  }
+  const auto for_each = [&](const auto& use) {
+    for (const request_record& request : result.requests) {
+      if (crossing.count(request.kind) == 0) {
+        continue;
+      }
+      for (const attempt_record& attempt : request.attempts) {
+        use(load.kinds[request.kind].weight, attempt, attempt.sent / kOrderBin);
+      }
+    }
+  };
+  for_each([&](std::uint16_t weight, const attempt_record& attempt, std::int64_t bin) {
+    if (attempt.end == end_kind::kWell) {
+      const auto [at, made] = lowest_admitted.try_emplace(bin, weight);
+      at->second = std::min(at->second, weight);
+    }
+  });
+  for_each([&](std::uint16_t weight, const attempt_record& attempt, std::int64_t bin) {
+    if (weight == lowest || !IsRefusalForLoad(attempt)) {
+      return;
+    }
+    ++into.refusals_above_lowest;
+    const auto admitted = lowest_admitted.find(bin);
+    into.out_of_order += admitted != lowest_admitted.end() && admitted->second < weight ? 1 : 0;
+  });
+}
+
+//==============================================================================
+// What backend servers did for one attempt of a whole request.
+struct attempt_work {
+  std::map<std::string, std::uint32_t> runs;
+  duration busy{0};
+};
+
+struct request_work {
+  std::map<std::uint32_t, attempt_work> attempts;
+  std::map<std::string, std::uint32_t> effects;
+};
+
+using work_by_request = std::unordered_map<std::string, request_work>;
+
+work_by_request GatherWork(const journal_text& journal) {
+  work_by_request work;
+  for (const journal_entry& entry : journal.entries) {
+    request_work& request = work[entry.request];
+    if (entry.is_effect) {
+      ++request.effects[entry.service];
+    } else {
+      attempt_work& attempt = request.attempts[entry.attempt];
+      ++attempt.runs[entry.service];
+      attempt.busy += entry.busy;
+    }
+  }
+  return work;
+}
+
+end_kind EndOfAttempt(const request_record& request, std::uint32_t attempt) {
+  return attempt < request.attempts.size() ? request.attempts[attempt].end : end_kind::kUnknown;
+}
+
+struct work_sums {
+  duration busy{0};
+  duration wasted{0};
+  std::uint64_t runs = 0;
+  double asked_for = 0.0;
+};
+
+void AddWork(const deployment_plan& plan, const load_kind& kind, const request_record& request,
+             const request_work& work, work_sums& sums) {
+  for (const auto& [number, attempt] : work.attempts) {
+    sums.busy += attempt.busy;
+    if (EndOfAttempt(request, number) != end_kind::kWell) {
+      sums.wasted += attempt.busy;
+    }
+    for (const auto& [service, runs] : attempt.runs) {
+      sums.runs += runs;
+      sums.asked_for += plan.VisitsOf(kind, service);
+    }
+  }
+}
+
+// A filing took effect twice, or an attempt told as "not run" ran in the entry service.
+void CheckPromises(const load_kind& kind, const request_record& request, const request_work& work,
+                   trial_measures& into) {
+  const auto effects = work.effects.find(kind.service);
+  if (!kind.idempotent && effects != work.effects.end() && effects->second > 1) {
+    ++into.doubles;
+  }
+  for (const auto& [number, attempt] : work.attempts) {
+    if (EndOfAttempt(request, number) == end_kind::kNotRun &&
+        attempt.runs.count(kind.service) > 0) {
+      ++into.false_not_run;
+    }
+  }
+}
+
+void MeasureWork(const deployment_plan& plan, const load_plan& load, const load_result& result,
+                 const journal_text& journal, trial_measures& into) {
+  const work_by_request work = GatherWork(journal);
+  work_sums sums;
+  for (const request_record& request : result.requests) {
+    const load_kind& kind = load.kinds[request.kind];
+    if (!kind.idempotent) {
+      ++into.filings;
+      into.unknown_filings += request.end == end_kind::kUnknown ? 1 : 0;
+    }
+    into.foreign += request.end == end_kind::kForeign ? 1 : 0;
+    const auto found = work.find(request.name());
+    if (found != work.end()) {
+      AddWork(plan, kind, request, found->second, sums);
+      CheckPromises(kind, request, found->second, into);
+    }
+  }
+  into.wasted_share = sums.busy.count() > 0 ? Seconds(sums.wasted) / Seconds(sums.busy) : 0.0;
+  into.amplification = sums.asked_for > 0 ? static_cast<double>(sums.runs) / sums.asked_for : 0.0;
+  into.unreadable_lines = journal.unreadable;
+}
+
+__attribute__((format(printf, 2, 3))) void Print(std::string& text, const char* format, ...) {
+  char line[256];
+  va_list arguments;
+  va_start(arguments, format);
+  std::vsnprintf(line, sizeof(line), format, arguments);
+  va_end(arguments);
+  text += line;
+}
+
+}  // namespace
+
+trial_measures Measure(const deployment_plan& plan, const load_plan& load,
+                       const load_result& result, const journal_text& journal) {
+  trial_measures measures;
+  measures.seed = load.seed;
+  measures.not_sent = result.not_sent;
+  measures.worst_lag_ms = static_cast<double>(result.worst_lag.count()) / kMicrosPerMilli;
+  MeasureRows(load, result, measures);
+  MeasureGoodput(plan, load, result, measures);
+  MeasureOrder(plan, load, result, measures);
+  MeasureWork(plan, load, result, journal, measures);
+  MeasureSeconds(result, measures);
+  measures.recovery_seconds = MeasureRecovery(load, result);
+  return measures;
+}
+
+std::string ToText(const trial_measures& measures) {
+  std::string text;
+  Print(text, "control %s, seed %llu\n", measures.control.c_str(),
+        static_cast<unsigned long long>(measures.seed));
+  Print(text, "%-18s %6s %-6s %8s %8s %7s %7s %7s %7s %8s %8s\n", "row", "weight", "phase",
+        "offered", "good/s", "good%", "fail%", "notrun%", "unkn%", "p50 ms", "p99 ms");
+  for (const row_measure& row : measures.rows) {
+    Print(text, "%-18s %6u %-6s %8llu %8.1f %7.1f %7.1f %7.1f %7.1f %8.0f %8.0f\n", row.row.c_str(),
+          row.weight, row.phase.c_str(), static_cast<unsigned long long>(row.offered),
+          row.goodput(), 100 * row.share_well(), 100 * Ratio(row.failed, row.offered),
+          100 * Ratio(row.not_run, row.offered), 100 * Ratio(row.unknown, row.offered), row.p50_ms,
+          row.p99_ms);
+  }
+  Print(text,
+        "goodput before %.1f/s, in the surge %.1f/s; over the bottleneck %.1f of %.1f/s (%.0f%%)\n",
+        measures.before_goodput, measures.surge_goodput, measures.surge_bottleneck_goodput,
+        measures.capacity,
+        measures.capacity > 0 ? 100 * measures.surge_bottleneck_goodput / measures.capacity : 0.0);
+  if (measures.recovery_seconds < 0) {
+    Print(text, "recovery: not within the trial\n");
+  } else {
+    Print(text, "recovery: %.1f s\n", measures.recovery_seconds);
+  }
+  Print(text,
+        "filings %llu: doubles %llu, unknown %llu; false not_run %llu, foreign or partial %llu\n",
+        static_cast<unsigned long long>(measures.filings),
+        static_cast<unsigned long long>(measures.doubles),
+        static_cast<unsigned long long>(measures.unknown_filings),
+        static_cast<unsigned long long>(measures.false_not_run),
+        static_cast<unsigned long long>(measures.foreign));
+  Print(text, "work wasted %.1f%%, amplification %.3f, refused out of order %llu of %llu\n",
+        100 * measures.wasted_share, measures.amplification,
+        static_cast<unsigned long long>(measures.out_of_order),
+        static_cast<unsigned long long>(measures.refusals_above_lowest));
+  Print(text,
+        "load tool: worst lag %.0f ms, arrivals not sent %llu, unreadable journal lines %llu\n",
+        measures.worst_lag_ms, static_cast<unsigned long long>(measures.not_sent),
+        static_cast<unsigned long long>(measures.unreadable_lines));
+  return text;
+}
+
+json trial_measures::ToJson() const {
+  json all = json::array();
+  for (const row_measure& row : rows) {
+    all.push_back({{"row", row.row},
+                   {"weight", row.weight},
+                   {"phase", row.phase},
+                   {"offered", row.offered},
+                   {"well", row.well},
+                   {"failed", row.failed},
+                   {"not_run", row.not_run},
+                   {"unknown", row.unknown},
+                   {"foreign", row.foreign},
+                   {"goodput", row.goodput()},
+                   {"p50_ms", row.p50_ms},
+                   {"p99_ms", row.p99_ms}});
+  }
+  return {{"control", control},
+          {"seed", seed},
+          {"rows", all},
+          {"before_goodput", before_goodput},
+          {"surge_goodput", surge_goodput},
+          {"surge_bottleneck_goodput", surge_bottleneck_goodput},
+          {"capacity", capacity},
+          {"recovery_seconds", recovery_seconds},
+          {"filings", filings},
+          {"doubles", doubles},
+          {"unknown_filings", unknown_filings},
+          {"false_not_run", false_not_run},
+          {"foreign", foreign},
+          {"wasted_share", wasted_share},
+          {"amplification", amplification},
+          {"out_of_order", out_of_order},
+          {"refusals_above_lowest", refusals_above_lowest},
+          {"not_sent", not_sent},
+          {"worst_lag_ms", worst_lag_ms},
+          {"arrived_each_second", arrived_each_second},
+          {"well_each_second", well_each_second},
+          {"unreadable_lines", unreadable_lines}};
+}
+
+}  // namespace cuminferry::trial
--- /dev/null
+++ b/extras/trial/trial_main.cpp
@@ -0,0 +1,238 @@
+#include <algorithm>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "trial/child_process.h"
+#include "trial/demo.h"
+#include "trial/trial_run.h"
+
+namespace {
+
+using cuminferry::trial::deployment_plan;
+using cuminferry::trial::run_options;
+using cuminferry::trial::trial_measures;
+using nlohmann::json;
+
+constexpr int kExitUsage = 2;
+constexpr int kExitPlan = 3;
+constexpr int kExitRun = 4;
+constexpr double kMillisPerSecond = 1000.0;
+
+std::chrono::milliseconds Seconds(const cxxopts::ParseResult& given, const char* name) {
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(given[name].as<double>() * kMillisPerSecond));
+}
+
+// The build folder: this program stands in <build>/extras/trial.
+std::string ProgramsFolder() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path().parent_path();
+}
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options(
+      "cuminferry-trial",
+      "Starts a deployment of real processes on this machine, loads it with callers that retry\n"
+      "hard, and prints the measures. \"cuminferry-trial demo FILE\" shows one walk through it.");
+  options.positional_help("[demo] DEPLOYMENT").show_positional_help();
+  auto add = options.add_options();
+  add("control", "full, static, none, or several of them with commas; all: one after another",
+      cxxopts::value<std::string>()->default_value("full"));
+  add("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+  add("seeds", "how many seeds, one after another",
+      cxxopts::value<std::uint64_t>()->default_value("1"));
+  add("fault", "slow-deep, kill-node, kill-instance, pause, platform-down, drain; with commas",
+      cxxopts::value<std::vector<std::string>>());
+  add("health", "what backend servers report: honest, idle, full, frozen",
+      cxxopts::value<std::string>()->default_value("honest"));
+  add("surge", "arrivals in the surge over those before",
+      cxxopts::value<double>()->default_value("10"));
+  add("before", "seconds before the surge", cxxopts::value<double>()->default_value("4"));
+  add("surge-seconds", "length of the surge", cxxopts::value<double>()->default_value("6"));
+  add("after", "seconds after the surge", cxxopts::value<double>()->default_value("6"));
+  add("rate", "whole requests a second before the surge; 0: the deployment's",
+      cxxopts::value<double>()->default_value("0"));
+  add("domains", "only the first so many failure domains; 0: all",
+      cxxopts::value<std::size_t>()->default_value("0"));
+  add("polite", "callers come back when they are told to");
+  add("keep", "keep settings, logs and journals");
+  add("json", "write the measures to this file", cxxopts::value<std::string>());
+  add("help", "this text");
+  add("words", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({"words"});
+  return options;
+}
+
+std::vector<std::string> Controls(const std::string& text) {
+  if (text == "all") {
+    return {"none", "static", "full"};
+  }
+  std::vector<std::string> controls;
+  std::size_t from = 0;
+  for (std::size_t comma = 0; comma != std::string::npos; from = comma + 1) {
+    comma = text.find(',', from);
+    controls.push_back(text.substr(from, comma - from));
+  }
+  return controls;
+}
+
+run_options OptionsFrom(const cxxopts::ParseResult& given) {
+  run_options options;
+  options.deployment.programs = ProgramsFolder();
+  options.deployment.health = given["health"].as<std::string>();
+  options.deployment.domains = given["domains"].as<std::size_t>();
+  options.deployment.keep_files = given.count("keep") > 0;
+  options.surge = given["surge"].as<double>();
+  options.before = Seconds(given, "before");
+  options.surge_length = Seconds(given, "surge-seconds");
+  options.after = Seconds(given, "after");
+  options.polite = given.count("polite") > 0;
+  if (given.count("fault") > 0) {
+    for (const std::string& name : given["fault"].as<std::vector<std::string>>()) {
+      const auto fault = cuminferry::trial::ParseFault(name);
+      if (!fault.ok()) {
+        throw std::invalid_argument(std::string(fault.status().message()));
+      }
+      options.faults.push_back(*fault);
+    }
+  }
+  return options;
+}
+
+// Smallest, mean and largest of one measure over the runs of one control.
+std::string Spread(const std::vector<trial_measures>& runs, const std::string& control,
+                   const std::function<double(const trial_measures&)>& pick) {
+  double least = 1e300;
+  double most = -1e300;
+  double sum = 0.0;
+  int count = 0;
+  for (const trial_measures& run : runs) {
+    if (run.control == control) {
+      const double value = pick(run);
+      least = std::min(least, value);
+      most = std::max(most, value);
+      sum += value;
+      ++count;
+    }
+  }
+  char text[64];
+  std::snprintf(text, sizeof(text), "%.2f (%.2f-%.2f)", count > 0 ? sum / count : 0.0, least, most);
+  return text;
+}
+
+double TopRowShare(const trial_measures& run) {
+  for (const cuminferry::trial::row_measure& row : run.rows) {
+    if (row.phase == "surge") {
+      return row.share_well();
+    }
+  }
+  return 0.0;
+}
+
+void PrintComparison(const std::vector<trial_measures>& runs,
+                     const std::vector<std::string>& controls) {
+  std::printf("\nmean (least-most) over %zu runs\n%-34s", runs.size(), "");
+  for (const std::string& control : controls) {
+    std::printf(" %-24s", control.c_str());
+  }
+  const std::pair<const char*, std::function<double(const trial_measures&)>> lines[] = {
+      {"goodput before, 1/s", [](const auto& run) { return run.before_goodput; }},
+      {"goodput in the surge, 1/s", [](const auto& run) { return run.surge_goodput; }},
+      {"  over the bottleneck / capacity",
+       [](const auto& run) { return run.surge_bottleneck_goodput / run.capacity; }},
+      {"heaviest row in the surge, share", TopRowShare},
+      {"recovery, s (-1: none)", [](const auto& run) { return run.recovery_seconds; }},
+      {"work wasted, share", [](const auto& run) { return run.wasted_share; }},
+      {"amplification", [](const auto& run) { return run.amplification; }},
+      {"refused out of order",
+       [](const auto& run) { return static_cast<double>(run.out_of_order); }},
+      {"doubles", [](const auto& run) { return static_cast<double>(run.doubles); }},
+      {"false not_run", [](const auto& run) { return static_cast<double>(run.false_not_run); }},
+      {"foreign or partial", [](const auto& run) { return static_cast<double>(run.foreign); }},
+      {"unknown filings", [](const auto& run) { return static_cast<double>(run.unknown_filings); }},
+  };
+  for (const auto& [name, pick] : lines) {
+    std::printf("\n%-34s", name);
+    for (const std::string& control : controls) {
+      std::printf(" %-24s", Spread(runs, control, pick).c_str());
+    }
+  }
+  std::printf("\n");
+}
+
+int RunTrials(const cxxopts::ParseResult& given, deployment_plan plan) {
+  run_options options = OptionsFrom(given);
+  if (given["rate"].as<double>() > 0) {
+    plan.rate = given["rate"].as<double>();
+  }
+  std::printf(
+      "%s: service times x%.0f so that this machine's processors are not the bottleneck; "
+      "%.0f whole requests/s, x%.0f in the surge; %s can complete %.0f/s of this mix\n",
+      plan.name.c_str(), plan.scale, plan.rate, options.surge, plan.bottleneck.c_str(),
+      plan.Capacity());
+  const std::vector<std::string> controls = Controls(given["control"].as<std::string>());
+  std::vector<trial_measures> runs;
+  const std::uint64_t first = given["seed"].as<std::uint64_t>();
+  for (std::uint64_t seed = first; seed < first + given["seeds"].as<std::uint64_t>(); ++seed) {
+    for (const std::string& control : controls) {
+      options.deployment.seed = seed;
+      options.deployment.control = control;
+      const auto measures = cuminferry::trial::RunTrial(plan, options);
+      if (!measures.ok()) {
+        std::cerr << measures.status().message() << "\n";
+        return kExitRun;
+      }
+      std::cout << "\n" << cuminferry::trial::ToText(*measures) << std::flush;
+      runs.push_back(*measures);
+    }
+  }
+  if (runs.size() > 1) {
+    PrintComparison(runs, controls);
+  }
+  if (given.count("json") > 0) {
+    json all = json::array();
+    for (const trial_measures& run : runs) {
+      all.push_back(run.ToJson());
+    }
+    std::ofstream(given["json"].as<std::string>())
+        << json{{"deployment", plan.name}, {"scale", plan.scale}, {"runs", all}}.dump(1) << "\n";
+  }
+  return EXIT_SUCCESS;
+}
+
+int Run(const cxxopts::ParseResult& given) {
+  std::vector<std::string> words = given["words"].as<std::vector<std::string>>();
+  const bool demo = words.size() == 2 && words[0] == "demo";
+  if (!demo && words.size() != 1) {
+    std::cerr << "name one deployment file\n";
+    return kExitUsage;
+  }
+  const auto plan = deployment_plan::Read(words.back());
+  if (!plan.ok()) {
+    std::cerr << plan.status().message() << "\n";
+    return kExitPlan;
+  }
+  return demo ? cuminferry::trial::RunDemo(*plan, ProgramsFolder()) : RunTrials(given, *plan);
+}
+
+}  // namespace
+
+int main(int count, char** arguments) {
+  cuminferry::trial::EndChildrenOnSignals();
+  cxxopts::Options options = MakeOptions();
+  try {
+    const cxxopts::ParseResult given = options.parse(count, arguments);
+    if (given.count("help") > 0 || given.count("words") == 0) {
+      std::cout << options.help();
+      return given.count("help") > 0 ? EXIT_SUCCESS : kExitUsage;
+    }
+    return Run(given);
+  } catch (const std::exception& failure) {
+    cuminferry::trial::KillAllChildren();
+    std::cerr << failure.what() << "\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/extras/trial/trial_run.cpp
@@ -0,0 +1,61 @@
+#include "trial/trial_run.h"
+
+#include <utility>
+
+#include "load/load_runner.h"
+
+namespace cuminferry::trial {
+namespace {
+
+constexpr std::chrono::milliseconds kWarmUp{2000};
+constexpr std::size_t kSurgePhase = 2;
+
+load::load_plan LoadFor(const deployment_plan& plan, const run_options& options) {
+  load::load_plan load;
+  load.kinds = plan.kinds;
+  load.phases = {{"warm-up", kWarmUp, plan.rate},
+                 {"before", options.before, plan.rate},
+                 {"surge", options.surge_length, plan.rate * options.surge},
+                 {"after", options.after, plan.rate}};
+  load.manners = options.polite ? load::PoliteManners() : load::HardManners();
+  // Without control nobody tells a caller what became of a filing that got no
+  // answer, and people file again.
+  load.manners.repeats_unknown = options.deployment.control != "full";
+  load.seed = options.deployment.seed;
+  return load;
+}
+
+journal_text ReadJournals(deployment& running) {
+  journal_text journal;
+  for (const running_target& target : running.targets()) {
+    ReadJournal(running.JournalFileOf(target), target.service, journal);
+  }
+  return journal;
+}
+
+}  // namespace
+
+absl::StatusOr<trial_measures> RunTrial(const deployment_plan& plan, const run_options& options) {
+  auto started = deployment::Start(plan, options.deployment);
+  if (!started.ok()) {
+    return started.status();
+  }
+  deployment& running = **started;
+  const load::load_plan load = LoadFor(plan, options);
+  load::load_result result;
+  {
+    fault_player faults(running, plan);
+    load::load_runner runner([&](std::string_view service) { return running.FrontsOf(service); });
+    runner.OnPhase([&](std::size_t phase) {
+      if (phase == kSurgePhase) {
+        faults.Begin(options.faults, options.surge_length);
+      }
+    });
+    result = runner.Run(load);
+  }
+  trial_measures measures = Measure(plan, load, result, ReadJournals(running));
+  measures.control = options.deployment.control;
+  return measures;
+}
+
+}  // namespace cuminferry::trial
