--- a/modules/cuminferry_table/rows/table_reader.cpp
+++ b/modules/cuminferry_table/rows/table_reader.cpp
@@ -24,7 +24,7 @@
 /** Answers are kept whole in memory between nodes and fit one frame. */
 constexpr std::uint64_t kLargestAnswer = 16 << 20;
 
-const std::array<std::string, 7> accepted_methods = {"GET",   "HEAD",   "POST",   "PUT",
+const std::array<std::string, 7> kAcceptedMethods = {"GET",   "HEAD",   "POST",   "PUT",
                                                      "PATCH", "DELETE", "OPTIONS"};
 
 bool IsReadMethod(std::string_view method) { return method == "GET" || method == "HEAD"; }
@@ -117,7 +117,7 @@
   object_reader reader(value, std::move(place), kTableCodes, own_list);
   reader.Text("name", row.name, kRequired);
   reader.Text("service", row.service, kRequired);
-  reader.Choice("method", row.method, kRequired, accepted_methods);
+  reader.Choice("method", row.method, kRequired, kAcceptedMethods);
   ReadPath(reader, row, own_list);
   reader.Number("weight", row.weight, 0, kLargestWeight, kRequired);
   reader.Number("fleet_limit", row.fleet_limit, 0, kLargestLimit, kOptional);
--- a/modules/cuminferry_table/settings/node_settings.cpp
+++ b/modules/cuminferry_table/settings/node_settings.cpp
@@ -20,7 +20,7 @@
 constexpr std::uint16_t kAnyPort = 0;
 constexpr std::uint16_t kKnownPort = 1;
 
-const std::array<std::string, 3> accepted_controls = {"full", "static", "none"};
+const std::array<std::string, 3> kAcceptedControls = {"full", "static", "none"};
 
 void ReadIdentity(object_reader& reader, node_settings& into) {
   constexpr text_rule kInstance{.longest = 128, .others = "-_./:"};
@@ -44,7 +44,7 @@
 void ReadNumbers(object_reader& reader, node_settings& into) {
   reader.Number("backend_slots", into.backend_slots, 1, kMostSlots, kRequired);
   reader.Number("backend_connections", into.backend_connections, 1, kMostSlots, kRequired);
-  reader.Choice("control", into.control, kOptional, accepted_controls);
+  reader.Choice("control", into.control, kOptional, kAcceptedControls);
   reader.Number("sample_every", into.sample_every, 1, kLargestSampling, kOptional);
   std::uint64_t drain_report = static_cast<std::uint64_t>(into.drain_report.count());
   reader.Number("drain_report", drain_report, 1, kLongestDrainReport, kOptional);
