Measure what counts: answers in time, recovery at the former speed, codes, attempts per call

Goodput now counts answers within the row's deadline from the arrival; recovery asks for answers as quick as before (twice the row's p99); attempts per call come from the nodes' counters; the codes of attempts that did not go well are listed. In the baselines backend servers are told no deadlines (--heeding-baselines restores it).

--- a/extras/load/load_plan.h
+++ b/extras/load/load_plan.h
@@ -21,6 +21,8 @@
   bool idempotent = true;
   /** Part of all arrivals, in relation to the other kinds' shares. */
   double share = 1.0;
+  /** Within this time from its arrival an answer is of use. */
+  std::chrono::milliseconds deadline{2000};
   /** How long a caller waits for one attempt. */
   std::chrono::milliseconds patience{2000};
   std::uint32_t body_bytes = 64;
--- a/extras/trial/deployment.cpp
+++ b/extras/trial/deployment.cpp
@@ -130,6 +130,7 @@
     settings.queue = entry.connections - entry.slots;
     settings.seed = options_.seed * 1000 + ++backends_started_;
     settings.journal_file = JournalFileOf(target);
+    settings.heeds_deadlines = options_.heeds_deadlines;
     stand_ins::ParseHealthReport(options_.health, settings.health);
     if (service != nullptr) {
       settings.cold = service->cold;
--- a/extras/trial/deployment.h
+++ b/extras/trial/deployment.h
@@ -39,6 +39,8 @@
     /** "full", "static" or "none". */
     std::string control = "full";
     std::uint64_t seed = 1;
+    /** Whether backend servers give up at deadlines and when their caller has gone. */
+    bool heeds_deadlines = true;
     /** "honest", "idle", "full" or "frozen". */
     std::string health = "honest";
     /** Only the first so many failure domains; 0: all. */
--- a/extras/trial/deployment_plan.cpp
+++ b/extras/trial/deployment_plan.cpp
@@ -50,6 +50,7 @@
   kind.service = row->service;
   kind.method = row->method;
   kind.idempotent = row->idempotent;
+  kind.deadline = row->deadline;
   kind.path = text.at("path");
   kind.share = text.at("share");
   kind.patience = std::chrono::milliseconds(text.value("patience_ms", row->deadline.count()));
--- a/extras/trial/measures.cpp
+++ b/extras/trial/measures.cpp
@@ -87,6 +87,7 @@
     ++row.offered;
     CountEnd(request.end, row);
     if (request.end == end_kind::kWell) {
+      row.in_time += request.latency() <= load.kinds[kind].deadline ? 1 : 0;
       latencies.push_back(request.latency());
     }
   }
@@ -111,14 +112,18 @@
 }
 
 //==============================================================================
+bool IsInTime(const load_plan& load, const request_record& request) {
+  return request.end == end_kind::kWell && request.latency() <= load.kinds[request.kind].deadline;
+}
+
 // Whole requests by the moment of their answer, as callers feel a service.
-double GoodputWithin(const load_result& result, const std::set<std::size_t>& kinds, duration from,
-                     duration to) {
-  const auto well = std::count_if(
-      result.requests.begin(), result.requests.end(), [&](const request_record& request) {
-        return request.end == end_kind::kWell && request.ended >= from && request.ended < to &&
-               kinds.count(request.kind) > 0;
-      });
+double GoodputWithin(const load_plan& load, const load_result& result,
+                     const std::set<std::size_t>& kinds, duration from, duration to) {
+  const auto well = std::count_if(result.requests.begin(), result.requests.end(),
+                                  [&](const request_record& request) {
+                                    return IsInTime(load, request) && request.ended >= from &&
+                                           request.ended < to && kinds.count(request.kind) > 0;
+                                  });
   return to > from ? static_cast<double>(well) / Seconds(to - from) : 0.0;
 }
 
@@ -147,12 +152,14 @@
   const std::size_t surge = FindPhase(load, kSurge);
   const std::vector<duration>& starts = result.phase_starts;
   if (before < load.phases.size()) {
-    into.before_goodput = GoodputWithin(result, AllKinds(load), starts[before], starts[before + 1]);
+    into.before_goodput =
+        GoodputWithin(load, result, AllKinds(load), starts[before], starts[before + 1]);
   }
   if (surge < load.phases.size()) {
-    into.surge_goodput = GoodputWithin(result, AllKinds(load), starts[surge], starts[surge + 1]);
+    into.surge_goodput =
+        GoodputWithin(load, result, AllKinds(load), starts[surge], starts[surge + 1]);
     into.surge_bottleneck_goodput =
-        GoodputWithin(result, KindsCrossing(plan, load), starts[surge], starts[surge + 1]);
+        GoodputWithin(load, result, KindsCrossing(plan, load), starts[surge], starts[surge + 1]);
   }
 }
 
@@ -163,12 +170,28 @@
   double share() const { return arrived > 0 ? Ratio(well, arrived) : 1.0; }
 };
 
-share_count CountArrivals(const load_result& result, duration from, duration to) {
+// Latencies, by kind, up to which an answer is as quick as on an ordinary day.
+using usual_latencies = std::vector<duration>;
+
+usual_latencies UsualLatencies(const load_plan& load, const load_result& result,
+                               std::size_t phase) {
+  usual_latencies usual;
+  for (std::size_t kind = 0; kind < load.kinds.size(); ++kind) {
+    const double p99_ms = MeasureRow(load, result, kind, phase).p99_ms;
+    usual.push_back(p99_ms > 0.0 ? duration(static_cast<std::int64_t>(2 * p99_ms * kMicrosPerMilli))
+                                 : duration(load.kinds[kind].deadline));
+  }
+  return usual;
+}
+
+share_count CountArrivals(const load_result& result, const usual_latencies& usual, duration from,
+                          duration to) {
   share_count count;
   for (const request_record& request : result.requests) {
     if (request.arrived >= from && request.arrived < to) {
       ++count.arrived;
-      count.well += request.end == end_kind::kWell ? 1 : 0;
+      const bool prompt = request.latency() <= usual[request.kind];
+      count.well += request.end == end_kind::kWell && prompt ? 1 : 0;
     }
   }
   return count;
@@ -181,19 +204,20 @@
     return -1.0;
   }
   const std::vector<duration>& starts = result.phase_starts;
+  const usual_latencies usual = UsualLatencies(load, result, before);
   const double wanted =
-      kNormalShare * CountArrivals(result, starts[before], starts[before + 1]).share();
+      kNormalShare * CountArrivals(result, usual, starts[before], starts[before + 1]).share();
   const duration end = starts[after + 1];
   for (duration at = starts[after]; at + kRecoveryWindow <= end; at += kRecoveryStep) {
-    if (CountArrivals(result, at, at + kRecoveryWindow).share() >= wanted &&
-        CountArrivals(result, at, end).share() >= wanted) {
+    if (CountArrivals(result, usual, at, at + kRecoveryWindow).share() >= wanted &&
+        CountArrivals(result, usual, at, end).share() >= wanted) {
       return Seconds(at - starts[after]);
     }
   }
   return -1.0;
 }
 
-void MeasureSeconds(const load_result& result, trial_measures& into) {
+void MeasureSeconds(const load_plan& load, const load_result& result, trial_measures& into) {
   for (const request_record& request : result.requests) {
     const auto second = static_cast<std::size_t>(Seconds(request.arrived));
     if (second >= into.arrived_each_second.size()) {
@@ -201,11 +225,34 @@
       into.well_each_second.resize(second + 1);
     }
     ++into.arrived_each_second[second];
-    into.well_each_second[second] += request.end == end_kind::kWell ? 1 : 0;
+    into.well_each_second[second] += IsInTime(load, request) ? 1 : 0;
   }
 }
 
 //==============================================================================
+std::string_view NameOfEnd(end_kind end) {
+  constexpr std::string_view kNames[] = {"well", "failed", "not_run", "unknown", "foreign"};
+  return kNames[static_cast<std::size_t>(end)];
+}
+
+void MeasureCodes(const load_result& result, trial_measures& into) {
+  std::map<std::pair<end_kind, result_code>, std::uint64_t> counts;
+  for (const request_record& request : result.requests) {
+    for (const attempt_record& attempt : request.attempts) {
+      if (attempt.end != end_kind::kWell) {
+        ++counts[{attempt.end, attempt.code}];
+      }
+    }
+  }
+  for (const auto& [key, count] : counts) {
+    into.codes.push_back({std::string(NameOfEnd(key.first)), key.second, count});
+  }
+  std::sort(into.codes.begin(), into.codes.end(),
+            [](const code_count& left, const code_count& right) {
+              return left.attempts > right.attempts;
+            });
+}
+
 bool IsRefusalForLoad(const attempt_record& attempt) {
   return attempt.end == end_kind::kNotRun && (attempt.code == result_code::kRefusedOverload ||
                                               attempt.code == result_code::kRefusedInstanceOnly ||
@@ -335,7 +382,8 @@
     }
   }
   into.wasted_share = sums.busy.count() > 0 ? Seconds(sums.wasted) / Seconds(sums.busy) : 0.0;
-  into.amplification = sums.asked_for > 0 ? static_cast<double>(sums.runs) / sums.asked_for : 0.0;
+  into.run_amplification =
+      sums.asked_for > 0 ? static_cast<double>(sums.runs) / sums.asked_for : 0.0;
   into.unreadable_lines = journal.unreadable;
 }
 
@@ -351,7 +399,8 @@
 }  // namespace
 
 trial_measures Measure(const deployment_plan& plan, const load_plan& load,
-                       const load_result& result, const journal_text& journal) {
+                       const load_result& result, const journal_text& journal,
+                       const node_counters& counters) {
   trial_measures measures;
   measures.seed = load.seed;
   measures.not_sent = result.not_sent;
@@ -360,7 +409,9 @@
   MeasureGoodput(plan, load, result, measures);
   MeasureOrder(plan, load, result, measures);
   MeasureWork(plan, load, result, journal, measures);
-  MeasureSeconds(result, measures);
+  MeasureSeconds(load, result, measures);
+  MeasureCodes(result, measures);
+  measures.call_amplification = counters.called > 0 ? counters.attempts / counters.called : 0.0;
   measures.recovery_seconds = MeasureRecovery(load, result);
   return measures;
 }
@@ -369,14 +420,15 @@
   std::string text;
   Print(text, "control %s, seed %llu\n", measures.control.c_str(),
         static_cast<unsigned long long>(measures.seed));
-  Print(text, "%-18s %6s %-6s %8s %8s %7s %7s %7s %7s %8s %8s\n", "row", "weight", "phase",
-        "offered", "good/s", "good%", "fail%", "notrun%", "unkn%", "p50 ms", "p99 ms");
+  Print(text, "%-18s %6s %-6s %8s %8s %7s %7s %7s %7s %7s %8s %8s\n", "row", "weight", "phase",
+        "offered", "good/s", "good%", "well%", "fail%", "notrun%", "unkn%", "p50 ms", "p99 ms");
   for (const row_measure& row : measures.rows) {
-    Print(text, "%-18s %6u %-6s %8llu %8.1f %7.1f %7.1f %7.1f %7.1f %8.0f %8.0f\n", row.row.c_str(),
-          row.weight, row.phase.c_str(), static_cast<unsigned long long>(row.offered),
-          row.goodput(), 100 * row.share_well(), 100 * Ratio(row.failed, row.offered),
-          100 * Ratio(row.not_run, row.offered), 100 * Ratio(row.unknown, row.offered), row.p50_ms,
-          row.p99_ms);
+    Print(text, "%-18s %6u %-6s %8llu %8.1f %7.1f %7.1f %7.1f %7.1f %7.1f %8.0f %8.0f\n",
+          row.row.c_str(), row.weight, row.phase.c_str(),
+          static_cast<unsigned long long>(row.offered), row.goodput(),
+          100 * Ratio(row.in_time, row.offered), 100 * row.share_well(),
+          100 * Ratio(row.failed, row.offered), 100 * Ratio(row.not_run, row.offered),
+          100 * Ratio(row.unknown, row.offered), row.p50_ms, row.p99_ms);
   }
   Print(text,
         "goodput before %.1f/s, in the surge %.1f/s; over the bottleneck %.1f of %.1f/s (%.0f%%)\n",
@@ -395,8 +447,15 @@
         static_cast<unsigned long long>(measures.unknown_filings),
         static_cast<unsigned long long>(measures.false_not_run),
         static_cast<unsigned long long>(measures.foreign));
-  Print(text, "work wasted %.1f%%, amplification %.3f, refused out of order %llu of %llu\n",
-        100 * measures.wasted_share, measures.amplification,
+  Print(text, "attempts that did not go well:");
+  for (const code_count& count : measures.codes) {
+    Print(text, " %s CF%d %llu,", count.end.c_str(), static_cast<int>(count.code),
+          static_cast<unsigned long long>(count.attempts));
+  }
+  Print(text,
+        "\nwork wasted %.1f%%, attempts per call %.3f, runs per call %.3f, refused out of order "
+        "%llu of %llu\n",
+        100 * measures.wasted_share, measures.call_amplification, measures.run_amplification,
         static_cast<unsigned long long>(measures.out_of_order),
         static_cast<unsigned long long>(measures.refusals_above_lowest));
   Print(text,
@@ -414,6 +473,7 @@
                    {"phase", row.phase},
                    {"offered", row.offered},
                    {"well", row.well},
+                   {"in_time", row.in_time},
                    {"failed", row.failed},
                    {"not_run", row.not_run},
                    {"unknown", row.unknown},
@@ -436,7 +496,8 @@
           {"false_not_run", false_not_run},
           {"foreign", foreign},
           {"wasted_share", wasted_share},
-          {"amplification", amplification},
+          {"run_amplification", run_amplification},
+          {"call_amplification", call_amplification},
           {"out_of_order", out_of_order},
           {"refusals_above_lowest", refusals_above_lowest},
           {"not_sent", not_sent},
--- a/extras/trial/trial_main.cpp
+++ b/extras/trial/trial_main.cpp
@@ -57,6 +57,8 @@
       cxxopts::value<double>()->default_value("0"));
   add("domains", "only the first so many failure domains; 0: all",
       cxxopts::value<std::size_t>()->default_value("0"));
+  add("heeding-baselines",
+      "without full control, too, backend servers give up at deadlines and when callers have gone");
   add("polite", "callers come back when they are told to");
   add("keep", "keep settings, logs and journals");
   add("json", "write the measures to this file", cxxopts::value<std::string>());
@@ -89,6 +91,7 @@
   options.before = Seconds(given, "before");
   options.surge_length = Seconds(given, "surge-seconds");
   options.after = Seconds(given, "after");
+  options.heeding_baselines = given.count("heeding-baselines") > 0;
   options.polite = given.count("polite") > 0;
   if (given.count("fault") > 0) {
     for (const std::string& name : given["fault"].as<std::vector<std::string>>()) {
@@ -146,7 +149,7 @@
       {"heaviest row in the surge, share", TopRowShare},
       {"recovery, s (-1: none)", [](const auto& run) { return run.recovery_seconds; }},
       {"work wasted, share", [](const auto& run) { return run.wasted_share; }},
-      {"amplification", [](const auto& run) { return run.amplification; }},
+      {"attempts per call", [](const auto& run) { return run.call_amplification; }},
       {"refused out of order",
        [](const auto& run) { return static_cast<double>(run.out_of_order); }},
       {"doubles", [](const auto& run) { return static_cast<double>(run.doubles); }},
--- a/extras/trial/trial_run.cpp
+++ b/extras/trial/trial_run.cpp
@@ -1,5 +1,7 @@
 #include "trial/trial_run.h"
 
+#include <cstdlib>
+#include <sstream>
 #include <utility>
 
 #include "load/load_runner.h"
@@ -33,10 +35,36 @@
   return journal;
 }
 
+// Sums one counter of the text that /metrics answers, over its labels.
+double SumOf(const std::string& metrics, const std::string& counter) {
+  std::istringstream lines(metrics);
+  std::string line;
+  double sum = 0.0;
+  while (std::getline(lines, line)) {
+    const std::size_t value = line.rfind(' ');
+    if (line.rfind(counter, 0) == 0 && value != std::string::npos) {
+      sum += std::strtod(line.c_str() + value, nullptr);
+    }
+  }
+  return sum;
+}
+
+node_counters ReadCounters(deployment& running) {
+  node_counters counters;
+  for (const running_target& target : running.targets()) {
+    const std::string metrics = deployment::Ask(target.admin, "GET", "/metrics");
+    counters.called += SumOf(metrics, "cuminferry_called_total");
+    counters.attempts += SumOf(metrics, "cuminferry_attempts_total");
+  }
+  return counters;
+}
+
 }  // namespace
 
 absl::StatusOr<trial_measures> RunTrial(const deployment_plan& plan, const run_options& options) {
-  auto started = deployment::Start(plan, options.deployment);
+  deployment::options chosen = options.deployment;
+  chosen.heeds_deadlines = chosen.control == "full" || options.heeding_baselines;
+  auto started = deployment::Start(plan, chosen);
   if (!started.ok()) {
     return started.status();
   }
@@ -53,7 +81,8 @@
     });
     result = runner.Run(load);
   }
-  trial_measures measures = Measure(plan, load, result, ReadJournals(running));
+  trial_measures measures =
+      Measure(plan, load, result, ReadJournals(running), ReadCounters(running));
   measures.control = options.deployment.control;
   return measures;
 }
--- a/extras/trial/trial_run.h
+++ b/extras/trial/trial_run.h
@@ -22,6 +22,9 @@
   std::chrono::milliseconds after{6000};
   /** Callers that come back when they are told to, not at once. */
   bool polite = false;
+  /** Without full control nobody passes deadlines and cancellations on, so that
+      backend servers work on for callers that have gone; true: they don't. */
+  bool heeding_baselines = false;
 };
 
 /** Starts a deployment, loads it in the phases "warm-up", "before", "surge" and
