Test cuts of the limit before keeping them, and refuse weights strictly in order

Cause 1: a rise of self time cut the limit, judged by means over few calls against a baseline that began with a single one. A service that had merely become slower lost a quarter of its slots again and again, and one that thrashed kept its limit. Changed: hold, measure, cut, measure again over windows that are large enough for their spread; the baseline begins as a mean of 32 calls and rises over a minute; after a test that clears the limit the next waits 8 s, then longer. Cause 2: a burst of a higher weight at one instance lifted the threshold into that weight while lower ones ran there and entered elsewhere. Changed: the threshold stops below a weight until no lower one has started for 100 ms. Cause 3: a row of which nothing is known yet passed for one that does not use a service, and bounded the others' part of the slots. Changed: a row counts as such after eight of its requests.

--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -108,7 +108,7 @@
     }
     switch (mode_) {
       case control_mode::kNone:
-        Start(call.key, call.row, now, out);
+        Start(call.key, call.row, call.rank, now, out);
         return;
       case control_mode::kStatic:
         OfferFifo(call, now, out);
@@ -247,7 +247,7 @@
   //============================================================================
   void OfferFifo(const offered_call& call, instant now, admission_actions& out) {
     if (board_.queue.empty() && MayStart(call.row)) {
-      Start(call.key, call.row, now, out);
+      Start(call.key, call.row, call.rank, now, out);
       return;
     }
     if (board_.queue.size() >= board_.fixed.queue_bound) {
@@ -272,7 +272,7 @@
       return;
     }
     if (board_.queued_together() == 0 && MayStart(call.row)) {
-      Start(call.key, call.row, now, out);
+      Start(call.key, call.row, call.rank, now, out);
       return;
     }
     const duration wait = threshold_.WaitBehind(board_.queue.CountAhead(call.rank));
@@ -299,7 +299,8 @@
     const row_record& record = board_.rows.rows[row];
     const bool apart = board_.IsBounded(row);
     const std::size_t together = apart ? board_.queued_apart : board_.queued_together();
-    const std::size_t most = apart ? bulkhead_.LongestApart() : threshold_.LongestQueue();
+    const std::size_t most =
+        apart ? bulkhead_.LongestApart() : threshold_.LongestQueue(LowestWeight(apart), now);
     if (together > most) {
       EvictFirst(now, out,
                  [&](const queued_call& call) { return board_.IsBounded(call.row) == apart; });
@@ -309,6 +310,15 @@
     }
   }
 
+  std::uint16_t LowestWeight(bool apart) const {
+    for (const queued_call& call : board_.queue.calls()) {
+      if (board_.IsBounded(call.row) == apart) {
+        return call.rank.weight();
+      }
+    }
+    return 0;
+  }
+
   template <typename Condition>
   void EvictFirst(instant now, admission_actions& out, Condition&& condition) {
     const std::vector<queued_call>& calls = board_.queue.calls();
@@ -342,7 +352,8 @@
     return board_.HasRoom() && record.running < record.limit() && !bulkhead_.Holds(row);
   }
 
-  void Start(call_key key, std::uint32_t row, instant now, admission_actions& out) {
+  void Start(call_key key, std::uint32_t row, call_rank rank, instant now, admission_actions& out) {
+    board_.offered.RecordStart(rank, now);
     running_call call;
     call.row = row;
     call.epoch = board_.limit.epoch;
@@ -386,7 +397,7 @@
       }
       const queued_call call = Dequeue(place);
       if (CanStillFinish(call, now)) {
-        Start(call.key, call.row, now, out);
+        Start(call.key, call.row, call.rank, now, out);
       } else {
         out.refuse.push_back({call.key, result_code::kDeadlineExceeded, kNoRetryHint});
       }
--- a/modules/cuminferry_policy/admission/concurrency_limit.cpp
+++ b/modules/cuminferry_policy/admission/concurrency_limit.cpp
@@ -9,20 +9,32 @@
 using std::chrono::milliseconds;
 
 /** Part of the slots that a cold backend server is given. */
-constexpr double kColdPart = 0.125;
+constexpr double kColdPart = 0.25;
 constexpr double kLeastCold = 4;
 /** Self time this far above the baseline asks for a test. */
-constexpr double kTolerance = 1.5;
-constexpr double kTestCut = 0.75;
+constexpr double kTolerance = 1.4;
+constexpr double kTestCut = 0.8;
 /** The limit counts as cause where self time fell by half of what it would
     have fallen if it were nothing but queueing. */
 constexpr double kTestFall = 1.0 - (1.0 - kTestCut) / 2.0;
+/** The deepest cut once a test has shown that the limit is too high. */
+constexpr double kDeepestCut = 0.5;
+/** The limit climbs so far before self time is looked at again. */
+constexpr double kClimbFactor = 4.0;
 constexpr std::uint32_t kLeastWindow = 32;
+constexpr std::uint32_t kLargestWindow = 256;
+/** Standard error of a window's mean, over the mean, that is good enough. */
+constexpr double kGoodError = 0.06;
+/** After a test that found no fault in the limit; doubled with each further one. */
+constexpr milliseconds kFirstTestPause{8000};
+constexpr milliseconds kLongestTestPause{64000};
 /** Weight of one call in the means over calls. */
 constexpr double kMeanWeight = 1.0 / 32;
-constexpr double kBaselineWeight = 1.0 / 512;
-/** Calls of a row until its baseline is taken as known. */
-constexpr double kFirstWeight = 1.0 / 8;
+/** The baseline is the mean of so many calls, follows longer self times slowly, shorter ones soon.
+ */
+constexpr double kBaselineRiseSeconds = 60;
+constexpr std::uint32_t kBaselineFrom = 32;
+constexpr double kBaselineFallWeight = 1.0 / 8;
 constexpr double kOverloadCut = 0.9;
 constexpr milliseconds kOverloadEvery{100};
 /** Older reports are not used. */
@@ -36,16 +48,50 @@
   mean = mean == 0 ? sample : mean + (sample - mean) * weight;
 }
 
+void FollowBaseline(row_record& row, instant now) {
+  const double passed = std::chrono::duration<double>(now - row.last_end).count();
+  if (row.baseline_ends < kBaselineFrom) {
+    ++row.baseline_ends;
+    row.baseline_micros += (row.self_micros - row.baseline_micros) / row.baseline_ends;
+  } else if (row.self_micros < row.baseline_micros) {
+    row.baseline_micros += (row.self_micros - row.baseline_micros) * kBaselineFallWeight;
+  } else {
+    const double weight = std::min(passed / kBaselineRiseSeconds, kMeanWeight);
+    row.baseline_micros += (row.self_micros - row.baseline_micros) * weight;
+  }
+}
+
 }  // namespace
 
 concurrency_limit::concurrency_limit(admission_blackboard& board) : board_(board) { Reset(); }
 
+void concurrency_limit::window::Add(double ratio) {
+  sum += ratio;
+  squares += ratio * ratio;
+  ++count;
+}
+
+// Of calls that start together the short ones end first, so a window holds at least
+// as many as run at once.
+bool concurrency_limit::window::IsEnough(double limit) const {
+  if (count >= kLargestWindow) {
+    return true;
+  }
+  if (count < kLeastWindow || count < limit) {
+    return false;
+  }
+  const double variance = squares / count - mean() * mean();
+  return variance <= kGoodError * kGoodError * mean() * mean() * count;
+}
+
 void concurrency_limit::Reset() {
   own_limit_ = FloorLimit();
-  pace_ = 1;
-  window_sum_ = 0;
-  window_count_ = 0;
-  testing_ = false;
+  climbs_to_ = own_limit_ * kClimbFactor;
+  climbs_fast_ = true;
+  window_ = window();
+  stage_ = stage::kClimb;
+  next_test_ = instant();
+  test_pause_ = kFirstTestPause;
   board_.limit.limit = own_limit_;
 }
 
@@ -84,63 +130,75 @@
 
 void concurrency_limit::CountSample(const running_call& call, double self_micros, instant now) {
   row_record& row = board_.rows.rows[call.row];
-  Follow(row.baseline_micros, self_micros,
-         row.baseline_micros == 0 ? kFirstWeight : kBaselineWeight);
-  if (call.epoch != board_.limit.epoch) {
-    return;
+  Follow(row.self_micros, self_micros, kMeanWeight);
+  if (stage_ == stage::kClimb) {
+    FollowBaseline(row, now);
   }
-  window_sum_ += self_micros / row.baseline_micros;
-  ++window_count_;
-  const auto wanted = std::max<std::uint32_t>(kLeastWindow, static_cast<std::uint32_t>(own_limit_));
-  if (window_count_ >= wanted) {
-    JudgeWindow(now);
-  }
-}
-
-void concurrency_limit::JudgeWindow(instant now) {
-  const double ratio = window_sum_ / window_count_;
-  window_sum_ = 0;
-  window_count_ = 0;
-  if (testing_) {
-    JudgeTest(ratio);
+  row.last_end = now;
+  if (call.epoch != board_.limit.epoch || row.baseline_ends < kBaselineFrom) {
     return;
   }
-  if (ratio < pace_) {
-    pace_ = std::max(1.0, (pace_ + ratio) / 2);
+  window_.Add(self_micros / row.baseline_micros);
+  if (!window_.IsEnough(own_limit_)) {
     return;
   }
-  if (ratio < pace_ * kTolerance) {
-    return;
-  }
-  const bool limit_binds = board_.active() + 1 >= board_.limit.limit * kTestCut;
-  if (!limit_binds) {
-    pace_ = ratio;
-    return;
+  const double ratio = window_.mean();
+  window_ = window();
+  JudgeWindow(ratio, now);
+}
+
+void concurrency_limit::JudgeWindow(double ratio, instant now) {
+  switch (stage_) {
+    case stage::kClimb:
+      if (ratio < kTolerance) {
+        test_pause_ = kFirstTestPause;
+        climbs_to_ = own_limit_ * kClimbFactor;
+      } else if (board_.active() + 1 >= own_limit_ * kTestCut && now >= next_test_) {
+        Enter(stage::kHold);
+      }
+      return;
+    case stage::kHold:
+      ratio_before_test_ = ratio;
+      limit_before_test_ = own_limit_;
+      own_limit_ = std::max(1.0, own_limit_ * kTestCut);
+      Enter(stage::kCut);
+      return;
+    case stage::kCut:
+      Enter(stage::kClimb);
+      JudgeTest(ratio, now);
+      return;
   }
-  trouble_at_ = now;
-  testing_ = true;
-  limit_before_test_ = own_limit_;
-  ratio_before_test_ = ratio;
-  own_limit_ = std::max(1.0, own_limit_ * kTestCut);
+}
+
+void concurrency_limit::Enter(stage next) {
+  stage_ = next;
   ++board_.limit.epoch;
 }
 
-void concurrency_limit::JudgeTest(double ratio) {
-  testing_ = false;
+void concurrency_limit::JudgeTest(double ratio, instant now) {
   if (ratio <= ratio_before_test_ * kTestFall) {
+    trouble_at_ = now;
+    climbs_fast_ = false;
+    own_limit_ = std::max(1.0, own_limit_ * std::clamp(kTolerance / ratio, kDeepestCut, 1.0));
+    climbs_to_ = own_limit_ * kClimbFactor;
+    test_pause_ = kFirstTestPause;
     return;
   }
-  pace_ = std::max(1.0, ratio);
   own_limit_ = std::max(own_limit_, limit_before_test_);
+  climbs_to_ = own_limit_ * kClimbFactor;
+  next_test_ = now + test_pause_;
+  test_pause_ = std::min<duration>(2 * test_pause_, kLongestTestPause);
 }
 
 void concurrency_limit::Climb() {
-  if (testing_) {
+  if (stage_ != stage::kClimb) {
     return;
   }
   const bool limit_binds = board_.active() + 2 >= own_limit_ || !board_.queue.empty();
   if (limit_binds) {
-    own_limit_ = std::min<double>(board_.fixed.slots, own_limit_ + 1);
+    const double step = climbs_fast_ ? 1.0 : 1.0 / own_limit_;
+    const double most = std::max(own_limit_, std::min<double>(board_.fixed.slots, climbs_to_));
+    own_limit_ = std::min(most, own_limit_ + step);
   }
 }
 
--- a/modules/cuminferry_policy/admission/concurrency_limit.h
+++ b/modules/cuminferry_policy/admission/concurrency_limit.h
@@ -8,9 +8,10 @@
 
     Starts low, as a cold backend server is slow, and climbs by success to the
     slots. When self time (running time without the time spent waiting for
-    calls out) stands above its baseline, the limit is cut as a test: where self
-    time then falls with it, calls were queueing inside the backend server and
-    the cut stays; where it does not, the work itself has become slower, a lower
+    calls out) stands above its baseline, the limit is tested: it is held while
+    self time is measured, cut, and self time is measured again. Where self time
+    falls with the limit, calls were queueing inside the backend server and the
+    cut stays; where it does not, the work itself has become slower, a lower
     limit would only cost goodput, and the limit is put back.
 
     Writes limit_section and the baselines in rows_section.
@@ -30,9 +31,24 @@
   void OnTick(instant now);
 
  private:
+  /** Self times over their baselines, of calls that started under one limit. */
+  struct window {
+    double sum = 0;
+    double squares = 0;
+    std::uint32_t count = 0;
+
+    void Add(double ratio);
+    double mean() const { return sum / count; }
+    /** Whether the mean is known well enough to see the fall that a test looks for. */
+    bool IsEnough(double limit) const;
+  };
+
+  enum class stage : std::uint8_t { kClimb, kHold, kCut };
+
   void CountSample(const running_call& call, double self_micros, instant now);
-  void JudgeWindow(instant now);
-  void JudgeTest(double ratio);
+  void JudgeWindow(double ratio, instant now);
+  void Enter(stage next);
+  void JudgeTest(double ratio, instant now);
   void Climb();
   bool TrustsReport(instant now) const;
   double FloorLimit() const;
@@ -40,19 +56,24 @@
 
   admission_blackboard& board_;
   double own_limit_ = 1;
-  /** How much slower than the baselines the work itself has become. */
-  double pace_ = 1;
-  double window_sum_ = 0;
-  std::uint32_t window_count_ = 0;
-  bool testing_ = false;
+  /** Not beyond this before the next window is judged. */
+  double climbs_to_ = 1;
+  /** Climbs with each call that ends; else with each round of calls. */
+  bool climbs_fast_ = true;
+  window window_;
+
+  stage stage_ = stage::kClimb;
   double limit_before_test_ = 1;
   double ratio_before_test_ = 1;
+  instant next_test_;
+  duration test_pause_{0};
+
   double reported_ = 0;
+  bool reported_ever_ = false;
   instant reported_at_;
+  std::uint32_t ends_since_report_ = 0;
   instant trouble_at_;
   instant cut_at_;
-  std::uint32_t ends_since_report_ = 0;
-  bool reported_ever_ = false;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/admission/offered_load.cpp
+++ b/modules/cuminferry_policy/admission/offered_load.cpp
@@ -49,6 +49,26 @@
   into.remembered = std::max(into.remembered, into.total);
 }
 
+void offered_load::RecordStart(call_rank rank, instant now) {
+  const std::uint32_t number = LevelNumber(rank);
+  for (level& one : levels_) {
+    if (one.number == number) {
+      one.last_start = now;
+    }
+  }
+}
+
+std::optional<std::uint16_t> offered_load::StartedBelow(std::uint16_t weight, instant since) const {
+  std::optional<std::uint16_t> highest;
+  for (const level& one : levels_) {
+    const auto of_level = static_cast<std::uint16_t>(one.number >> 1);
+    if (of_level < weight && one.last_start >= since && one.last_start != instant()) {
+      highest = of_level;
+    }
+  }
+  return highest;
+}
+
 void offered_load::Decay(duration passed) {
   const double seconds = std::chrono::duration<double>(passed).count();
   const auto keep = static_cast<float>(std::exp(-seconds / kMemorySeconds));
--- a/modules/cuminferry_policy/admission/offered_load.h
+++ b/modules/cuminferry_policy/admission/offered_load.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
@@ -24,6 +25,8 @@
 
   /** Counts one call. */
   void Record(call_rank rank);
+  /** A call of this rank was started. */
+  void RecordStart(call_rank rank, instant now);
   /** Lets the time pass. */
   void Decay(duration passed);
   /** Forgets all. */
@@ -34,6 +37,10 @@
   double RateAbove(call_rank threshold) const;
   double rate() const;
 
+  /** The highest weight below `weight` of which a call started since `since`;
+      nothing where none did. */
+  std::optional<std::uint16_t> StartedBelow(std::uint16_t weight, instant since) const;
+
   /** The lowest rank such that no more than `rate` calls per second are at or above it. */
   call_rank ThresholdForRate(double rate) const;
 
@@ -49,6 +56,7 @@
     float total = 0;
     /** The highest rate of late; forgotten slowly. */
     float remembered = 0;
+    instant last_start;
   };
 
   level& LevelOf(std::uint32_t number);
--- a/modules/cuminferry_policy/admission/path_bulkhead.cpp
+++ b/modules/cuminferry_policy/admission/path_bulkhead.cpp
@@ -14,6 +14,9 @@
 constexpr double kLeastApart = 4;
 /** A row that offered a call this short a time ago wants slots. */
 constexpr milliseconds kWantsFor{1000};
+/** Which services a row calls is known once so many of its requests ended. Before,
+    it would pass for one that never calls the service. */
+constexpr float kKnownFrom = 8;
 /** A part stays bounded for so long after it was last nearly full. */
 constexpr milliseconds kBoundedFor{500};
 
@@ -56,21 +59,27 @@
 }
 
 bool path_bulkhead::OthersWantSlots(std::uint64_t callee, instant now) const {
-  return std::any_of(board_.rows.rows.begin(), board_.rows.rows.end(), [&](const row_record& row) {
+  for (std::size_t place = 0; place < board_.rows.rows.size(); ++place) {
+    const row_record& row = board_.rows.rows[place];
     const bool wants = row.last_offer != instant() && now - row.last_offer < kWantsFor;
-    return wants && (row.callees & callee) == 0;
-  });
+    const bool known = board_.paths.rows[place].ended >= kKnownFrom;
+    if (wants && known && (row.callees & callee) == 0) {
+      return true;
+    }
+  }
+  return false;
 }
 
 void path_bulkhead::OnTick(instant now) {
   for (std::uint32_t place = 0; place < board_.waits.callees.size(); ++place) {
     callee_waits& callee = board_.waits.callees[place];
     const bool nearly_full = callee.waiting + LongestApart() >= MostWaiting();
-    if (nearly_full && OthersWantSlots(BitOf(place), now)) {
+    if (nearly_full) {
       callee.bounded_until = now + kBoundedFor;
     }
+    const bool bounded = now < callee.bounded_until && OthersWantSlots(BitOf(place), now);
     board_.waits.bounded &= ~BitOf(place);
-    board_.waits.bounded |= now < callee.bounded_until ? BitOf(place) : 0;
+    board_.waits.bounded |= bounded ? BitOf(place) : 0;
     NoteFull(place);
   }
   const std::vector<queued_call>& calls = board_.queue.calls();
--- a/modules/cuminferry_policy/admission/threshold_controller.cpp
+++ b/modules/cuminferry_policy/admission/threshold_controller.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds kIdleDoubles{50};
 constexpr double kMicrosPerSecond = 1e6;
 constexpr double kFastestDescent = 16.0;
+/** A weight is refused only when no lower one has started for so long. */
+constexpr milliseconds kLowerWeightsGone{100};
 
 double Seconds(duration time) { return std::chrono::duration<double>(time).count(); }
 
@@ -42,9 +44,12 @@
   return std::max(1.0, at_once * kAimedPart);
 }
 
-std::size_t threshold_controller::LongestQueue() const {
+std::size_t threshold_controller::LongestQueue(std::uint16_t lowest_weight, instant now) const {
   const double at_once = std::min<double>(board_.fixed.slots, board_.limit.limit);
-  const auto wanted = std::max(kLeastLongest, static_cast<std::size_t>(at_once * kLongestPart));
+  auto wanted = std::max(kLeastLongest, static_cast<std::size_t>(at_once * kLongestPart));
+  if (board_.offered.StartedBelow(lowest_weight, now - kLowerWeightsGone).has_value()) {
+    wanted *= 2;
+  }
   return std::min<std::size_t>(board_.fixed.queue_bound, wanted);
 }
 
@@ -73,7 +78,7 @@
   last_tick_ = now;
   board_.offered.Decay(passed);
   FollowEnds(passed);
-  Move(passed);
+  Move(passed, now);
 }
 
 void threshold_controller::FollowEnds(duration passed) {
@@ -85,7 +90,19 @@
   rate += (sample - rate) * (1.0 - std::exp(-seconds / kEndsMemorySeconds));
 }
 
-void threshold_controller::Move(duration passed) {
+// A burst of permits at one instance would lift the threshold into their weight while
+// maps still run there and enter elsewhere. A farmer would be turned away in favour of
+// a map. So the threshold stops below a weight until all lower ones are gone.
+call_rank threshold_controller::InOrder(call_rank wanted, instant now) const {
+  const std::optional<std::uint16_t> lower =
+      board_.offered.StartedBelow(wanted.weight(), now - kLowerWeightsGone);
+  if (!lower.has_value()) {
+    return wanted;
+  }
+  return call_rank(static_cast<std::uint16_t>(*lower + 1), false, 0);
+}
+
+void threshold_controller::Move(duration passed, instant now) {
   const double queue = static_cast<double>(board_.queued_together());
   const double ends = board_.limit.ends_per_second;
   const double wanted =
@@ -94,7 +111,7 @@
   const double above = board_.offered.RateAbove(own);
   const bool busy = !board_.HasRoom();
   if (busy && above > wanted && ends > 0) {
-    own = std::max(own, board_.offered.ThresholdForRate(wanted));
+    own = std::max(own, InOrder(board_.offered.ThresholdForRate(wanted), now));
     idle_for_ = duration(0);
     return;
   }
--- a/modules/cuminferry_policy/admission/threshold_controller.h
+++ b/modules/cuminferry_policy/admission/threshold_controller.h
@@ -27,8 +27,8 @@
   //============================================================================
   /** The queue length that is aimed at under overload. */
   double AimedQueue() const;
-  /** The queue length beyond which the lowest rank is evicted. */
-  std::size_t LongestQueue() const;
+  /** The queue length beyond which the lowest rank, of this weight, is evicted. */
+  std::size_t LongestQueue(std::uint16_t lowest_weight, instant now) const;
   /** How long a call waits that has so many ahead of it. */
   duration WaitBehind(std::size_t ahead) const;
 
@@ -36,7 +36,9 @@
   /** Calls per second that the slots allow at the present times. */
   double RateOfSlots() const;
   void FollowEnds(duration passed);
-  void Move(duration passed);
+  void Move(duration passed, instant now);
+  /** `wanted`, or as far up as no weight is refused before those below it. */
+  call_rank InOrder(call_rank wanted, instant now) const;
 
   admission_blackboard& board_;
   instant last_tick_;
--- a/modules/cuminferry_policy/blackboard/admission_blackboard.h
+++ b/modules/cuminferry_policy/blackboard/admission_blackboard.h
@@ -34,6 +34,8 @@
   double hold_micros = 0;
   /** Self time in normal times, followed slowly. */
   double baseline_micros = 0;
+  /** Calls of the row that ended, up to those that the baseline begins with. */
+  std::uint32_t baseline_ends = 0;
   /** The hold time of the quickest calls of late, and when one last ended. */
   double quickest_micros = 0;
   instant last_end;
--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -17,4 +17,5 @@
 #include "cuminferry_policy/admission/admission_controller.h"
 #include "cuminferry_policy/rank/call_rank.h"
 #include "cuminferry_policy/retries/retry_allowance.h"
+#include "cuminferry_policy/retries/retry_rule.h"
 #include "cuminferry_policy/targets/target_chooser.h"
--- a/modules/cuminferry_policy/retries/retry_allowance.cpp
+++ b/modules/cuminferry_policy/retries/retry_allowance.cpp
@@ -20,7 +20,8 @@
 }
 
 void retry_allowance::TakeBack(std::uint8_t lent, std::uint8_t returned) {
-  left_ = static_cast<std::uint8_t>(left_ + std::min(lent, returned));
+  const int sum = left_ + std::min(lent, returned);
+  left_ = static_cast<std::uint8_t>(std::min<int>(sum, granted_));
 }
 
 void retry_ratio::OnFirstAttempt() {
--- a/modules/cuminferry_policy/retries/retry_allowance.h
+++ b/modules/cuminferry_policy/retries/retry_allowance.h
@@ -15,7 +15,7 @@
 */
 class retry_allowance {
  public:
-  explicit retry_allowance(std::uint8_t granted) : left_(granted) {}
+  explicit retry_allowance(std::uint8_t granted) : granted_(granted), left_(granted) {}
 
   /** Takes one retry for an own further attempt; false where none is left. */
   bool TakeOne();
@@ -25,12 +25,14 @@
       each retry. */
   std::uint8_t Lend(std::uint32_t other_calls_outstanding);
 
-  /** Takes back what a reply returned; never more than was lent. */
+  /** Takes back what a reply returned; never more than was lent, and never to
+      more than was granted, so that a forged or doubled reply mints nothing. */
   void TakeBack(std::uint8_t lent, std::uint8_t returned);
 
   std::uint8_t left() const { return left_; }
 
  private:
+  std::uint8_t granted_;
   std::uint8_t left_;
 };
 
--- a/tests/policy/scenario_script.cpp
+++ b/tests/policy/scenario_script.cpp
@@ -38,10 +38,11 @@
   return value;
 }
 
-/** service{name=, targets=, slots=} */
+/** service{name=, targets=, slots=, knee=} */
 int Service(lua_State* lua) {
   WorldOf(lua).AddService(Text(lua, "name"), static_cast<std::uint32_t>(Number(lua, "targets", 4)),
-                          static_cast<std::uint32_t>(Number(lua, "slots", 20)));
+                          static_cast<std::uint32_t>(Number(lua, "slots", 20)),
+                          static_cast<std::uint32_t>(Number(lua, "knee", 0)));
   return 0;
 }
 
@@ -202,11 +203,15 @@
   return 1;
 }
 
-/** limit(service): the present concurrency limits of its nodes, together. */
-int Limit(lua_State* lua) {
+/** sum(service, "limit"|"running"|"queued"): over its nodes, at present. */
+int SumOver(lua_State* lua) {
+  const std::string what = luaL_checkstring(lua, 2);
   double sum = 0;
   for (const fake_node* node : WorldOf(lua).NodesOf(luaL_checkstring(lua, 1))) {
-    sum += node->admission->limit();
+    const admission_controller& admission = *node->admission;
+    sum += what == "limit"     ? admission.limit()
+           : what == "running" ? admission.running()
+                               : admission.queued();
   }
   lua_pushnumber(lua, sum);
   return 1;
@@ -242,7 +247,7 @@
       {"slow", Slow},       {"report", Report},     {"pause", Pause},
       {"run", Run},         {"goodput", Goodput},   {"completed", Completed},
       {"wasted", Wasted},   {"recovery", Recovery}, {"inversions", Inversions},
-      {"limit", Limit},     {"expect", Expect},     {"note", Note}};
+      {"sum", SumOver},     {"expect", Expect},     {"note", Note}};
   for (const luaL_Reg& verb : verbs) {
     lua_register(lua.get(), verb.name, verb.func);
   }
--- a/tests/policy/scenario_world.cpp
+++ b/tests/policy/scenario_world.cpp
@@ -36,13 +36,14 @@
   bool over = false;
 };
 
-void scenario_world::AddService(const std::string& name, std::uint32_t targets,
-                                std::uint32_t slots) {
+void scenario_world::AddService(const std::string& name, std::uint32_t targets, std::uint32_t slots,
+                                std::uint32_t knee) {
   shards_[name].service.name = name;
   for (std::uint32_t target = 0; target < targets; ++target) {
     auto node = std::make_unique<fake_node>();
     node->service = name;
     node->slots = slots;
+    node->knee = knee;
     node->admission =
         std::make_unique<admission_controller>(admission_controller::options{control, slots, 1024});
     nodes_.push_back(std::move(node));
@@ -227,7 +228,9 @@
 }
 
 void scenario_world::RunHalf(const std::shared_ptr<fake_call>& call, bool last) {
-  const double factor = call->node->slow_factor * (0.5 + random_.Fraction()) / 2;
+  const fake_node& node = *call->node;
+  const double crowd = node.knee == 0 ? 1 : std::max(1.0, 1.0 * node.busy / node.knee);
+  const double factor = node.slow_factor * std::pow(crowd, 1.5) * (0.5 + random_.Fraction()) / 2;
   const double work_ms = call->row->self_ms * factor;
   At(now_ + Millis(work_ms), [this, call, last, work_ms] {
     if (call->over) {
--- a/tests/policy/scenario_world.h
+++ b/tests/policy/scenario_world.h
@@ -46,6 +46,9 @@
   std::unique_ptr<admission_controller> admission;
   double slow_factor = 1;
   std::uint32_t slots = 1;
+  /** Requests at once from which on the backend server's work slows down, more than in
+      proportion; 0: never. */
+  std::uint32_t knee = 0;
   std::uint32_t busy = 0;
   instant paused_until;
   std::string report;
@@ -67,7 +70,8 @@
   std::string control = "full";
   duration link{1500};
 
-  void AddService(const std::string& name, std::uint32_t targets, std::uint32_t slots);
+  void AddService(const std::string& name, std::uint32_t targets, std::uint32_t slots,
+                  std::uint32_t knee = 0);
   void AddRow(const std::string& service, fake_row row);
   void AddLoad(const fake_load& load);
   void At(instant when, std::function<void()> action);
--- a/tests/policy/scenarios/cold_start.lua
+++ b/tests/policy/scenarios/cold_start.lua
@@ -10,5 +10,5 @@
 run(5000)
 note("completed / offered in the first second", completed("list", 0, 1000))
 note("completed / offered afterwards", completed("list", 1000, 4000))
-note("limits", limit("catalogue"))
+note("limits", sum("catalogue", "limit"))
 expect(completed("list", 1000, 4000) >= 0.99, "limits stay low")
--- a/tests/policy/scenarios/deep_service_slows_down.lua
+++ b/tests/policy/scenarios/deep_service_slows_down.lua
@@ -20,11 +20,11 @@
 slow{service = "soil", factor = 1, at = 9000}
 
 run(3000)
-local limit_before = limit("portal")
-local permit_before = limit("permit")
+local limit_before = sum("portal", "limit")
+local permit_before = sum("permit", "limit")
 run(8900)
-local limit_during = limit("portal")
-local permit_during = limit("permit")
+local limit_during = sum("portal", "limit")
+local permit_during = sum("permit", "limit")
 run(16000)
 
 local news = completed("news", 3000, 9000)
