--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -1,5 +1,7 @@
 #include "cuminferry_policy/admission/admission_controller.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,8 @@
 constexpr double kQuickestWeight = 0.05;
 /** Without an end for so long, a row's quickest run is not used any more. */
 constexpr milliseconds kQuickestLasts{500};
+/** The place of a row that the new table does not have. */
+constexpr std::uint32_t kGone = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint32_t kNoLimit = std::numeric_limits<std::uint32_t>::max();
 
 enum class control_mode : std::uint8_t { kFull, kStatic, kNone };
@@ -61,15 +65,18 @@
 
   //============================================================================
   void UseTable(const table_shard& shard) {
-    std::vector<std::uint32_t> new_place(board_.rows.rows.size());
     std::vector<row_record> rows;
-    std::vector<row_paths> paths(shard.rows.size());
+    absl::flat_hash_map<std::string_view, std::uint32_t> places;
     rows.reserve(shard.rows.size());
     for (const request_row& row : shard.rows) {
+      places.emplace(row.name, static_cast<std::uint32_t>(rows.size()));
       rows.push_back(RecordOf(row));
     }
+    std::vector<row_paths> paths(rows.size());
+    std::vector<std::uint32_t> new_place(board_.rows.rows.size());
     for (std::uint32_t old = 0; old < new_place.size(); ++old) {
-      CarryOver(old, rows, paths, new_place);
+      const auto same = places.find(board_.rows.rows[old].name);
+      new_place[old] = CarryOver(old, same == places.end() ? kGone : same->second, rows, paths);
     }
     board_.rows.rows = std::move(rows);
     board_.paths.rows = std::move(paths);
@@ -226,22 +233,23 @@
     return board_.rows.rows[row];
   }
 
-  /** Takes a row's figures into the new table's row of the same name. A row that
-      is gone stays at the end while calls of it are in flight. */
-  void CarryOver(std::uint32_t old, std::vector<row_record>& rows, std::vector<row_paths>& paths,
-                 std::vector<std::uint32_t>& new_place) {
+  /** Takes a row's figures to its place in the new table and returns that place. A
+      row that is gone stays at the end while calls of it are in flight. */
+  std::uint32_t CarryOver(std::uint32_t old, std::uint32_t place, std::vector<row_record>& rows,
+                          std::vector<row_paths>& paths) {
     row_record& record = board_.rows.rows[old];
-    const auto same = std::find_if(rows.begin(), rows.end(),
-                                   [&](const row_record& row) { return row.name == record.name; });
-    new_place[old] = static_cast<std::uint32_t>(same - rows.begin());
-    if (same != rows.end()) {
-      record.target_limit = same->target_limit;
-      *same = std::move(record);
-      paths[new_place[old]] = std::move(board_.paths.rows[old]);
-    } else if (record.running + record.queued > 0) {
+    if (place != kGone) {
+      record.target_limit = rows[place].target_limit;
+      rows[place] = std::move(record);
+      paths[place] = std::move(board_.paths.rows[old]);
+      return place;
+    }
+    if (record.running + record.queued > 0) {
       rows.push_back(std::move(record));
       paths.push_back(std::move(board_.paths.rows[old]));
+      return static_cast<std::uint32_t>(rows.size() - 1);
     }
+    return kGone;
   }
 
   //============================================================================
