--- /dev/null
+++ b/extras/ctl/output/text_grid.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace cuminferry::ctl {
+
+/** Rows of text in aligned columns, two spaces apart. */
+class text_grid {
+ public:
+  void AddRow(std::vector<std::string> cells) { rows_.push_back(std::move(cells)); }
+  /** A row whose line is followed by a rule. */
+  void AddHeading(std::vector<std::string> cells);
+  void Print(std::ostream& out) const;
+
+ private:
+  std::vector<std::size_t> Widths() const;
+
+  std::vector<std::vector<std::string>> rows_;
+  bool has_heading_ = false;
+};
+
+}  // namespace cuminferry::ctl
