Learn a callee row's threshold once for all own rows

Thresholds were learned per own row: a light row, seldom let through, got no replies, its threshold went stale and its requests passed as probes. Change: what a callee says of its row is kept once and used by every own row that mostly calls it; callees' names go along with BeginWait. Ruled out: fewer probes, which would slow recovery.

--- a/modules/cuminferry_node/runtime/egress_side.cpp
+++ b/modules/cuminferry_node/runtime/egress_side.cpp
@@ -79,7 +79,7 @@
     bool first = false;
     const std::uint64_t child = parent->BeginChild([call] { call->Cancel(); }, first);
     if (first) {
-      parts_.serving.BeginWait(parent->about().key);
+      parts_.serving.BeginWait(parent->about().key, service);
     }
     reply_message reply;
     {
--- a/modules/cuminferry_node/runtime/serving_side.cpp
+++ b/modules/cuminferry_node/runtime/serving_side.cpp
@@ -168,9 +168,9 @@
     });
   }
 
-  void BeginWait(call_key key) {
+  void BeginWait(call_key key, std::string_view callee_service) {
     WithAdmission([&](admission_state& admission, admission_actions& actions) {
-      admission.controller.BeginWait(key, boot_clock::Now(), actions);
+      admission.controller.BeginWait(key, callee_service, boot_clock::Now(), actions);
     });
   }
 
@@ -592,7 +592,9 @@
 }
 
 void serving_side::Cancel(call_key key) { state_->Cancel(key); }
-void serving_side::BeginWait(call_key key) { state_->BeginWait(key); }
+void serving_side::BeginWait(call_key key, std::string_view callee_service) {
+  state_->BeginWait(key, callee_service);
+}
 void serving_side::EndWait(call_key key) { state_->EndWait(key); }
 
 void serving_side::LearnThreshold(std::string_view caller_row, std::string_view callee_service,
--- a/modules/cuminferry_node/runtime/serving_side.h
+++ b/modules/cuminferry_node/runtime/serving_side.h
@@ -69,8 +69,9 @@
   /** The caller has gone. The hook is still called. */
   void Cancel(call_key key);
 
-  /** A request in the backend server waits, or waits no longer, for calls out. */
-  void BeginWait(call_key key);
+  /** A request in the backend server waits for a call to a service, or waits no
+      longer for any. */
+  void BeginWait(call_key key, std::string_view callee_service);
   void EndWait(call_key key);
 
   /** A callee advertised the rank below which it refuses a row. */
--- a/modules/cuminferry_policy/admission/learned_thresholds.cpp
+++ b/modules/cuminferry_policy/admission/learned_thresholds.cpp
@@ -17,72 +17,83 @@
 /** Counts are halved at this many, so that old habits are forgotten. */
 constexpr float kForgetAt = 256;
 
-bool IsFresh(const learned_path& path, instant now) {
-  return path.replies > 0 && now - path.last_reply < kThresholdLasts;
+bool IsFresh(const callee_row_record& callee, instant now) {
+  return callee.replies > 0 && now - callee.last_reply < kThresholdLasts;
 }
 
-call_rank MedianOf(const learned_path& path) {
-  const std::size_t count = std::min<std::size_t>(path.replies, learned_path::kReplies);
-  std::array<call_rank, learned_path::kReplies> sorted = path.thresholds;
+call_rank MedianOf(const callee_row_record& callee) {
+  const std::size_t count = std::min<std::size_t>(callee.replies, callee_row_record::kReplies);
+  std::array<call_rank, callee_row_record::kReplies> sorted = callee.thresholds;
   const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(count / 2);
   std::nth_element(sorted.begin(), middle, sorted.begin() + static_cast<std::ptrdiff_t>(count));
   return *middle;
 }
 
 /** Whether requests of the row mostly make this call. */
-bool MakesCallMostly(const row_paths& row, const learned_path& path) {
+bool MakesCallMostly(const row_paths& row, const row_path& path) {
   return path.calls >= kMostly * std::max(row.ended, 1.0F);
 }
 
-/** The record of a path; replaces the one unused longest where all are taken. */
-learned_path& PathOf(row_paths& row, std::string_view service, std::string_view callee_row) {
-  for (learned_path& path : row.paths) {
-    if (path.callee_row == callee_row && path.callee_service == service) {
-      return path;
-    }
-  }
-  if (row.paths.size() < row_paths::kPathBound) {
-    row.paths.emplace_back();
-  } else {
-    std::iter_swap(std::min_element(row.paths.begin(), row.paths.end(),
-                                    [](const learned_path& left, const learned_path& right) {
-                                      return left.last_reply < right.last_reply;
-                                    }),
-                   std::prev(row.paths.end()));
-    row.paths.back() = learned_path();
-  }
-  row.paths.back().callee_service = service;
-  row.paths.back().callee_row = callee_row;
-  return row.paths.back();
-}
-
 }  // namespace
 
 void learned_thresholds::Learn(std::uint32_t row, std::string_view callee_service,
                                std::string_view callee_row, call_rank threshold, instant now) {
-  if (row >= board_.paths.rows.size()) {
+  const std::uint32_t place = PlaceOf(callee_service, callee_row);
+  if (row >= board_.paths.rows.size() || place == callee_row_record::kNoCallee) {
     return;
   }
-  learned_path& path = PathOf(board_.paths.rows[row], callee_service, callee_row);
-  path.calls += 1;
-  if (path.callee == learned_path::kNoCallee) {
-    path.callee = board_.waits.PlaceOf(callee_service);
-  }
-  if (!IsFresh(path, now)) {
-    path.replies = 0;
+  callee_row_record& callee = board_.paths.callee_rows[place];
+  if (!IsFresh(callee, now)) {
+    callee.replies = 0;
   }
-  path.thresholds[path.replies % learned_path::kReplies] = threshold;
-  ++path.replies;
-  path.last_reply = now;
-  path.median = MedianOf(path);
+  callee.thresholds[callee.replies % callee_row_record::kReplies] = threshold;
+  ++callee.replies;
+  callee.last_reply = now;
+  callee.median = MedianOf(callee);
+  CountCall(board_.paths.rows[row], place);
   NoteCallees(row);
 }
 
+std::uint32_t learned_thresholds::PlaceOf(std::string_view service, std::string_view callee_row) {
+  std::vector<callee_row_record>& known = board_.paths.callee_rows;
+  for (std::size_t place = 0; place < known.size(); ++place) {
+    if (known[place].callee_row == callee_row && known[place].callee_service == service) {
+      return static_cast<std::uint32_t>(place);
+    }
+  }
+  if (known.size() >= paths_section::kCalleeRowBound) {
+    return callee_row_record::kNoCallee;
+  }
+  known.emplace_back();
+  known.back().callee_service = service;
+  known.back().callee_row = callee_row;
+  known.back().callee = board_.waits.PlaceOf(service);
+  return static_cast<std::uint32_t>(known.size() - 1);
+}
+
+/** Where all places are taken, the path that is used least gives way. */
+void learned_thresholds::CountCall(row_paths& row, std::uint32_t callee_row) {
+  const auto found = std::find_if(row.paths.begin(), row.paths.end(), [&](const row_path& path) {
+    return path.callee_row == callee_row;
+  });
+  if (found != row.paths.end()) {
+    found->calls += 1;
+    return;
+  }
+  if (row.paths.size() >= row_paths::kPathBound) {
+    row.paths.erase(std::min_element(
+        row.paths.begin(), row.paths.end(),
+        [](const row_path& left, const row_path& right) { return left.calls < right.calls; }));
+  }
+  row.paths.push_back({callee_row, 1});
+}
+
 void learned_thresholds::NoteCallees(std::uint32_t row) {
   std::uint64_t callees = 0;
-  for (const learned_path& path : board_.paths.rows[row].paths) {
-    if (path.callee != learned_path::kNoCallee && MakesCallMostly(board_.paths.rows[row], path)) {
-      callees |= std::uint64_t{1} << path.callee;
+  for (const row_path& path : board_.paths.rows[row].paths) {
+    const std::uint32_t callee = board_.paths.callee_rows[path.callee_row].callee;
+    if (callee != callee_row_record::kNoCallee && MakesCallMostly(board_.paths.rows[row], path)) {
+      callees |= std::uint64_t{1} << callee;
     }
   }
   board_.rows.rows[row].callees = callees;
@@ -96,17 +107,15 @@
     return;
   }
   record.ended /= 2;
-  for (learned_path& path : record.paths) {
+  for (row_path& path : record.paths) {
     path.calls /= 2;
   }
 }
 
 void learned_thresholds::Reset() {
-  for (row_paths& row : board_.paths.rows) {
-    for (learned_path& path : row.paths) {
-      path.replies = 0;
-      path.median = {};
-    }
+  for (callee_row_record& callee : board_.paths.callee_rows) {
+    callee.replies = 0;
+    callee.median = {};
   }
 }
 
@@ -116,19 +125,21 @@
     return highest;
   }
   const row_paths& record = board_.paths.rows[row];
-  for (const learned_path& path : record.paths) {
-    if (IsFresh(path, now) && MakesCallMostly(record, path)) {
-      highest = std::max(highest, path.median);
+  for (const row_path& path : record.paths) {
+    const callee_row_record& callee = board_.paths.callee_rows[path.callee_row];
+    if (IsFresh(callee, now) && MakesCallMostly(record, path)) {
+      highest = std::max(highest, callee.median);
     }
   }
   return highest;
 }
 
 bool learned_thresholds::TakeProbe(std::uint32_t row, instant now) {
-  for (learned_path& path : board_.paths.rows[row].paths) {
-    const bool silent = now - path.last_reply >= kProbeAfter;
-    if (path.median != call_rank() && silent && now - path.last_probe >= kProbeAfter) {
-      path.last_probe = now;
+  for (const row_path& path : board_.paths.rows[row].paths) {
+    callee_row_record& callee = board_.paths.callee_rows[path.callee_row];
+    const bool silent = now - callee.last_reply >= kProbeAfter;
+    if (callee.median != call_rank() && silent && now - callee.last_probe >= kProbeAfter) {
+      callee.last_probe = now;
       return true;
     }
   }
--- a/modules/cuminferry_policy/admission/learned_thresholds.h
+++ b/modules/cuminferry_policy/admission/learned_thresholds.h
@@ -9,9 +9,11 @@
 /** What callees, and their callees in turn, refuse.
 
     A request that would be refused further down after work was done for it is
-    refused here at once. Per row and callee the threshold is the median of the
-    last replies, as the targets of one callee service differ. It counts for a
-    row only where the row's requests mostly make that call.
+    refused here at once. Per callee row the threshold is the median of the last
+    replies, as the targets of one callee service differ. It is one for all own
+    rows: learned for each apart, a light row whose calls are seldom let through
+    would go by old words while a heavy one is refused. It counts for a row only
+    where the row's requests mostly make that call.
 
     Writes paths_section and row_record::callees.
 */
@@ -38,6 +40,8 @@
   bool TakeProbe(std::uint32_t row, instant now);
 
  private:
+  std::uint32_t PlaceOf(std::string_view service, std::string_view callee_row);
+  void CountCall(row_paths& row, std::uint32_t callee_row);
   void NoteCallees(std::uint32_t row);
 
   admission_blackboard& board_;
--- a/modules/cuminferry_policy/blackboard/admission_blackboard.cpp
+++ b/modules/cuminferry_policy/blackboard/admission_blackboard.cpp
@@ -9,7 +9,7 @@
     }
   }
   if (callees.size() >= kCalleeBound) {
-    return learned_path::kNoCallee;
+    return callee_row_record::kNoCallee;
   }
   callees.push_back({std::string(service), 0, {}});
   return static_cast<std::uint32_t>(callees.size() - 1);
--- a/modules/cuminferry_policy/blackboard/admission_blackboard.h
+++ b/modules/cuminferry_policy/blackboard/admission_blackboard.h
@@ -90,8 +90,8 @@
   call_rank own;
 };
 
-/** What a callee said of one of its rows, on replies to calls of one own row. */
-struct learned_path {
+/** What a callee service said of one of its rows, on replies to calls of all own rows. */
+struct callee_row_record {
   static constexpr std::uint32_t kNoCallee = std::numeric_limits<std::uint32_t>::max();
 
   /** Replies of late that the threshold is the median of. */
@@ -103,23 +103,33 @@
   std::uint32_t callee = kNoCallee;
   std::array<call_rank, kReplies> thresholds;
   std::uint32_t replies = 0;
-  /** Calls over this path, forgotten together with row_paths::ended. */
-  float calls = 0;
   call_rank median;
   instant last_reply;
   instant last_probe;
 };
 
+/** How often requests of one own row make one call. */
+struct row_path {
+  /** Place in paths_section::callee_rows. */
+  std::uint32_t callee_row = 0;
+  /** Calls over this path, forgotten together with row_paths::ended. */
+  float calls = 0;
+};
+
 /** The calls out that requests of one row make. */
 struct row_paths {
   static constexpr std::size_t kPathBound = 16;
 
-  std::vector<learned_path> paths;
+  std::vector<row_path> paths;
   /** Requests of the row that ended, of late. */
   float ended = 0;
 };
 
 struct paths_section {
+  /** Callee rows beyond these are called, but nothing is learned of them. */
+  static constexpr std::size_t kCalleeRowBound = 256;
+
+  std::vector<callee_row_record> callee_rows;
   std::vector<row_paths> rows;
 };
 
@@ -140,7 +150,7 @@
   std::uint64_t bounded = 0;
   std::uint64_t full = 0;
 
-  /** The place of a service; a new one where it was not known. learned_path::kNoCallee
+  /** The place of a service; a new one where it was not known. callee_row_record::kNoCallee
       where all are taken. */
   std::uint32_t PlaceOf(std::string_view service);
 };
