Measure fleets of real node processes on the loopback interface

Cause: how edits spread and what that costs must come from runs. A peer asked for a version that it has not heard of itself now holds the request and asks back, in place of an empty answer that sent the asker to the platform.

--- /dev/null
+++ b/extras/fleet_bench/fleet_bench_main.cpp
@@ -0,0 +1,205 @@
+// Starts fleets of node processes on the loopback interface against a stand-in for
+// the platform and measures how edits spread and what that costs.
+
+#include <algorithm>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "fleet_bench/bench_fleet.h"
+#include "fleet_bench/bench_node.h"
+
+namespace cuminferry::fleet_bench {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::chrono::seconds kLongestStart{60};
+constexpr std::chrono::seconds kLongestEdit{30};
+
+struct run_plan {
+  fleet_shape shape;
+  int edits = 100;
+  std::chrono::milliseconds between_edits{500};
+  std::chrono::seconds idle{10};
+  bool whole_table = false;
+};
+
+double MillisAt(std::vector<duration> times, double share) {
+  if (times.empty()) {
+    return 0.0;
+  }
+  std::sort(times.begin(), times.end());
+  const auto last = static_cast<double>(times.size() - 1);
+  return static_cast<double>(times[static_cast<std::size_t>(last * share + 0.5)].count()) / 1000.0;
+}
+
+json ToJson(const node_use& use) {
+  return {{"cpu_percent_of_a_core", use.cpu_percent},
+          {"cpu_percent_of_the_busiest", use.largest_cpu_percent},
+          {"bytes_per_second", use.bytes_per_second},
+          {"platform_reads_per_second_of_the_fleet", use.platform_reads_of_fleet},
+          {"resident_kb", use.resident_kilobytes},
+          {"private_kb", use.private_kilobytes},
+          {"private_kb_of_the_largest", use.largest_private_kilobytes},
+          {"peers", use.peers}};
+}
+
+void PrintUse(const char* when, const node_use& use) {
+  std::printf(
+      "  %-7s cpu %6.3f%% (busiest %6.3f%%)  %7.0f B/s  platform %6.1f reads/s of the fleet  "
+      "%5.1f MB resident, %5.1f MB private  %4.0f peers\n",
+      when, use.cpu_percent, use.largest_cpu_percent, use.bytes_per_second,
+      use.platform_reads_of_fleet, use.resident_kilobytes / 1024.0, use.private_kilobytes / 1024.0,
+      use.peers);
+}
+
+// One fleet: start, idle, edits. An empty result where it did not get so far.
+json Measure(const run_plan& plan) {
+  bench_fleet fleet(plan.shape);
+  if (!fleet.Start(kLongestStart)) {
+    std::printf("%zu nodes: not all had their tables after a minute\n", plan.shape.nodes);
+    return {};
+  }
+  const double start_millis = MillisAt(fleet.times(), 1.0);
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  fleet.Use();
+  std::this_thread::sleep_for(plan.idle);
+  const node_use idle = fleet.Use();
+  const std::size_t before = fleet.times().size();
+  std::vector<duration> on_all;
+  int missed = 0;
+  for (int edit = 0; edit < plan.edits; ++edit) {
+    const auto service = static_cast<std::size_t>(edit) % plan.shape.services;
+    fleet.Edit(plan.whole_table ? std::nullopt : std::optional(service));
+    const std::optional<duration> took = fleet.AwaitInForce(kLongestEdit);
+    missed += took.has_value() ? 0 : 1;
+    on_all.push_back(took.value_or(kLongestEdit));
+    std::this_thread::sleep_for(plan.between_edits);
+  }
+  const node_use busy = fleet.Use();
+  const std::vector<duration> each(fleet.times().begin() + static_cast<std::ptrdiff_t>(before),
+                                   fleet.times().end());
+  std::printf("%zu nodes, %zu services, %zu followed, %zu rows: started in %.0f ms\n",
+              plan.shape.nodes, plan.shape.services, plan.shape.follows + 1, plan.shape.rows,
+              start_millis);
+  std::printf(
+      "  edit in force on all: p50 %.0f ms, p99 %.0f ms, max %.0f ms over %d edits, "
+      "%d missed; on one node p99 %.0f ms\n",
+      MillisAt(on_all, 0.5), MillisAt(on_all, 0.99), MillisAt(on_all, 1.0), plan.edits, missed,
+      MillisAt(each, 0.99));
+  PrintUse("idle", idle);
+  PrintUse("edits", busy);
+  return {{"nodes", plan.shape.nodes},
+          {"services", plan.shape.services},
+          {"follows", plan.shape.follows},
+          {"rows", plan.shape.rows},
+          {"index_only", plan.shape.index_only},
+          {"start_ms", start_millis},
+          {"edits", plan.edits},
+          {"edits_missed", missed},
+          {"edit_on_all_ms",
+           {{"p50", MillisAt(on_all, 0.5)},
+            {"p99", MillisAt(on_all, 0.99)},
+            {"max", MillisAt(on_all, 1.0)}}},
+          {"edit_on_one_p99_ms", MillisAt(each, 0.99)},
+          {"idle", ToJson(idle)},
+          {"during_edits", ToJson(busy)}};
+}
+
+endpoint ParseEndpoint(const std::string& text) {
+  endpoint at;
+  if (!endpoint::Parse(text, at)) {
+    throw std::invalid_argument("not an address and port: " + text);
+  }
+  return at;
+}
+
+int RunNode(const cxxopts::ParseResult& given) {
+  bench_node_settings settings;
+  settings.node.instance = given["instance"].as<std::string>();
+  settings.node.service = given["service"].as<std::string>();
+  settings.node.failure_domain = given["domain"].as<std::string>();
+  settings.node.region = given["region"].as<std::string>();
+  settings.node.peer = ParseEndpoint(given["peer"].as<std::string>());
+  settings.node.platform = {ParseEndpoint(given["platform"].as<std::string>())};
+  settings.node.seeds = {ParseEndpoint(given["seed"].as<std::string>())};
+  settings.follows = given["follow"].as<std::vector<std::string>>();
+  const absl::Status ended = bench_node(std::move(settings)).Run();
+  if (!ended.ok()) {
+    std::cerr << ended << "\n";
+  }
+  return ended.ok() ? 0 : 1;
+}
+
+int RunBench(const cxxopts::ParseResult& given) {
+  json results = json::array();
+  for (const std::size_t nodes : given["nodes"].as<std::vector<std::size_t>>()) {
+    run_plan plan;
+    plan.shape.nodes = nodes;
+    plan.shape.services = given["services"].as<std::size_t>();
+    plan.shape.domains = given["domains"].as<std::size_t>();
+    plan.shape.regions = given["regions"].as<std::size_t>();
+    plan.shape.follows = given["follows"].as<std::size_t>();
+    plan.shape.rows = given["rows"].as<std::size_t>();
+    plan.shape.index_only = given["index-only"].as<std::size_t>();
+    plan.edits = given["edits"].as<int>();
+    plan.between_edits = std::chrono::milliseconds(given["between-ms"].as<int>());
+    plan.idle = std::chrono::seconds(given["idle-s"].as<int>());
+    plan.whole_table = given.count("whole-table") > 0;
+    results.push_back(Measure(plan));
+    std::fflush(stdout);
+  }
+  if (given.count("json") > 0) {
+    std::ofstream(given["json"].as<std::string>()) << results.dump(2) << "\n";
+  }
+  return std::any_of(results.begin(), results.end(), [](const json& one) { return one.is_null(); })
+             ? 1
+             : 0;
+}
+
+int Main(int count, char** words) {
+  using cxxopts::value;
+  cxxopts::Options options("cuminferry-fleet-bench",
+                           "Measures how edits of the table spread over a fleet of processes");
+  options.add_options()("help", "print this")(
+      "nodes", "fleets to start, by nodes", value<std::vector<std::size_t>>()->default_value("8"))(
+      "services", "services", value<std::size_t>()->default_value("4"))(
+      "domains", "failure domains", value<std::size_t>()->default_value("4"))(
+      "regions", "regions", value<std::size_t>()->default_value("1"))(
+      "follows", "services that each node calls", value<std::size_t>()->default_value("1"))(
+      "rows", "rows of each service", value<std::size_t>()->default_value("5"))(
+      "index-only", "further services that the index lists",
+      value<std::size_t>()->default_value("0"))(
+      "edits", "edits", value<int>()->default_value("100"))("between-ms", "pause after each edit",
+                                                            value<int>()->default_value("500"))(
+      "idle-s", "length of the idle phase", value<int>()->default_value("10"))(
+      "whole-table", "each edit changes all services")("json", "file for the figures",
+                                                       value<std::string>());
+  options.add_options("one node")("node", "be one node")("instance", "", value<std::string>())(
+      "service", "", value<std::string>())("domain", "", value<std::string>())(
+      "region", "", value<std::string>())("peer", "", value<std::string>())(
+      "platform", "", value<std::string>())("seed", "", value<std::string>())(
+      "follow", "", value<std::vector<std::string>>());
+  const cxxopts::ParseResult given = options.parse(count, words);
+  if (given.count("help") > 0) {
+    std::cout << options.help({""});
+    return 0;
+  }
+  return given.count("node") > 0 ? RunNode(given) : RunBench(given);
+}
+
+}  // namespace
+}  // namespace cuminferry::fleet_bench
+
+int main(int count, char** words) {
+  try {
+    return cuminferry::fleet_bench::Main(count, words);
+  } catch (const std::exception& failure) {
+    std::cerr << "CF206: " << failure.what() << "\n";
+    return 2;
+  }
+}
--- a/modules/cuminferry_fleet/agent/fleet_agent.cpp
+++ b/modules/cuminferry_fleet/agent/fleet_agent.cpp
@@ -131,9 +131,7 @@
       Reply(request.name, from);
       return;
     }
-    std::vector<waiting_request>& waiting = waiting_[request.name];
-    if (fetch_.Wants(request.name) && waiting.size() < kWaitingBound) {
-      waiting.push_back({request, from, now + kWaitingAtMost});
+    if (store_.Follows(request.name) && Park(request, from, now)) {
       return;
     }
     actions_.replies.push_back({from, request.name, 0, {}});
@@ -578,6 +576,21 @@
         {to, name, store_.VersionOf(name), std::string(store_.TextOf(name))});
   }
 
+  // Who asks knows of a newer version. This node may not have heard of it yet: then
+  // it asks back for the versions, as an empty answer would send the asker on to
+  // the platform.
+  bool Park(const content_request& request, endpoint from, instant now) {
+    std::vector<waiting_request>& waiting = waiting_[request.name];
+    if (waiting.size() >= kWaitingBound) {
+      return false;
+    }
+    waiting.push_back({request, from, now + kWaitingAtMost});
+    if (!fetch_.Wants(request.name)) {
+      Send(spread_.Probe(from));
+    }
+    return true;
+  }
+
   void ReplyIndex(const content_request& request, endpoint from) {
     const published_index newer =
         spread_.directory().NewerThan(request.newer_than, spread_.fleet_size());
