Greet before asking in the bench's connections

Cause: the bench's node sent its first request on a new connection before its hello, so the peer could not tell whom to answer and the asker waited 400 ms. Not a fault of the fleet's decisions: in virtual time the same fleet took 130 to 249 ms.

--- a/extras/fleet_bench/bench_node.cpp
+++ b/extras/fleet_bench/bench_node.cpp
@@ -46,7 +46,12 @@
  public:
   explicit state(bench_node_settings settings)
       : settings_(std::move(settings)),
-        hub_({.on_open = [this](connection_id connection, bool) { SendHello(connection); },
+        hub_({.on_open =
+                  [this](connection_id connection, bool accepted) {
+                    if (accepted) {
+                      SendHello(connection);
+                    }
+                  },
               .on_message = [this](
                                 connection_id from, message_type type,
                                 std::span<const char> payload) { OnMessage(from, type, payload); },
@@ -116,6 +121,8 @@
     const connection_id made = hub_.Connect(peer);
     to_peer_[peer] = made;
     peer_of_[made] = peer;
+    // Before all else, or the other side would not know whom to answer.
+    SendHello(made);
     return made;
   }
 
