--- a/extras/stand_ins/backend/backend_stand_in.cpp
+++ b/extras/stand_ins/backend/backend_stand_in.cpp
@@ -48,6 +48,12 @@
 // How a call out ended, as far as it matters to the request that made it.
 enum class call_end : std::uint8_t { kWell, kNotRun, kFailed };
 
+struct call_outcome {
+  call_end end = call_end::kFailed;
+  /** For people: which call it was and what came back. */
+  std::string text;
+};
+
 }  // namespace
 
 class backend_stand_in::state {
@@ -166,34 +172,33 @@
 
   //============================================================================
   bool MakeCalls(const running_request& running, run_record& record, httplib::Response& response) {
-    const call_end worst =
+    const call_outcome worst =
         running.kind.calls_in_parallel ? CallAllAtOnce(running) : CallOneByOne(running);
-    if (worst == call_end::kWell) {
+    if (worst.end == call_end::kWell) {
       return true;
     }
     record.end = run_end::kCallFailed;
-    response.status = worst == call_end::kNotRun ? kUnavailable : kBadGateway;
-    response.set_content("a call out failed", kTextType);
+    response.status = worst.end == call_end::kNotRun ? kUnavailable : kBadGateway;
+    response.set_content("a call out failed: " + worst.text + "\n", kTextType);
     return false;
   }
 
-  call_end CallOneByOne(const running_request& running) {
+  call_outcome CallOneByOne(const running_request& running) {
     for (const call_out& call : running.kind.calls) {
-      const call_end end = Call(running, call);
-      if (end != call_end::kWell) {
-        return end;
+      call_outcome outcome = Call(running, call);
+      if (outcome.end != call_end::kWell) {
+        return outcome;
       }
     }
-    return call_end::kWell;
+    return {call_end::kWell, {}};
   }
 
-  call_end CallAllAtOnce(const running_request& running) {
-    const auto count = static_cast<std::ptrdiff_t>(running.kind.calls.size());
-    std::latch finished(count);
-    std::vector<call_end> ends(running.kind.calls.size(), call_end::kFailed);
-    for (std::size_t at = 0; at < ends.size(); ++at) {
+  call_outcome CallAllAtOnce(const running_request& running) {
+    std::vector<call_outcome> outcomes(running.kind.calls.size());
+    std::latch finished(static_cast<std::ptrdiff_t>(outcomes.size()));
+    for (std::size_t at = 0; at < outcomes.size(); ++at) {
       const bool queued = call_threads_.Submit([&, at] {
-        ends[at] = Call(running, running.kind.calls[at]);
+        outcomes[at] = Call(running, running.kind.calls[at]);
         finished.count_down();
       });
       if (!queued) {
@@ -201,10 +206,13 @@
       }
     }
     finished.wait();
-    return ends.empty() ? call_end::kWell : *std::max_element(ends.begin(), ends.end());
+    const auto worst = std::max_element(
+        outcomes.begin(), outcomes.end(),
+        [](const call_outcome& left, const call_outcome& right) { return left.end < right.end; });
+    return worst == outcomes.end() ? call_outcome{call_end::kWell, {}} : *worst;
   }
 
-  call_end Call(const running_request& running, const call_out& call) {
+  call_outcome Call(const running_request& running, const call_out& call) {
     const auto left =
         std::chrono::duration_cast<milliseconds>(running.deadline - boot_clock::Now());
     ++calls_;
@@ -217,13 +225,15 @@
       request.body = running.name;
       request.set_header("Content-Type", kTextType);
     }
+    const std::string what = call.method + " " + call.service + call.path;
     const httplib::Result result = client->send(request);
     if (!result) {
-      return call_end::kFailed;
+      return {call_end::kFailed, what + ": " + httplib::to_string(result.error())};
     }
     const call_end end = EndOf(*result, running.name);
     egress_.Return(std::move(client));
-    return end;
+    return {end, what + ": HTTP " + std::to_string(result->status) + " CF" +
+                     result->get_header_value(header_names::kCode)};
   }
 
   call_end EndOf(const httplib::Response& answer, const std::string& name) {
--- a/tests/caller/http_transport_test.cpp
+++ b/tests/caller/http_transport_test.cpp
@@ -21,7 +21,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    ::bind(socket_, reinterpret_cast<sockaddr*>(&address), size);
+    CPPUNIT_ASSERT(::bind(socket_, reinterpret_cast<sockaddr*>(&address), size) == 0);
     ::listen(socket_, 1);
     ::getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
     at_ = {INADDR_LOOPBACK, ntohs(address.sin_port)};
