Let links between the nodes of a trial go silent and failure domains be cut off

Cause: connections that go silent for good and partitions could not be brought about: nodes name themselves by the address that they listen on, so a relay in between would be passed by.

Weighed: relays (a ticket's home and a hello name the real address), a switch in the node (product code that breaks the product), network namespaces (need rights that a test should not ask for). A small library loaded before the C library swallows what one domain sends to another, and what was sent over connections opened before a moment; nodes run unchanged. Domains are told apart by their loopback addresses.

--- a/extras/trial/deployment.cpp
+++ b/extras/trial/deployment.cpp
@@ -19,9 +19,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint32_t kLoopback = 0x7F000001;
-// Peers listen on an address of their failure domain: 127.0.10.1, 127.0.11.1, ...
-constexpr std::uint32_t kFirstDomainAddress = 0x7F000A01;
-constexpr std::uint32_t kDomainAddressStep = 0x100;
 constexpr duration kLongestStart = std::chrono::seconds(20);
 constexpr timespec kPollPause{0, 20'000'000};
 constexpr milliseconds kAskTimeout{2000};
@@ -145,6 +142,7 @@
 
   std::vector<running_target>& targets() { return targets_; }
   endpoint platform() const { return platform_; }
+  link_fault_control& links() { return *links_; }
   const std::string& folder() const { return folder_; }
   std::string JournalFileOf(const running_target& target) const {
     return folder_ + "/journal-" + FileName(target.instance);
@@ -162,6 +160,10 @@
       return MakeStatus(result_code::kSettingsFileUnreadable, pattern);
     }
     folder_ = pattern;
+    if (options_.link_faults) {
+      links_ = std::make_unique<link_fault_control>(
+          folder_ + "/link-faults", options_.programs + "/extras/trial/cuminferry_link_faults.so");
+    }
     return absl::OkStatus();
   }
 
@@ -186,13 +188,13 @@
     target.instance = domain + "/" + service + "-" + std::to_string(slot + 1);
     target.service = service;
     target.failure_domain = domain;
+    target.domain_index = domain_index;
     target.target_slot = slot;
     target.front = FreeEndpoint(kLoopback);
     target.egress = FreeEndpoint(kLoopback);
     target.admin = FreeEndpoint(kLoopback);
     target.backend = FreeEndpoint(kLoopback);
-    target.peer = FreeEndpoint(kFirstDomainAddress +
-                               static_cast<std::uint32_t>(domain_index) * kDomainAddressStep);
+    target.peer = FreeEndpoint(AddressOfDomain(domain_index));
     targets_.push_back(std::move(target));
   }
 
@@ -254,7 +256,9 @@
     const std::string file = folder_ + "/node-" + FileName(target.instance) + ".json";
     WriteText(file, settings.dump(2));
     return Spawn({options_.programs + "/extras/node/cuminferry-node", "--settings", file},
-                 "node-" + FileName(target.instance), target.node_process);
+                 "node-" + FileName(target.instance), target.node_process,
+                 links_ == nullptr ? std::vector<std::string>{}
+                                   : links_->EnvironmentFor(target.domain_index));
   }
 
   // A few peers over the domains, so that a start without the platform works too.
@@ -269,10 +273,11 @@
   }
 
   absl::Status Spawn(const std::vector<std::string>& command, const std::string& name,
-                     std::unique_ptr<child_process>& into) {
+                     std::unique_ptr<child_process>& into,
+                     const std::vector<std::string>& environment = {}) {
     into.reset();
     absl::StatusOr<child_process> started =
-        child_process::Start(command, folder_ + "/" + name + ".log");
+        child_process::Start(command, folder_ + "/" + name + ".log", environment);
     if (!started.ok()) {
       return started.status();
     }
@@ -288,6 +293,7 @@
   const deployment_plan& plan_;
   options options_;
   std::string folder_;
+  std::unique_ptr<link_fault_control> links_;
   port_finder ports_;
   endpoint platform_;
   std::unique_ptr<child_process> platform_process_;
@@ -363,6 +369,8 @@
   return fronts;
 }
 
+link_fault_control& deployment::links() { return state_->links(); }
+
 endpoint deployment::platform() const { return state_->platform(); }
 
 const std::string& deployment::folder() const { return state_->folder(); }
--- a/extras/trial/deployment.h
+++ b/extras/trial/deployment.h
@@ -9,6 +9,7 @@
 
 #include "trial/child_process.h"
 #include "trial/deployment_plan.h"
+#include "trial/link_fault_control.h"
 
 namespace cuminferry::trial {
 
@@ -17,6 +18,7 @@
   std::string instance;
   std::string service;
   std::string failure_domain;
+  std::size_t domain_index = 0;
   std::uint32_t target_slot = 0;
   endpoint front;
   endpoint egress;
@@ -43,6 +45,8 @@
     bool heeds_deadlines = true;
     /** "honest", "idle", "full" or "frozen". */
     std::string health = "honest";
+    /** Loads the library into the nodes that lets links go silent. */
+    bool link_faults = false;
     /** Only the first so many failure domains; 0: all. */
     std::size_t domains = 0;
     /** Keeps settings, journals and logs after the end. */
@@ -67,6 +71,9 @@
   /** Makes all backend servers of a service this much slower. */
   void SlowDown(std::string_view service, double factor);
 
+  /** Lets links between nodes go silent; only where options.link_faults. */
+  link_fault_control& links();
+
   /** Starts the node of a target anew, on the same addresses, and waits for its table. */
   absl::Status StartNode(running_target& target);
   absl::Status StartBackend(running_target& target);
--- a/extras/trial/fault.cpp
+++ b/extras/trial/fault.cpp
@@ -15,13 +15,15 @@
 constexpr std::chrono::seconds kRestartAfter{2};
 constexpr std::chrono::seconds kPauseLength{3};
 
-constexpr std::array<std::pair<std::string_view, fault_kind>, 6> kNames = {{
+constexpr std::array<std::pair<std::string_view, fault_kind>, 8> kNames = {{
     {"slow-deep", fault_kind::kSlowDeep},
     {"kill-node", fault_kind::kKillNode},
     {"kill-instance", fault_kind::kKillInstance},
     {"pause", fault_kind::kPause},
     {"platform-down", fault_kind::kPlatformDown},
     {"drain", fault_kind::kDrain},
+    {"silence", fault_kind::kSilence},
+    {"cut-off", fault_kind::kCutOff},
 }};
 
 }  // namespace
@@ -79,6 +81,14 @@
       case fault_kind::kDrain:
         SignalOneOfEach(SIGTERM);
         break;
+      case fault_kind::kSilence:
+        running_.links().SilenceOpenConnections();
+        break;
+      case fault_kind::kCutOff:
+        running_.links().SetCutOff(0, true);
+        std::this_thread::sleep_for(length);
+        running_.links().SetCutOff(0, false);
+        break;
     }
   }
 
--- a/extras/trial/fault.h
+++ b/extras/trial/fault.h
@@ -19,10 +19,12 @@
   kPause,         ///< SIGSTOP of one node of each service for 3 s
   kPlatformDown,  ///< the platform doesn't answer during the surge
   kDrain,         ///< SIGTERM of one node of each service
+  kSilence,       ///< all open connections between nodes go silent for good
+  kCutOff,        ///< the first failure domain is cut off from the others during the surge
 };
 
 /** The kinds by name: "slow-deep", "kill-node", "kill-instance", "pause",
-    "platform-down", "drain". Fails with kCommandLineInvalid. */
+    "platform-down", "drain", "silence", "cut-off". Fails with kCommandLineInvalid. */
 absl::StatusOr<fault_kind> ParseFault(std::string_view name);
 
 /** Brings a fault about and mends it, on its own thread. */
--- a/extras/trial/trial_main.cpp
+++ b/extras/trial/trial_main.cpp
@@ -44,7 +44,9 @@
   add("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"));
   add("seeds", "how many seeds, one after another",
       cxxopts::value<std::uint64_t>()->default_value("1"));
-  add("fault", "slow-deep, kill-node, kill-instance, pause, platform-down, drain; with commas",
+  add("fault",
+      "slow-deep, kill-node, kill-instance, pause, platform-down, drain, silence, cut-off; with "
+      "commas",
       cxxopts::value<std::vector<std::string>>());
   add("health", "what backend servers report: honest, idle, full, frozen",
       cxxopts::value<std::string>()->default_value("honest"));
--- a/extras/trial/trial_run.cpp
+++ b/extras/trial/trial_run.cpp
@@ -64,6 +64,7 @@
 absl::StatusOr<trial_measures> RunTrial(const deployment_plan& plan, const run_options& options) {
   deployment::options chosen = options.deployment;
   chosen.heeds_deadlines = chosen.control == "full" || options.heeding_baselines;
+  chosen.link_faults = chosen.link_faults || !options.faults.empty();
   auto started = deployment::Start(plan, chosen);
   if (!started.ok()) {
     return started.status();
