--- a/modules/cuminferry_policy/claims/claim_book.cpp
+++ b/modules/cuminferry_policy/claims/claim_book.cpp
@@ -289,6 +289,8 @@
 
 claim_book::claim_book(claim_book&& other) noexcept = default;
 
+claim_book& claim_book::operator=(const claim_book& other) { return *this = claim_book(other); }
+
 claim_book& claim_book::operator=(claim_book&& other) noexcept = default;
 
 claim_book::~claim_book() = default;
--- a/modules/cuminferry_policy/claims/claim_book.h
+++ b/modules/cuminferry_policy/claims/claim_book.h
@@ -78,6 +78,7 @@
   explicit claim_book(options chosen, instant now);
   claim_book(const claim_book& other);
   claim_book(claim_book&& other) noexcept;
+  claim_book& operator=(const claim_book& other);
   claim_book& operator=(claim_book&& other) noexcept;
   ~claim_book();
 
--- a/modules/cuminferry_policy/claims/claim_sender.cpp
+++ b/modules/cuminferry_policy/claims/claim_sender.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cassert>
 
+#include "cuminferry_policy/claims/ticket_text.h"
+
 namespace cuminferry {
 namespace {
 
@@ -141,6 +143,22 @@
   return std::min(question, options_.deadline);
 }
 
+std::string claim_sender::ToString() const {
+  std::string text = ticket_text::Write(ticket_);
+  const auto add = [&text](bool holds, const char* word) { text += holds ? word : ""; };
+  add(exclusive_, " exclusive");
+  add(bound_, " bound");
+  add(sent_, " sent");
+  add(sent_before_, " sent_before");
+  add(options_.body_kept, " body_kept");
+  add(last_question_revoked_, " revoked");
+  add(ended_, " ended");
+  text += " rebinds=" + std::to_string(rebinds_);
+  text += " last_question=" + std::to_string(ToMicros(last_question_));
+  text += " next_question=" + std::to_string(ToMicros(next_question_));
+  return text;
+}
+
 claim_actions claim_sender::Send(instant now) {
   sent_before_ = sent_;
   sent_ = true;
@@ -162,8 +180,8 @@
 }
 
 claim_actions claim_sender::NotRun(result_code code, instant now) {
-  const bool again =
-      exclusive_ && IsAboutInstanceOnly(code) && rebinds_ < options_.rebinds && !IsTimeShort(now);
+  const bool may_bind = exclusive_ && options_.body_kept && rebinds_ < options_.rebinds;
+  const bool again = may_bind && IsAboutInstanceOnly(code) && !IsTimeShort(now);
   if (!again) {
     return End(claim_end::kNotRun, code);
   }
--- a/modules/cuminferry_policy/claims/claim_sender.h
+++ b/modules/cuminferry_policy/claims/claim_sender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
@@ -107,6 +108,8 @@
   bool ended() const { return ended_; }
   /** The current ticket; also after the end, for the caller to keep. */
   const claim_ticket& ticket() const { return ticket_; }
+  /** All that decides what it does next, on one line, for logs and tests. */
+  std::string ToString() const;
 
  private:
   claim_actions Send(instant now);
