--- a/modules/cuminferry_wire/tcp/tcp_hub.cpp
+++ b/modules/cuminferry_wire/tcp/tcp_hub.cpp
@@ -136,9 +136,7 @@
   }
 
   ~state() {
-    stopping_ = true;
-    Wake();
-    thread_.reset();
+    Stop();
     {
       ranked_lock lock(mutex_);
       connections_.clear();
@@ -200,6 +198,12 @@
     }
   }
 
+  void Stop() {
+    stopping_ = true;
+    Wake();
+    thread_.reset();
+  }
+
   std::size_t connections() {
     ranked_lock lock(mutex_);
     return connections_.size();
@@ -286,6 +290,10 @@
     int failed = 0;
     socklen_t length = sizeof(failed);
     ::getsockopt(on.descriptor(), SOL_SOCKET, SO_ERROR, &failed, &length);
+    if (failed == ECONNREFUSED) {
+      End(on.id(), MakeStatus(result_code::kTargetUnreachable, "nothing listens there"));
+      return false;
+    }
     if (failed != 0) {
       End(on.id(), Lost(std::strerror(failed)));
       return false;
@@ -359,6 +367,8 @@
 
 void tcp_hub::Close(connection_id connection) { state_->Close(connection); }
 
+void tcp_hub::Stop() { state_->Stop(); }
+
 std::size_t tcp_hub::connections() const { return state_->connections(); }
 
 }  // namespace cuminferry
