Leave a tombstone where a call is refused before it is weighed

Cause: a node that refuses a filing for a reason of its own (no table yet, no such row) said not_run without remembering it; a second copy that comes after the table would run. Found by reading the runtime against the book's promises.

--- a/modules/cuminferry_policy/claims/claim_book.cpp
+++ b/modules/cuminferry_policy/claims/claim_book.cpp
@@ -138,11 +138,11 @@
     answers_.emplace(last_answer_, kept_answer{claim, std::move(answer)});
   }
 
-  void BreakOff(const claim_id& claim) {
+  void BreakOff(const claim_id& claim, result_code code) {
     entry* found = Find(claim);
     assert(found != nullptr && found->state == claim_state::kRunning);
     if (found != nullptr && found->state == claim_state::kRunning) {
-      End(*found, claim_state::kBrokenOff, result_code::kBackendFailed);
+      End(*found, claim_state::kBrokenOff, code);
     }
   }
 
@@ -303,6 +303,15 @@
   return state_->Begin(claim);
 }
 
+claim_report claim_book::Refuse(const claim_id& claim, result_code code, instant now) {
+  const claim_report report = Begin(claim, now);
+  if (report.state != claim_state::kNeverSeen) {
+    return report;
+  }
+  state_->EndUnrun(claim, code);
+  return state_->Ask(claim);
+}
+
 bool claim_book::HandOver(const claim_id& claim, instant now) {
   state_->Turn(now);
   return state_->HandOver(claim);
@@ -318,9 +327,13 @@
   state_->Complete(claim, std::move(answer));
 }
 
-void claim_book::BreakOff(const claim_id& claim, instant now) {
+void claim_book::BreakOff(const claim_id& claim, result_code code, instant now) {
   state_->Turn(now);
-  state_->BreakOff(claim);
+  state_->BreakOff(claim, code);
+}
+
+void claim_book::BreakOff(const claim_id& claim, instant now) {
+  BreakOff(claim, result_code::kBackendFailed, now);
 }
 
 claim_report claim_book::Ask(const claim_id& claim, instant now) {
--- a/modules/cuminferry_policy/claims/claim_book.h
+++ b/modules/cuminferry_policy/claims/claim_book.h
@@ -91,6 +91,13 @@
       run for this call; the report says what to answer. */
   claim_report Begin(const claim_id& claim, instant now);
 
+  /** A call with this ticket arrived and is refused for a reason that has nothing
+      to do with the ticket, such as a table that is not there yet. Leaves a
+      tombstone, without which a second copy could run after "not run" was told.
+      The report is what to answer: not always a tombstone, as an earlier copy
+      may run. */
+  claim_report Refuse(const claim_id& claim, result_code code, instant now);
+
   /** The point of no return, just before the backend server gets the request.
       False where it was revoked meanwhile: it must not be handed over. */
   bool HandOver(const claim_id& claim, instant now);
@@ -102,7 +109,9 @@
   /** The backend server answered. */
   void Complete(const claim_id& claim, std::string answer, instant now);
 
-  /** Handed over, but no answer came. */
+  /** Handed over, but no answer came; `code` is told to those who ask. */
+  void BreakOff(const claim_id& claim, result_code code, instant now);
+  /** As above with kBackendFailed. */
   void BreakOff(const claim_id& claim, instant now);
 
   /** What became of it; nothing changes. */
--- a/modules/cuminferry_policy/claims/claim_sender.cpp
+++ b/modules/cuminferry_policy/claims/claim_sender.cpp
@@ -70,10 +70,11 @@
   if (state == claim_state::kNeverSeen) {
     // The call was lost on its way, or is still on it. Under the same ticket a
     // second copy does no harm; without the body only a tombstone helps.
-    return options_.body_kept && !IsTimeShort(now) ? Send(now) : Ask(now);
+    return options_.body_kept && !IsTimeShort(now) ? Send(now) : Revoke(now);
   }
   if (!IsFinal(state)) {
-    next_question_ = std::max(next_question_, now + options_.ask_interval);
+    const duration pause = reply_lost_ ? options_.ask_interval : options_.ask_after;
+    next_question_ = std::max(next_question_, now + pause);
     return {};
   }
   const claim_end end = EndOf(state);
@@ -95,7 +96,17 @@
   // A home out of reach loses each new connection at once; without the interval
   // the questions would follow each other as fast as the processor allows.
   const bool asked_lately = now < last_question_ + options_.ask_interval;
-  return IsAbout(about) && !asked_lately ? Ask(now) : claim_actions{};
+  if (!IsAbout(about)) {
+    return {};
+  }
+  reply_lost_ = true;
+  next_question_ = std::min(next_question_, now + options_.ask_interval);
+  if (asked_lately) {
+    return {};
+  }
+  // Without its body the call can't go on under any ticket; the sooner it is
+  // sure that it doesn't run, the better.
+  return options_.body_kept ? Ask(now) : Revoke(now);
 }
 
 claim_actions claim_sender::HomeGone(const claim_ticket& about, instant) {
@@ -152,6 +163,7 @@
   add(sent_before_, " sent_before");
   add(options_.body_kept, " body_kept");
   add(last_question_revoked_, " revoked");
+  add(reply_lost_, " reply_lost");
   add(ended_, " ended");
   text += " rebinds=" + std::to_string(rebinds_);
   text += " last_question=" + std::to_string(ToMicros(last_question_));
@@ -163,11 +175,15 @@
   sent_before_ = sent_;
   sent_ = true;
   next_question_ = now + options_.ask_after;
+  reply_lost_ = false;
   return {{.what = claim_action::kind::kSend, .ticket = ticket_}};
 }
 
-claim_actions claim_sender::Ask(instant now) {
-  const bool revoke = IsTimeShort(now) || !options_.body_kept;
+claim_actions claim_sender::Ask(instant now) { return Question(IsTimeShort(now), now); }
+
+claim_actions claim_sender::Revoke(instant now) { return Question(true, now); }
+
+claim_actions claim_sender::Question(bool revoke, instant now) {
   last_question_ = now;
   next_question_ = now + options_.ask_interval;
   last_question_revoked_ = revoke;
--- a/modules/cuminferry_policy/claims/claim_sender.h
+++ b/modules/cuminferry_policy/claims/claim_sender.h
@@ -51,7 +51,7 @@
     /** Without a word for so long, the home is asked. Connections report their
         own silence; this is for a reply that got lost between connections. */
     duration ask_after = std::chrono::seconds(2);
-    /** Between two questions. */
+    /** Between two questions, where a connection was lost or nothing is heard. */
     duration ask_interval = std::chrono::milliseconds(200);
     /** With less than this left, a question revokes: better a sure `not_run` with
         time to tell it than `unknown`. */
@@ -114,6 +114,8 @@
  private:
   claim_actions Send(instant now);
   claim_actions Ask(instant now);
+  claim_actions Revoke(instant now);
+  claim_actions Question(bool revoke, instant now);
   claim_actions End(claim_end end, result_code code);
   claim_actions NotRun(result_code code, instant now);
   bool IsAbout(const claim_ticket& about) const;
@@ -132,6 +134,9 @@
   instant next_question_;
   instant last_question_ = instant::min();
   bool last_question_revoked_ = false;
+  /** The reply may have been on a connection that is lost: only questions can
+      bring it now. */
+  bool reply_lost_ = false;
   bool ended_ = false;
 };
 
--- a/tests/claims/claim_book_test.cpp
+++ b/tests/claims/claim_book_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(Turn_CallStillRuns_IsNotForgotten);
   CPPUNIT_TEST(Begin_BookFull_ClosesItsWindowsUntilTheyTurn);
   CPPUNIT_TEST(Revoke_BookFull_IsATombstoneAllTheSame);
+  CPPUNIT_TEST(Refuse_BeforeItIsWeighed_LeavesATombstone);
   CPPUNIT_TEST(Complete_AnswersOverTheBound_GoOldestFirst);
   CPPUNIT_TEST(Book_AnyTickets_StaysWithinItsBounds);
   CPPUNIT_TEST_SUITE_END();
@@ -123,6 +124,23 @@
     CPPUNIT_ASSERT(book.Begin(Claim(1, 7), kStart).state == claim_state::kTombstone);
   }
 
+  // A node that has just started has no table and refuses a filing. A second copy
+  // of it comes after the table: it must not run, as "not run" has been told. And
+  // of one that runs already, the refusal of a second copy proves nothing.
+  void Refuse_BeforeItIsWeighed_LeavesATombstone() {
+    claim_book book(Small(), kStart);
+    AssertState(claim_state::kTombstone, result_code::kNoTableYet,
+                book.Refuse(Claim(1, 1), result_code::kNoTableYet, kStart));
+    CPPUNIT_ASSERT(book.Begin(Claim(1, 1), kStart).state == claim_state::kTombstone);
+    book.Begin(Claim(1, 2), kStart);
+    book.HandOver(Claim(1, 2), kStart);
+    AssertState(claim_state::kRunning, result_code::kTicketRunning,
+                book.Refuse(Claim(1, 2), result_code::kNoTableYet, kStart));
+    book.BreakOff(Claim(1, 2), result_code::kAnswerTooLarge, kStart);
+    AssertState(claim_state::kBrokenOff, result_code::kAnswerTooLarge,
+                book.Ask(Claim(1, 2), kStart));
+  }
+
   void Complete_AnswersOverTheBound_GoOldestFirst() {
     claim_book book(Small(), kStart);
     const auto complete = [&](std::uint64_t nonce, const std::string& answer) {
--- a/tests/claims/claim_schedule.cpp
+++ b/tests/claims/claim_schedule.cpp
@@ -455,6 +455,9 @@
       return Reply(arrived,
                    arrived.revoke ? place.book->Revoke(id, now_) : place.book->Ask(id, now_));
     }
+    if (Chance(4)) {
+      return Reply(arrived, place.book->Refuse(id, result_code::kNoTableYet, now_));
+    }
     const claim_report report = place.book->Begin(id, now_);
     if (report.state != claim_state::kNeverSeen) {
       return Reply(arrived, report);
--- a/tests/claims/faulty_book.h
+++ b/tests/claims/faulty_book.h
@@ -14,6 +14,7 @@
 
   std::uint32_t Window(instant now) { return book_.Window(now); }
   claim_report Begin(claim_id claim, instant now);
+  claim_report Refuse(claim_id claim, result_code code, instant now);
   bool HandOver(claim_id claim, instant now);
   void EndUnrun(claim_id claim, result_code code, instant now);
   void Complete(claim_id claim, const std::string& answer, instant now);
@@ -27,6 +28,7 @@
   bool Is(claim_fault fault) const { return fault_ == fault; }
   claim_id Own(claim_id claim) const;
   bool RunsAgain(const claim_report& report, const claim_id& claim, instant now);
+  bool RefusesWithoutClosing(const claim_id& claim, instant now);
   claim_report Spoil(claim_report report);
 
   claim_book::options chosen_;
