--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -270,6 +270,11 @@
     status["running"] = serving_.running();
     status["queued"] = serving_.queued();
     status["limit"] = serving_.limit();
+    status["thresholds"] = json::array();
+    for (const serving_side::row_threshold& one : serving_.Thresholds()) {
+      status["thresholds"].push_back(
+          {{"row", one.row}, {"weight", one.threshold.weight()}, {"rank", one.threshold.packed()}});
+    }
     status["connections"] = links_.connections();
     status["front"] = at_.front.ToString();
     status["peer"] = at_.peer.ToString();
--- a/modules/cuminferry_node/runtime/serving_side.cpp
+++ b/modules/cuminferry_node/runtime/serving_side.cpp
@@ -232,6 +232,18 @@
     });
   }
 
+  std::vector<row_threshold> Thresholds() {
+    return admission_.With([](admission_state& admission) {
+      std::vector<row_threshold> thresholds;
+      for (std::uint32_t row = 0; admission.shard != nullptr && row < admission.shard->rows.size();
+           ++row) {
+        thresholds.push_back({admission.shard->rows[row].name,
+                              admission.controller.ThresholdOf(row, boot_clock::Now())});
+      }
+      return thresholds;
+    });
+  }
+
   load_advert Load() { return Load(nullptr, nullptr); }
 
   // With the threshold of a row, where one is named.
@@ -606,6 +618,7 @@
 void serving_side::ReportHealth(const backend_health& health) { state_->ReportHealth(health); }
 void serving_side::Drain() { state_->Drain(); }
 void serving_side::Tick(instant now) { state_->Tick(now); }
+std::vector<serving_side::row_threshold> serving_side::Thresholds() { return state_->Thresholds(); }
 load_advert serving_side::Load() { return state_->Load(); }
 std::uint32_t serving_side::ClaimWindow() { return state_->ClaimWindow(); }
 bool serving_side::draining() const { return state_->draining(); }
--- a/modules/cuminferry_node/runtime/serving_side.h
+++ b/modules/cuminferry_node/runtime/serving_side.h
@@ -90,7 +90,14 @@
   /** Moves time on; to be called every few milliseconds. */
   void Tick(instant now);
 
+  /** The rank below which a row is refused here or further down. */
+  struct row_threshold {
+    std::string row;
+    call_rank threshold;
+  };
+
   //============================================================================
+  std::vector<row_threshold> Thresholds();
   load_advert Load();
   /** The claim window that new tickets are to be bound to. */
   std::uint32_t ClaimWindow();
