Follow a slowed service's quickest run within sixteen calls

Cause: under a deep slow-down calls were let in that could not end by their deadline; the quickest run moved by a twentieth per slower call. Change: the least of the last one to two windows of eight.

--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -23,8 +23,6 @@
 /** When to come back: this at the threshold, more the less of the load is let in. */
 constexpr double kRetryAfterMillis = 100;
 constexpr double kLargestRetryFactor = 20;
-/** What the quickest run is moved up by with each slower one. */
-constexpr double kQuickestWeight = 0.05;
 /** Without an end for so long, a row's quickest run is not used any more. */
 constexpr milliseconds kQuickestLasts{500};
 /** The place of a row that the new table does not have. */
@@ -422,10 +420,7 @@
   /** The least time that a call of the row takes at present; 0 where unknown. */
   duration QuickestRun(std::uint32_t row, instant now) const {
     const row_record& record = board_.rows.rows[row];
-    if (record.quickest_micros == 0 || now - record.last_end > kQuickestLasts) {
-      return duration(0);
-    }
-    return duration(static_cast<std::int64_t>(record.quickest_micros));
+    return now - record.last_end > kQuickestLasts ? duration(0) : record.quickest.value();
   }
 
   void StopWaiting(running_call& call, instant now) {
@@ -451,13 +446,8 @@
   }
 
   static void FollowQuickest(row_record& row, duration hold, instant now) {
-    const auto micros = static_cast<double>(std::max<std::int64_t>(hold.count(), 1));
     row.last_end = now;
-    if (row.quickest_micros == 0 || micros < row.quickest_micros) {
-      row.quickest_micros = micros;
-    } else {
-      row.quickest_micros += (micros - row.quickest_micros) * kQuickestWeight;
-    }
+    row.quickest.Add(hold);
   }
 
   //============================================================================
--- a/modules/cuminferry_policy/blackboard/admission_blackboard.h
+++ b/modules/cuminferry_policy/blackboard/admission_blackboard.h
@@ -12,6 +12,7 @@
 #include "cuminferry_core/cuminferry_core.h"
 #include "cuminferry_policy/admission/offered_load.h"
 #include "cuminferry_policy/admission/rank_queue.h"
+#include "cuminferry_policy/admission/recent_minimum.h"
 #include "cuminferry_policy/rank/call_rank.h"
 
 namespace cuminferry {
@@ -37,7 +38,7 @@
   /** Calls of the row that ended, up to those that the baseline begins with. */
   std::uint32_t baseline_ends = 0;
   /** The hold time of the quickest calls of late, and when one last ended. */
-  double quickest_micros = 0;
+  recent_minimum quickest;
   instant last_end;
   instant last_offer;
   /** Bit set over waits_section::callees: the services that its requests mostly call. */
