Lower the threshold no quicker than its effect can be seen

Cause 1: a lower threshold shows in what is offered only after a round through the callers' nodes. Where calls take 300 ms, it was lowered many times over until then and swung between nothing and a flood every 0.7 s. Changed: it lets in at most half of the wanted rate more per second, doubling with each time that calls take here for which the queue has been short; the queue is corrected over 1.5 times the time of a call. Cause 2: a surge showed only in a memory of 200 ms. Changed: a memory of 40 ms scales the offered load where it is three standard deviations beyond. Cause 3: at the own door a higher weight was refused while lower ones stood in the queue. Changed: the threshold counts queued lower weights as present and binds at the own door only with a queue of the aimed length and nothing of lower weight in it. Cause 4: a false sign of trouble made a lying report believed. Changed: against own evidence a report cuts the limit to no less than three quarters.

--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -293,9 +293,15 @@
     EvictLowest(call.row, now, out);
   }
 
+  /** The own threshold binds only where the queue is as long as it is meant to be,
+      as in a shorter one a slot might stay free, and where nothing of a lower
+      weight waits, as that is to be evicted first. */
   bool IsBelowThreshold(const offered_call& call, instant now) {
-    const bool idle = board_.queue.empty() && board_.HasRoom();
-    if (!idle && !board_.IsBounded(call.row) && call.rank < board_.threshold.own) {
+    const double queued = static_cast<double>(board_.queued_together());
+    const bool queue_is_long = queued >= threshold_.AimedQueue();
+    const bool goes_first = call.rank.weight() > LowestWeight(false);
+    if (queue_is_long && !goes_first && !board_.IsBounded(call.row) &&
+        call.rank < board_.threshold.own) {
       return true;
     }
     const bool below = call.rank < learned_.Of(call.row, now).ForNewRequests();
--- a/modules/cuminferry_policy/admission/concurrency_limit.cpp
+++ b/modules/cuminferry_policy/admission/concurrency_limit.cpp
@@ -41,6 +41,8 @@
 constexpr milliseconds kReportLasts{3000};
 /** Own signs of trouble make a report credible for this long. */
 constexpr milliseconds kTroubleLasts{2000};
+/** Against evidence of its own a report cuts the limit to no less than this part. */
+constexpr double kLeastOfReport = 0.75;
 /** So many ends since the reports began are evidence enough against them. */
 constexpr std::uint32_t kEvidence = 20;
 
@@ -202,22 +204,23 @@
   }
 }
 
-bool concurrency_limit::TrustsReport(instant now) const {
+// A backend server that always reports to be full would be given nothing, and callers
+// would see refusals from an idle service. So a report counts in full only before there
+// is evidence of its own, and later only together with signs of trouble, and in part.
+double concurrency_limit::ReportedLimit(instant now) const {
+  const double no_cap = board_.fixed.slots;
   if (!reported_ever_ || now - reported_at_ > kReportLasts) {
-    return false;
+    return no_cap;
+  }
+  if (ends_since_report_ < kEvidence) {
+    return std::max(reported_, FloorLimit());
   }
   const bool in_trouble = trouble_at_ != instant() && now - trouble_at_ < kTroubleLasts;
-  return in_trouble || ends_since_report_ < kEvidence;
+  return in_trouble ? std::max(reported_, own_limit_ * kLeastOfReport) : no_cap;
 }
 
-// A backend server that always reports to be full would be given nothing, and
-// callers would see refusals from an idle service. So a report counts only
-// together with own signs of trouble, or before there is any own evidence.
 void concurrency_limit::Publish(instant now) {
-  double limit = own_limit_;
-  if (TrustsReport(now)) {
-    limit = std::min(limit, std::max(reported_, FloorLimit()));
-  }
+  const double limit = std::min(own_limit_, ReportedLimit(now));
   board_.limit.limit = std::clamp<double>(limit, 1, board_.fixed.slots);
 }
 
--- a/modules/cuminferry_policy/admission/concurrency_limit.h
+++ b/modules/cuminferry_policy/admission/concurrency_limit.h
@@ -50,7 +50,8 @@
   void Enter(stage next);
   void JudgeTest(double ratio, instant now);
   void Climb();
-  bool TrustsReport(instant now) const;
+  /** The cap that the backend server's report puts on the limit. */
+  double ReportedLimit(instant now) const;
   double FloorLimit() const;
   void Publish(instant now);
 
--- a/modules/cuminferry_policy/admission/offered_load.cpp
+++ b/modules/cuminferry_policy/admission/offered_load.cpp
@@ -8,6 +8,10 @@
 
 constexpr std::uint32_t kHashValues = 1U << 16;
 constexpr std::uint32_t kHashesPerBucket = kHashValues / offered_load::kBuckets;
+constexpr double kShortSeconds = std::chrono::duration<double>(offered_load::kShortMemory).count();
+/** The short memory is noisy: only so many standard deviations beyond count as a surge. */
+constexpr double kSurgeDeviations = 3.0;
+constexpr double kLargestSurge = 20.0;
 constexpr double kMemorySeconds = std::chrono::duration<double>(offered_load::kMemory).count();
 /** How long the former rate of a level that is refused further up is remembered. */
 constexpr double kRememberedSeconds = 5.0;
@@ -46,6 +50,7 @@
   const float weight = static_cast<float>(1.0 / kMemorySeconds);
   into.counts[rank.hash() / kHashesPerBucket] += weight;
   into.total += weight;
+  short_rate_ += 1.0 / kShortSeconds;
   into.remembered = std::max(into.remembered, into.total);
 }
 
@@ -72,6 +77,7 @@
 void offered_load::Decay(duration passed) {
   const double seconds = std::chrono::duration<double>(passed).count();
   const auto keep = static_cast<float>(std::exp(-seconds / kMemorySeconds));
+  short_rate_ *= std::exp(-seconds / kShortSeconds);
   const auto remember = static_cast<float>(std::exp(-seconds / kRememberedSeconds));
   for (level& one : levels_) {
     one.total *= keep;
@@ -83,7 +89,19 @@
   std::erase_if(levels_, [](const level& one) { return one.remembered < kLeastRemembered; });
 }
 
-void offered_load::Clear() { levels_.clear(); }
+void offered_load::Clear() {
+  levels_.clear();
+  short_rate_ = 0;
+}
+
+double offered_load::SurgeFactor() const {
+  const double expected = rate() * kShortSeconds;
+  const double seen = short_rate_ * kShortSeconds;
+  if (seen < expected + kSurgeDeviations * std::sqrt(expected + 1.0)) {
+    return 1.0;
+  }
+  return std::clamp(short_rate_ / std::max(rate(), 1.0), 1.0, kLargestSurge);
+}
 
 double offered_load::rate() const {
   double sum = 0;
--- a/modules/cuminferry_policy/admission/offered_load.h
+++ b/modules/cuminferry_policy/admission/offered_load.h
@@ -22,6 +22,8 @@
   static constexpr std::size_t kLevelBound = 64;
   /** What was offered longer ago than this counts little. */
   static constexpr std::chrono::milliseconds kMemory{200};
+  /** A surge shows in a shorter memory first. */
+  static constexpr std::chrono::milliseconds kShortMemory{40};
 
   /** Counts one call. */
   void Record(call_rank rank);
@@ -36,6 +38,8 @@
   /** Calls per second of a rank at or above `threshold`. */
   double RateAbove(call_rank threshold) const;
   double rate() const;
+  /** How much more is offered at this moment than over the longer memory; at least 1. */
+  double SurgeFactor() const;
 
   /** The highest weight below `weight` of which a call started since `since`;
       nothing where none did. */
@@ -61,6 +65,7 @@
 
   level& LevelOf(std::uint32_t number);
 
+  double short_rate_ = 0;
   /** By ascending number. */
   std::vector<level> levels_;
 };
--- a/modules/cuminferry_policy/admission/threshold_controller.cpp
+++ b/modules/cuminferry_policy/admission/threshold_controller.cpp
@@ -14,14 +14,20 @@
 constexpr std::size_t kLeastLongest = 8;
 /** A queue off its aim is to be back within this time. */
 constexpr double kCorrectSeconds = 0.2;
-/** Until a lower threshold shows in what is offered: about one round through
-    the callers' nodes. */
-constexpr double kRoundSeconds = 0.1;
+/** But not sooner than so many times the time that calls take here. */
+constexpr double kCorrectHolds = 1.5;
+/** By how much of the wanted rate a second the threshold lets in more, where the
+    instance is busy. Doubles while it is idle. */
+constexpr double kGrowthPerSecond = 0.5;
+constexpr double kIdleDoublesSeconds = 0.1;
+constexpr double kFastestGrowth = 32.0;
 constexpr double kEndsMemorySeconds = 0.3;
-constexpr double kLeastPartOffered = 0.05;
-constexpr milliseconds kIdleDoubles{50};
+/** While the limit climbs, the ends lag behind what the slots will soon allow. */
+constexpr double kLeastPartOfSlots = 0.5;
+/** Before so many ends nothing is known of how quickly calls end. */
+constexpr std::uint32_t kKnownFrom = 32;
+constexpr double kLeastPartOffered = 0.5;
 constexpr double kMicrosPerSecond = 1e6;
-constexpr double kFastestDescent = 16.0;
 /** A weight is refused only when no lower one has started for so long. */
 constexpr milliseconds kLowerWeightsGone{100};
 
@@ -66,6 +72,7 @@
   board_.threshold.own = {};
   board_.limit.ends_per_second = RateOfSlots();
   ends_since_tick_ = 0;
+  ends_seen_ = 0;
   idle_for_ = duration(0);
   last_tick_ = now;
 }
@@ -83,46 +90,68 @@
 
 void threshold_controller::FollowEnds(duration passed) {
   const double seconds = Seconds(passed);
-  double& rate = board_.limit.ends_per_second;
+  const double of_slots = RateOfSlots();
   const bool busy = !board_.HasRoom();
-  const double sample = busy ? ends_since_tick_ / seconds : RateOfSlots();
+  const double sample = busy ? ends_since_tick_ / seconds : of_slots;
   ends_since_tick_ = 0;
+  double& rate = board_.limit.ends_per_second;
   rate += (sample - rate) * (1.0 - std::exp(-seconds / kEndsMemorySeconds));
+  rate = std::max(rate, of_slots * kLeastPartOfSlots);
 }
 
 // A burst of permits at one instance would lift the threshold into their weight while
 // maps still run there and enter elsewhere. A farmer would be turned away in favour of
 // a map. So the threshold stops below a weight until all lower ones are gone.
 call_rank threshold_controller::InOrder(call_rank wanted, instant now) const {
-  const std::optional<std::uint16_t> lower =
+  std::optional<std::uint16_t> lower =
       board_.offered.StartedBelow(wanted.weight(), now - kLowerWeightsGone);
+  for (const queued_call& call : board_.queue.calls()) {
+    if (call.rank.weight() >= wanted.weight()) {
+      break;
+    }
+    if (!board_.IsBounded(call.row)) {
+      lower = std::max(lower.value_or(0), call.rank.weight());
+    }
+  }
   if (!lower.has_value()) {
     return wanted;
   }
   return call_rank(static_cast<std::uint16_t>(*lower + 1), false, 0);
 }
 
-void threshold_controller::Move(duration passed, instant now) {
+double threshold_controller::HoldSeconds() const {
+  return board_.limit.hold_micros / kMicrosPerSecond;
+}
+
+double threshold_controller::WantedRate() const {
   const double queue = static_cast<double>(board_.queued_together());
   const double ends = board_.limit.ends_per_second;
-  const double wanted =
-      std::max(ends * kLeastPartOffered, ends + (AimedQueue() - queue) / kCorrectSeconds);
+  const double correct_seconds = std::max(kCorrectSeconds, kCorrectHolds * HoldSeconds());
+  return std::max(ends * kLeastPartOffered, ends + (AimedQueue() - queue) / correct_seconds);
+}
+
+void threshold_controller::Move(duration passed, instant now) {
+  const double wanted = WantedRate();
   call_rank& own = board_.threshold.own;
-  const double above = board_.offered.RateAbove(own);
+  const double surge = board_.offered.SurgeFactor();
+  const double above = board_.offered.RateAbove(own) * surge;
   const bool busy = !board_.HasRoom();
-  if (busy && above > wanted && ends > 0) {
-    own = std::max(own, InOrder(board_.offered.ThresholdForRate(wanted), now));
-    idle_for_ = duration(0);
-    return;
+  const bool queue_stands = 2.0 * static_cast<double>(board_.queued_together()) >= AimedQueue();
+  idle_for_ = queue_stands ? duration(0) : idle_for_ + passed;
+  if (busy && above > wanted && ends_seen_ >= kKnownFrom) {
+    own = std::max(own, InOrder(board_.offered.ThresholdForRate(wanted / surge), now));
+  } else if (own != call_rank() && above < wanted) {
+    own = board_.offered.Lower(own, std::min(wanted - above, wanted * Growth(passed)));
   }
-  idle_for_ = busy ? duration(0) : idle_for_ + passed;
-  if (own == call_rank() || above >= wanted) {
-    return;
-  }
-  const double doublings =
-      static_cast<double>(idle_for_.count()) / static_cast<double>(duration(kIdleDoubles).count());
-  const double speed = std::min(std::exp2(doublings), kFastestDescent);
-  own = board_.offered.Lower(own, (wanted - above) * speed * Seconds(passed) / kRoundSeconds);
+}
+
+// A lower threshold shows in what is offered only after a round through the callers'
+// nodes and their backend servers. Lowered at full speed until then, it would let in
+// several times too much and swing for ever: callers would see half of the capacity.
+double threshold_controller::Growth(duration passed) const {
+  const double doubles_in = std::max(kIdleDoublesSeconds, HoldSeconds());
+  const double speed = std::min(std::exp2(Seconds(idle_for_) / doubles_in), kFastestGrowth);
+  return kGrowthPerSecond * speed * Seconds(passed);
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/admission/threshold_controller.h
+++ b/modules/cuminferry_policy/admission/threshold_controller.h
@@ -19,7 +19,10 @@
  public:
   explicit threshold_controller(admission_blackboard& board) : board_(board) {}
 
-  void OnEnded() { ++ends_since_tick_; }
+  void OnEnded() {
+    ++ends_since_tick_;
+    ++ends_seen_;
+  }
   void OnTick(instant now);
   /** Forgets what was learned from the load before a pause of this process. */
   void Reset(instant now);
@@ -36,13 +39,19 @@
   /** Calls per second that the slots allow at the present times. */
   double RateOfSlots() const;
   void FollowEnds(duration passed);
+  double HoldSeconds() const;
+  /** Calls per second to be let in, so that the queue comes to its aim. */
+  double WantedRate() const;
   void Move(duration passed, instant now);
+  /** The part of the wanted rate by which more is let in now. */
+  double Growth(duration passed) const;
   /** `wanted`, or as far up as no weight is refused before those below it. */
   call_rank InOrder(call_rank wanted, instant now) const;
 
   admission_blackboard& board_;
   instant last_tick_;
   std::uint32_t ends_since_tick_ = 0;
+  std::uint64_t ends_seen_ = 0;
   duration idle_for_{0};
 };
 
--- a/tests/policy/scenario_script.cpp
+++ b/tests/policy/scenario_script.cpp
@@ -203,15 +203,19 @@
   return 1;
 }
 
-/** sum(service, "limit"|"running"|"queued"): over its nodes, at present. */
+/** sum(service, "limit"|"running"|"queued"|"threshold"): over its nodes, at present. */
 int SumOver(lua_State* lua) {
   const std::string what = luaL_checkstring(lua, 2);
   double sum = 0;
   for (const fake_node* node : WorldOf(lua).NodesOf(luaL_checkstring(lua, 1))) {
     const admission_controller& admission = *node->admission;
-    sum += what == "limit"     ? admission.limit()
-           : what == "running" ? admission.running()
-                               : admission.queued();
+    if (what == "limit") {
+      sum += admission.limit();
+    } else if (what == "threshold") {
+      sum += admission.ThresholdOf(0, WorldOf(lua).now()).packed();
+    } else {
+      sum += what == "running" ? admission.running() : admission.queued();
+    }
   }
   lua_pushnumber(lua, sum);
   return 1;
