--- a/extras/trial/deployment.h
+++ b/extras/trial/deployment.h
@@ -9,6 +9,7 @@
 
 #include "trial/child_process.h"
 #include "trial/deployment_plan.h"
+#include "trial/link_fault_control.h"
 
 namespace cuminferry::trial {
 
@@ -17,6 +18,7 @@
   std::string instance;
   std::string service;
   std::string failure_domain;
+  std::size_t domain_index = 0;
   std::uint32_t target_slot = 0;
   endpoint front;
   endpoint egress;
@@ -39,8 +41,12 @@
     /** "full", "static" or "none". */
     std::string control = "full";
     std::uint64_t seed = 1;
+    /** Whether backend servers give up at deadlines and when their caller has gone. */
+    bool heeds_deadlines = true;
     /** "honest", "idle", "full" or "frozen". */
     std::string health = "honest";
+    /** Loads the library into the nodes that lets links go silent. */
+    bool link_faults = false;
     /** Only the first so many failure domains; 0: all. */
     std::size_t domains = 0;
     /** Keeps settings, journals and logs after the end. */
@@ -65,6 +71,9 @@
   /** Makes all backend servers of a service this much slower. */
   void SlowDown(std::string_view service, double factor);
 
+  /** Lets links between nodes go silent; only where options.link_faults. */
+  link_fault_control& links();
+
   /** Starts the node of a target anew, on the same addresses, and waits for its table. */
   absl::Status StartNode(running_target& target);
   absl::Status StartBackend(running_target& target);
--- a/modules/cuminferry_node/runtime/serving_side.h
+++ b/modules/cuminferry_node/runtime/serving_side.h
@@ -69,8 +69,9 @@
   /** The caller has gone. The hook is still called. */
   void Cancel(call_key key);
 
-  /** A request in the backend server waits, or waits no longer, for calls out. */
-  void BeginWait(call_key key);
+  /** A request in the backend server waits for a call to a service, or waits no
+      longer for any. */
+  void BeginWait(call_key key, std::string_view callee_service);
   void EndWait(call_key key);
 
   /** A callee advertised the rank below which it refuses a row. */
@@ -89,7 +90,14 @@
   /** Moves time on; to be called every few milliseconds. */
   void Tick(instant now);
 
+  /** The rank below which a row is refused here or further down. */
+  struct row_threshold {
+    std::string row;
+    call_rank threshold;
+  };
+
   //============================================================================
+  std::vector<row_threshold> Thresholds();
   load_advert Load();
   /** The claim window that new tickets are to be bound to. */
   std::uint32_t ClaimWindow();
