Keep made-up service names and stale fleet sizes from costing reads

Cause, found by reading: a backend server that calls services that do not exist made the node ask peers and platform for each name for ever; each call out woke the fleet's thread; the published fleet size went back and forth between nodes where it changed without a new table version. Changed: at most 256 services are followed, those that a known index lacks are not fetched, only a new name wakes the worker, and of two sizes under one version the larger one holds.

--- a/modules/cuminferry_fleet/agent/fleet_agent.cpp
+++ b/modules/cuminferry_fleet/agent/fleet_agent.cpp
@@ -66,9 +66,9 @@
   }
 
   //============================================================================
-  void Follow(std::string_view service, instant now) {
-    if (views_.contains(service)) {
-      return;
+  bool Follow(std::string_view service, instant now) {
+    if (views_.contains(service) || views_.size() >= kFollowedBound) {
+      return false;
     }
     views_.emplace(std::string(service), member_view(std::string(service)));
     first_copies_[std::string(service)].until = now + kFirstCopyWait;
@@ -79,6 +79,7 @@
     reader_.Follow(list);
     WantNewest(list, 1, now);
     WantNewest(std::string(service), 1, now + ListComesFirst());
+    return true;
   }
 
   void OnTick(instant now) {
@@ -322,6 +323,7 @@
     for (const value_version& newer : changes.newer) {
       if (store_.Follows(newer.name)) {
         WantNewest(newer.name, changes.newer.size(), now);
+        WantFirstList(newer.name, now);
       }
     }
     if (changes.table_newer) {
@@ -329,11 +331,26 @@
     }
   }
 
+  // The list of a service that the index did not have until now.
+  void WantFirstList(const std::string& shard, instant now) {
+    const std::string list = InstancesName(shard);
+    if (store_.Follows(list) && store_.VersionOf(list) == 0 && !fetch_.Wants(list)) {
+      WantNewest(list, 1, now);
+    }
+  }
+
+  // A backend server may call services that do not exist. Asking all peers and the
+  // platform for them again and again would cost more than the real ones.
+  bool IsInNoIndex(std::string_view service) const {
+    return service != options_.service && spread_.directory().table_version() > 0 &&
+           spread_.directory().Find(service) == nullptr;
+  }
+
   void WantNewest(const std::string& name, std::size_t changed_at_once, instant now) {
     const value_version* const known = spread_.directory().Find(name);
     const bool useless = known != nullptr && (known->version <= store_.VersionOf(name) ||
                                               store_.IsKnownInvalid(*known));
-    if (useless) {
+    if (useless || IsInNoIndex(ServiceOf(name))) {
       fetch_.Done(name);
       return;
     }
@@ -448,6 +465,10 @@
   }
 
   void Attempt(fetch_attempt& attempt) {
+    if (KindOf(attempt.name) != value_kind::kIndex && IsInNoIndex(ServiceOf(attempt.name))) {
+      fetch_.Done(attempt.name);
+      return;
+    }
     if (!attempt.source.has_value()) {
       reader_.Want(attempt.name);
       return;
@@ -686,7 +707,9 @@
 
 fleet_agent::~fleet_agent() = default;
 
-void fleet_agent::Follow(std::string_view service, instant now) { state_->Follow(service, now); }
+bool fleet_agent::Follow(std::string_view service, instant now) {
+  return state_->Follow(service, now);
+}
 
 void fleet_agent::OnTick(instant now) { state_->OnTick(now); }
 
--- a/modules/cuminferry_fleet/agent/fleet_agent.h
+++ b/modules/cuminferry_fleet/agent/fleet_agent.h
@@ -59,8 +59,12 @@
   ~fleet_agent();
 
   //============================================================================
-  /** Follows one more service: its shard and its instances. */
-  void Follow(std::string_view service, instant now);
+  /** Most services that one node follows. */
+  static constexpr std::size_t kFollowedBound = 256;
+
+  /** Follows one more service: its shard and its instances. False where it is
+      followed already or the bound is reached. */
+  bool Follow(std::string_view service, instant now);
 
   void OnTick(instant now);
   void OnDigest(const spread_digest& digest, instant now);
--- a/modules/cuminferry_fleet/tables/table_spread.cpp
+++ b/modules/cuminferry_fleet/tables/table_spread.cpp
@@ -34,7 +34,11 @@
     peers_.OnHeard(digest.from);
     digest_outcome outcome;
     outcome.changes = directory_.MergeDigest(digest.table_version, digest.versions);
-    TakeFleetSize(digest.table_version, digest.fleet_size);
+    // Without a new table version nobody can tell which size is the later one; the
+    // larger one makes nodes read less often.
+    const bool same_version = digest.table_version == fleet_size_version_;
+    TakeFleetSize(digest.table_version,
+                  same_version ? std::max(digest.fleet_size, fleet_size_) : digest.fleet_size);
     NoteNews(outcome.changes, now);
     if (digest.wants_answer || IsBehind(digest)) {
       outcome.answer.push_back({digest.from, Compose(kShardsInNews, false)});
--- a/modules/cuminferry_node/fleet/fleet_runtime.cpp
+++ b/modules/cuminferry_node/fleet/fleet_runtime.cpp
@@ -121,6 +121,15 @@
     changed_.SignalAll();
   }
 
+  // Called with each call out: wakes the worker only where something is new.
+  void Follow(std::string_view service) {
+    ranked_lock lock(mutex_);
+    if (agent_.Follow(service, boot_clock::Now())) {
+      handled_ = true;
+      changed_.SignalAll();
+    }
+  }
+
   void OnPeerMessage(endpoint from, message_type type, std::span<const char> payload) {
     if (type == message_type::kShardRequest) {
       OnShardRequest(from, payload);
@@ -372,9 +381,7 @@
 
 absl::Status fleet_runtime::Start() { return state_->Start(); }
 
-void fleet_runtime::Follow(std::string_view service) {
-  state_->Handle([&](fleet_agent& agent, instant now) { agent.Follow(service, now); });
-}
+void fleet_runtime::Follow(std::string_view service) { state_->Follow(service); }
 
 void fleet_runtime::OnPeerMessage(endpoint from, message_type type, std::span<const char> payload) {
   state_->OnPeerMessage(from, type, payload);
--- a/tests/fleet/table_spread_test.cpp
+++ b/tests/fleet/table_spread_test.cpp
@@ -99,6 +99,7 @@
   CPPUNIT_TEST(Restart_PlatformStale_TakesThePeersTable);
   CPPUNIT_TEST(Conflict_SameVersionOtherContent_FirstStaysAndAlarms);
   CPPUNIT_TEST(Edit_Invalid_LastGoodStaysAndNextComes);
+  CPPUNIT_TEST(Calls_ToServicesThatDoNotExist_CostNoReads);
   CPPUNIT_TEST(Domain_RestartedAtOnce_HasTablesWithoutStorm);
   CPPUNIT_TEST(Node_PausedOverManyEdits_CatchesUpAtOnce);
   CPPUNIT_TEST(Partition_OfAnHour_HealsWithoutStorm);
@@ -279,6 +280,22 @@
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(10)).has_value());
   }
 
+  // A backend server calls services by names that it makes up. Each name must not become
+  // a question that is put to peers and platform for ever.
+  void Calls_ToServicesThatDoNotExist_CostNoReads() {
+    fake_fleet fleet({.nodes = 16, .domains = 4, .regions = 1, .services = 2});
+    fleet.Run(seconds(30));
+    std::size_t followed = 0;
+    for (int number = 0; number < 1'000; ++number) {
+      followed += fleet.agent(3).Follow("made-up-" + std::to_string(number), fleet.now()) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(followed < fleet_agent::kFollowedBound);
+    const std::uint64_t before = fleet.platform_reads();
+    fleet.Run(seconds(60));
+    CPPUNIT_ASSERT(fleet.platform_reads() - before <= 60 * 60);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.agent(3).status(fleet.now()).wanted_contents);
+  }
+
   // A failure domain loses power and all its nodes start at one moment. They must not
   // use up the platform's reads, and must have their tables within seconds.
   // CUMINFERRY_STORM_NODES runs it with more nodes, CUMINFERRY_STORM_DOMAINS restarts
