--- a/modules/cuminferry_wire/messages/messages.h
+++ b/modules/cuminferry_wire/messages/messages.h
@@ -171,20 +171,22 @@
   hybrid_time sent;
 };
 
-/** Asks a peer for one service's part of the table. */
+/** Asks a peer for a published value: a service's part of the table by the
+    service's name, its instances by "instances/<service>", the index by "". */
 struct shard_request_message {
   std::string service;
   std::uint64_t newer_than = 0;
 };
 
-/** The shard in its canonical JSON; empty where the peer has nothing newer. */
+/** The value in its canonical JSON; empty where the peer has nothing newer. Of the
+    index only the lines above the asker's version. */
 struct shard_reply_message {
   std::string service;
   std::uint64_t version = 0;
   std::string json;
 };
 
-/** One service's version as gossip carries it. */
+/** One published value's version as gossip carries it; named as in a request. */
 struct shard_version {
   std::string service;
   std::uint64_t version = 0;
