--- a/extras/trial/deployment_plan.cpp
+++ b/extras/trial/deployment_plan.cpp
@@ -1,6 +1,7 @@
 #include "trial/deployment_plan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -28,6 +29,27 @@
   return slash == std::string::npos ? "." : file.substr(0, slash);
 }
 
+void ScaleNumber(json& object, const char* key, double scale) {
+  const auto found = object.find(key);
+  if (found != object.end() && found->get<std::int64_t>() > 0) {
+    *found = std::max<std::int64_t>(1, std::llround(found->get<double>() * scale));
+  }
+}
+
+// The operators' table for a machine that carries a part of the real slots.
+std::string ScaleSlots(const std::string& table_text, double scale) {
+  json table = json::parse(table_text, nullptr, true, true);
+  for (json& service : table.at("services")) {
+    ScaleNumber(service, "slots", scale);
+    ScaleNumber(service, "connections", scale);
+  }
+  for (json& row : table.at("rows")) {
+    ScaleNumber(row, "fleet_limit", scale);
+    ScaleNumber(row, "target_limit", scale);
+  }
+  return table.dump(2);
+}
+
 const request_row* FindRow(const policy_table& table, const std::string& name) {
   for (const table_shard& shard : table.shards()) {
     for (const request_row& row : shard.rows) {
@@ -79,6 +101,7 @@
   plan.name = text.at("name");
   plan.region = text.at("region");
   plan.scale = text.value("scale", 1.0);
+  plan.slots_scale = text.value("slots_scale", 1.0);
   plan.table = table;
   plan.table_text = std::move(table_text);
   plan.bottleneck = text.at("bottleneck");
@@ -181,6 +204,7 @@
     if (!table_text.ok()) {
       return table_text.status();
     }
+    *table_text = ScaleSlots(*table_text, value.value("slots_scale", 1.0));
     const absl::StatusOr<policy_table> table = policy_table::Parse(*table_text);
     if (!table.ok()) {
       return table.status();
--- a/extras/trial/deployment_plan.h
+++ b/extras/trial/deployment_plan.h
@@ -24,9 +24,11 @@
 struct deployment_plan {
   std::string name;
   std::string region;
-  /** Service times of the file were multiplied by this, so that processor time
-      of one machine is not the bottleneck. */
+  /** Service times of the file were multiplied by this, and the table's slots,
+      connections and limits by slots_scale, so that processor time of one machine
+      is not the bottleneck. */
   double scale = 1.0;
+  double slots_scale = 1.0;
   policy_table table;
   std::string table_text;
   std::vector<service_plan> services;
--- a/extras/trial/fault.cpp
+++ b/extras/trial/fault.cpp
@@ -11,7 +11,6 @@
 namespace cuminferry::trial {
 namespace {
 
-constexpr double kSlowFactor = 10.0;
 constexpr std::chrono::seconds kRestartAfter{2};
 constexpr std::chrono::seconds kPauseLength{3};
 
--- a/extras/trial/fault.h
+++ b/extras/trial/fault.h
@@ -23,6 +23,9 @@
   kCutOff,        ///< the first failure domain is cut off from the others during the surge
 };
 
+/** How much slower kSlowDeep makes the bottleneck. */
+inline constexpr double kSlowFactor = 10.0;
+
 /** The kinds by name: "slow-deep", "kill-node", "kill-instance", "pause",
     "platform-down", "drain", "silence", "cut-off". Fails with kCommandLineInvalid. */
 absl::StatusOr<fault_kind> ParseFault(std::string_view name);
--- a/extras/trial/trial_main.cpp
+++ b/extras/trial/trial_main.cpp
@@ -174,10 +174,10 @@
     plan.rate = given["rate"].as<double>();
   }
   std::printf(
-      "%s: service times x%.0f so that this machine's processors are not the bottleneck; "
+      "%s: service times x%g, slots x%g so that this machine's processors are not the bottleneck; "
       "%.0f whole requests/s, x%.0f in the surge; %s can complete %.0f/s of this mix\n",
-      plan.name.c_str(), plan.scale, plan.rate, options.surge, plan.bottleneck.c_str(),
-      plan.Capacity());
+      plan.name.c_str(), plan.scale, plan.slots_scale, plan.rate, options.surge,
+      plan.bottleneck.c_str(), plan.Capacity());
   const std::vector<std::string> controls = Controls(given["control"].as<std::string>());
   std::vector<trial_measures> runs;
   const std::uint64_t first = given["seed"].as<std::uint64_t>();
@@ -202,8 +202,12 @@
     for (const trial_measures& run : runs) {
       all.push_back(run.ToJson());
     }
-    std::ofstream(given["json"].as<std::string>())
-        << json{{"deployment", plan.name}, {"scale", plan.scale}, {"runs", all}}.dump(1) << "\n";
+    std::ofstream(given["json"].as<std::string>()) << json{{"deployment", plan.name},
+                                                           {"scale", plan.scale},
+                                                           {"slots_scale", plan.slots_scale},
+                                                           {"runs", all}}
+                                                          .dump(1)
+                                                   << "\n";
   }
   return EXIT_SUCCESS;
 }
--- a/extras/trial/trial_run.cpp
+++ b/extras/trial/trial_run.cpp
@@ -1,5 +1,6 @@
 #include "trial/trial_run.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <sstream>
 #include <utility>
@@ -85,6 +86,9 @@
   trial_measures measures =
       Measure(plan, load, result, ReadJournals(running), ReadCounters(running));
   measures.control = options.deployment.control;
+  if (std::count(options.faults.begin(), options.faults.end(), fault_kind::kSlowDeep) > 0) {
+    measures.capacity /= kSlowFactor;
+  }
   return measures;
 }
 
