Prove the path, drain and at most once over real processes

Cause: what callers are told was compared with what backend servers did in trials only, by eye.

tests/process starts deployments of Donauried and compares journals with what each caller was told: a permit through three services; an edit in force everywhere that an older table doesn't revert; a drain with an upload and permits under way; nodes and instances killed, nodes paused for longer than every deadline, connections gone silent, a failure domain cut off, the platform down. Callers file until so many have completed, so that nothing hangs on timings but the pause itself.

--- /dev/null
+++ b/tests/process/process_support.cpp
@@ -0,0 +1,159 @@
+#include "process/process_support.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "stand_ins/backend/answer_text.h"
+#include "support/property.h"
+#include "trial/journal_reader.h"
+
+namespace cuminferry::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr duration kEventLimit = std::chrono::seconds(20);
+constexpr milliseconds kEventPoll{10};
+
+bool IsIdle(const trial::running_target& target) {
+  const json counters = json::parse(
+      trial::deployment::Ask(target.backend, "GET", "/stand-in/counters"), nullptr, false);
+  return counters.is_object() && counters["running"] == 0 && counters["waiting"] == 0;
+}
+
+}  // namespace
+
+const trial::deployment_plan& Donauried() {
+  static const trial::deployment_plan plan = [] {
+    auto read =
+        trial::deployment_plan::Read(CUMINFERRY_SOURCE_DIR "/examples/donauried.trial.jsonc");
+    CPPUNIT_ASSERT_MESSAGE(std::string(read.status().message()), read.ok());
+    return *std::move(read);
+  }();
+  return plan;
+}
+
+std::unique_ptr<trial::deployment> StartDonauried(std::size_t domains) {
+  auto started = trial::deployment::Start(
+      Donauried(), {.programs = CUMINFERRY_BINARY_DIR, .link_faults = true, .domains = domains});
+  CPPUNIT_ASSERT_MESSAGE(std::string(started.status().message()), started.ok());
+  return *std::move(started);
+}
+
+void AwaitEvent(const std::string& what, const std::function<bool()>& came) {
+  const instant limit = boot_clock::Now() + kEventLimit;
+  while (!came()) {
+    CPPUNIT_ASSERT_MESSAGE("did not come: " + what, boot_clock::Now() < limit);
+    std::this_thread::sleep_for(kEventPoll);
+  }
+}
+
+caller MakeCaller(trial::deployment& running) {
+  return *caller::builder()
+              .WithResolver(
+                  [&running](std::string_view service) { return running.FrontsOf(service); })
+              .WithSeed(20261202)
+              .Build();
+}
+
+call_request MakeRequest(const std::string& service, const std::string& method,
+                         const std::string& path, const std::string& name) {
+  call_request request{.service = service,
+                       .method = method,
+                       .path = path + "?" + stand_ins::kRequestParameter + "=" + name,
+                       .headers = {},
+                       .body = {},
+                       .idempotent = method != "POST"};
+  if (method != "GET") {
+    request.headers.push_back({"Content-Type", "text/plain"});
+    request.body = name;
+  }
+  return request;
+}
+
+std::map<std::string, int> EffectsIn(trial::deployment& running, const std::string& service) {
+  std::map<std::string, int> effects;
+  for (const trial::running_target* target : running.TargetsOf(service)) {
+    trial::journal_text journal;
+    trial::ReadJournal(running.JournalFileOf(*target), service, journal);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), journal.unreadable);
+    for (const trial::journal_entry& entry : journal.entries) {
+      effects[entry.request] += entry.is_effect ? 1 : 0;
+    }
+  }
+  return effects;
+}
+
+//==============================================================================
+permit_filers::permit_filers(trial::deployment& running, std::size_t callers)
+    : running_(running), caller_(MakeCaller(running)) {
+  for (std::size_t number = 0; number < callers; ++number) {
+    threads_.emplace_back([this, number] { File(number); });
+  }
+}
+
+permit_filers::~permit_filers() {
+  stopping_ = true;
+  for (std::thread& one : threads_) {
+    one.join();
+  }
+}
+
+void permit_filers::File(std::size_t caller_number) {
+  for (int number = 0; !stopping_; ++number) {
+    const std::string name = "p" + std::to_string(caller_number) + "-" + std::to_string(number);
+    call_result result = caller_.Call(MakeRequest("permit", "POST", "/permits", name));
+    const auto* completed = std::get_if<completed_call>(&result);
+    completed_ += completed != nullptr && completed->http_status == 200 ? 1 : 0;
+    const std::lock_guard lock(mutex_);
+    told_.emplace(name, std::move(result));
+  }
+}
+
+void permit_filers::AwaitCompleted(int more) {
+  const int wanted = completed_ + more;
+  AwaitEvent(std::to_string(more) + " more permits", [&] { return completed_ >= wanted; });
+}
+
+void permit_filers::Stop() {
+  stopping_ = true;
+  for (std::thread& one : threads_) {
+    one.join();
+  }
+  threads_.clear();
+  for (const trial::running_target& target : running_.targets()) {
+    AwaitEvent(target.instance + " idle", [&] { return IsIdle(target); });
+  }
+}
+
+void permit_filers::CheckPromises() {
+  const std::map<std::string, int> effects = EffectsIn(running_, "permit");
+  for (const auto& [name, count] : effects) {
+    CPPUNIT_ASSERT_MESSAGE(name + " took effect twice", count <= 1);
+  }
+  const std::lock_guard lock(mutex_);
+  for (const auto& [name, result] : told_) {
+    const auto found = effects.find(name);
+    const int count = found == effects.end() ? 0 : found->second;
+    if (const auto* completed = std::get_if<completed_call>(&result)) {
+      const bool well = completed->http_status == 200;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, well ? 1 : 0, count);
+      CPPUNIT_ASSERT_MESSAGE("not the whole own answer: " + name,
+                             !well || stand_ins::NameOfWholeAnswer(completed->body) == name);
+    } else if (std::holds_alternative<call_not_run>(result)) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("told as not run: " + name, 0, count);
+    }
+  }
+}
+
+std::string permit_filers::Summary() const {
+  int ends[3] = {0, 0, 0};
+  for (const auto& [name, result] : told_) {
+    ++ends[result.index()];
+  }
+  return std::to_string(told_.size()) + " filings: " + std::to_string(ends[0]) + " completed, " +
+         std::to_string(ends[1]) + " not run, " + std::to_string(ends[2]) + " unknown";
+}
+
+}  // namespace cuminferry::testing
