Tell the choice of targets who left, who answered and when this node slept

Cause: the chooser takes incarnations, direct evidence and own pauses; the node did not pass them. Change: leaving carries the incarnation, hellos teach targets of the services that are called, a wake-up clears losses, the platform's word that this instance leaves begins a drain.

--- a/modules/cuminferry_node/peers/peer_links.cpp
+++ b/modules/cuminferry_node/peers/peer_links.cpp
@@ -407,8 +407,7 @@
       case message_type::kAskReply:
         return OnAskReply(connection, payload);
       case message_type::kLeaving:
-        hooks_.on_leaving(peer);
-        return true;
+        return OnLeaving(peer, payload);
       case message_type::kHeartbeat:
         return OnHeartbeat(connection, payload);
       case message_type::kHeartbeatReply:
@@ -443,7 +442,7 @@
     }
     hooks_.on_hello(hello);
     if (hello.load.leaving != 0) {
-      hooks_.on_leaving(hello.listens_at);
+      hooks_.on_leaving(hello.listens_at, hello.incarnation);
     }
     return true;
   }
@@ -523,6 +522,15 @@
     return true;
   }
 
+  bool OnLeaving(endpoint peer, std::span<const char> payload) {
+    leaving_message leaving;
+    if (!Decode(payload, leaving)) {
+      return false;
+    }
+    hooks_.on_leaving(peer, leaving.incarnation);
+    return true;
+  }
+
   bool OnHeartbeat(connection_id connection, std::span<const char> payload) {
     heartbeat_message beat;
     if (!Decode(payload, beat)) {
@@ -548,6 +556,7 @@
 
   void NoteLoad(connection_id connection, const load_advert& load) {
     endpoint leaving;
+    incarnation_id incarnation = 0;
     {
       ranked_lock lock(mutex_);
       const auto found = links_.find(connection);
@@ -559,8 +568,9 @@
         return;
       }
       leaving = found->second.peer;
+      incarnation = found->second.facts.incarnation;
     }
-    hooks_.on_leaving(leaving);
+    hooks_.on_leaving(leaving, incarnation);
   }
 
   const hooks hooks_;
--- a/modules/cuminferry_node/peers/peer_links.h
+++ b/modules/cuminferry_node/peers/peer_links.h
@@ -30,7 +30,8 @@
     /** A connection that calls came in on is gone. */
     std::function<void(connection_id)> on_lost;
     std::function<void(const hello_message&)> on_hello;
-    std::function<void(endpoint)> on_leaving;
+    /** @param incarnation the one that is leaving; 0: the one last heard of */
+    std::function<void(endpoint, incarnation_id incarnation)> on_leaving;
     /** A connection to a node could not be opened, or went silent. */
     std::function<void(endpoint)> on_unreachable;
     /** Messages about tables and shares of limits. */
--- a/modules/cuminferry_node/runtime/call_router.cpp
+++ b/modules/cuminferry_node/runtime/call_router.cpp
@@ -14,12 +14,23 @@
       [&](choice& state) { state.chooser.UseTargets(service, targets, boot_clock::Now()); });
 }
 
-void call_router::MarkLeaving(endpoint target) {
-  choice_.With([&](choice& state) { state.chooser.MarkLeaving(target, boot_clock::Now()); });
+void call_router::LearnTarget(const hello_message& hello) {
+  const target_info target{hello.listens_at, hello.instance, hello.failure_domain, hello.region,
+                           hello.load.leaving != 0};
+  choice_.With([&](choice& state) {
+    const instant now = boot_clock::Now();
+    state.chooser.LearnTarget(hello.service, target, now);
+    state.chooser.MarkReachable(hello.listens_at, hello.incarnation, now);
+  });
+}
+
+void call_router::MarkLeaving(endpoint target, incarnation_id incarnation) {
+  choice_.With(
+      [&](choice& state) { state.chooser.MarkLeaving(target, incarnation, boot_clock::Now()); });
 }
 
-void call_router::MarkReachable(endpoint target) {
-  choice_.With([&](choice& state) { state.chooser.MarkReachable(target, boot_clock::Now()); });
+void call_router::NoteOwnPause() {
+  choice_.With([&](choice& state) { state.chooser.OnOwnPause(boot_clock::Now()); });
 }
 
 std::optional<endpoint> call_router::ChooseTarget(std::string_view service,
--- a/modules/cuminferry_node/runtime/call_router.h
+++ b/modules/cuminferry_node/runtime/call_router.h
@@ -8,6 +8,7 @@
 
 #include "cuminferry_policy/cuminferry_policy.h"
 #include "cuminferry_table/cuminferry_table.h"
+#include "cuminferry_wire/cuminferry_wire.h"
 
 namespace cuminferry {
 
@@ -19,8 +20,11 @@
 
   //============================================================================
   void UseTargets(std::string_view service, std::span<const target_info> targets);
-  void MarkLeaving(endpoint target);
-  void MarkReachable(endpoint target);
+  /** A node of a service that this node calls was heard of directly. */
+  void LearnTarget(const hello_message& hello);
+  void MarkLeaving(endpoint target, incarnation_id incarnation);
+  /** This process did not run for a while: its losses are not the targets' fault. */
+  void NoteOwnPause();
 
   /** Chooses the target of an attempt and counts it as sent there. */
   std::optional<endpoint> ChooseTarget(std::string_view service, std::span<const endpoint> avoid);
--- a/modules/cuminferry_node/runtime/egress_side.cpp
+++ b/modules/cuminferry_node/runtime/egress_side.cpp
@@ -136,6 +136,13 @@
     return reply;
   }
 
+  // Only services that are called from here: the others' nodes are none of its targets.
+  void OnHello(const hello_message& hello) {
+    if (parts_.tables.Find(hello.service) != nullptr) {
+      router_.LearnTarget(hello);
+    }
+  }
+
   void SetOwnService(std::string service) { own_service_ = std::move(service); }
   call_router& router() { return router_; }
 
@@ -220,8 +227,12 @@
   state_->router().UseTargets(service, targets);
 }
 
-void egress_side::MarkLeaving(endpoint target) { state_->router().MarkLeaving(target); }
-void egress_side::MarkReachable(endpoint target) { state_->router().MarkReachable(target); }
-void egress_side::MarkUnreachable(endpoint /*target*/) {}
+void egress_side::OnHello(const hello_message& hello) { state_->OnHello(hello); }
+
+void egress_side::MarkLeaving(endpoint target, incarnation_id incarnation) {
+  state_->router().MarkLeaving(target, incarnation);
+}
+
+void egress_side::NoteOwnPause() { state_->router().NoteOwnPause(); }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_node/runtime/egress_side.h
+++ b/modules/cuminferry_node/runtime/egress_side.h
@@ -51,9 +51,11 @@
 
   //============================================================================
   void UseTargets(std::string_view service, std::span<const target_info> targets);
-  void MarkLeaving(endpoint target);
-  void MarkReachable(endpoint target);
-  void MarkUnreachable(endpoint target);
+  /** Another node was heard of by its hello. */
+  void OnHello(const hello_message& hello);
+  void MarkLeaving(endpoint target, incarnation_id incarnation);
+  /** This process did not run for a while. */
+  void NoteOwnPause();
 
  private:
   class state;
--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -149,15 +149,15 @@
         .on_lost = [this](connection_id connection) { peers_.OnLost(connection); },
         .on_hello =
             [this](const hello_message& hello) {
-              egress_.MarkReachable(hello.listens_at);
+              egress_.OnHello(hello);
               fleet_.OnHello(hello);
             },
         .on_leaving =
-            [this](endpoint peer) {
-              egress_.MarkLeaving(peer);
-              fleet_.OnPeerLeaving(peer);
+            [this](endpoint peer, incarnation_id incarnation) {
+              egress_.MarkLeaving(peer, incarnation);
+              fleet_.OnPeerLeaving(peer, incarnation);
             },
-        .on_unreachable = [this](endpoint peer) { egress_.MarkUnreachable(peer); },
+        .on_unreachable = [this](endpoint peer) { fleet_.OnPeerLost(peer); },
         .on_fleet_message =
             [this](endpoint from, message_type type, std::span<const char> payload) {
               fleet_.OnPeerMessage(from, type, payload);
@@ -188,6 +188,8 @@
             },
         .send = [this](endpoint peer,
                        std::string frame) { return links_.SendTo(peer, std::move(frame)); },
+        .on_self_leaving = [this] { drain_requested_ = true; },
+        .on_pause = {},
     };
   }
 
@@ -216,6 +218,7 @@
       const instant now = boot_clock::Now();
       const bool paused = now - last > kPauseIsLonger;
       if (paused) {
+        egress_.NoteOwnPause();
         const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now - last);
         events_.Add({.kind = event_kind::kPauseNoticed, .value = millis.count()});
       }
