--- a/modules/cuminferry_node/runtime/front_side.cpp
+++ b/modules/cuminferry_node/runtime/front_side.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/synchronization/notification.h>
 
+#include <atomic>
 #include <utility>
 
 #include "cuminferry_node/runtime/body_pipe.h"
@@ -65,6 +66,15 @@
         watch_(watch) {}
 
   void Serve(const http_request& request, http_response& response) {
+    ++being_served_;
+    ServeCounted(request, response);
+    --being_served_;
+  }
+
+  std::uint32_t being_served() const { return being_served_; }
+
+ private:
+  void ServeCounted(const http_request& request, http_response& response) {
     if (request.target.starts_with(kTicketPath)) {
       ServeTicket(request, response);
       return;
@@ -72,6 +82,8 @@
     incoming_call call;
     call.request = NewRequestId();
     call.enters_here = true;
+    // Decided now: an upload goes on while the instance begins to leave.
+    call.before_drain = !serving_.draining();
     call.method = request.method;
     call.target = request.target;
     call.headers = HeadersToPassOn(request.headers);
@@ -79,14 +91,14 @@
     const result_code fault = ReadOwnHeaders(request, now, call);
     reply_message reply =
         fault != result_code::kOk ? MakeNotRun(call.request, fault) : RunAtHome(request, call);
-    response.close = request.has_body && reply.end != call_end::kCompleted;
+    response.close = !call.before_drain;
+    response.close |= request.has_body && reply.end != call_end::kCompleted;
     if (!call.claim.empty()) {
       response.headers.push_back({header_names::kTicket, ticket_text::Write(FromWire(call.claim))});
     }
     ToHttp(reply, response);
   }
 
- private:
   static request_id NewRequestId() {
     thread_local random_source random = random_source::FromMachine();
     return {random.Next(), random.Next()};
@@ -235,6 +247,7 @@
   egress_side& egress_;
   table_store& tables_;
   connection_watch& watch_;
+  std::atomic<std::uint32_t> being_served_ = 0;
 };
 
 front_side::front_side(const node_settings& settings, endpoint peer_address,
@@ -244,6 +257,8 @@
                                      settings.service)) {}
 front_side::~front_side() = default;
 
+std::uint32_t front_side::being_served() const { return state_->being_served(); }
+
 void front_side::Serve(const http_request& request, http_response& response) {
   state_->Serve(request, response);
 }
--- a/modules/cuminferry_node/runtime/front_side.h
+++ b/modules/cuminferry_node/runtime/front_side.h
@@ -21,6 +21,9 @@
   /** Serves one HTTP request of a caller. */
   void Serve(const http_request& request, http_response& response);
 
+  /** Requests that are being served, those whose body is still coming included. */
+  std::uint32_t being_served() const;
+
  private:
   class state;
   std::unique_ptr<state> state_;
--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -94,7 +94,8 @@
     events_.Add({.kind = event_kind::kDraining, .subject = settings_.instance});
     serving_.Drain();
     links_.AnnounceLeaving({settings_.instance, incarnation_});
-    while (serving_.running() > 0 || links_.attempts_outstanding() > 0) {
+    while (front_->being_served() > 0 || serving_.running() > 0 || serving_.queued() > 0 ||
+           links_.attempts_outstanding() > 0) {
       absl::SleepFor(absl::FromChrono(kDrainPoll));
     }
     // Answers that have just been written are on their way to their callers: the
--- a/modules/cuminferry_node/runtime/serving_side.cpp
+++ b/modules/cuminferry_node/runtime/serving_side.cpp
@@ -138,6 +138,12 @@
     if (!pending.call.claim.empty() && !BeginClaim(pending)) {
       return key;
     }
+    // After the ticket: what it did before the drain is still told.
+    if (draining_ && !pending.call.before_drain) {
+      EndUnrun(pending, result_code::kRefusedDraining);
+      Reply(pending, MakeNotRun(pending.call.request, result_code::kRefusedDraining));
+      return key;
+    }
     Offer(key, std::move(pending));
     return key;
   }
@@ -219,12 +225,7 @@
     });
   }
 
-  void Drain() {
-    draining_ = true;
-    WithAdmission([&](admission_state& admission, admission_actions& actions) {
-      admission.controller.Drain(boot_clock::Now(), actions);
-    });
-  }
+  void Drain() { draining_ = true; }
 
   void Tick(instant now) {
     WithAdmission([&](admission_state& admission, admission_actions& actions) {
@@ -299,9 +300,6 @@
     if (pending.row == nullptr) {
       return result_code::kNoSuchRow;
     }
-    if (draining_ && call.claim.empty()) {
-      return result_code::kRefusedDraining;
-    }
     if (call.enters_here) {
       Enter(call, *pending.row);
     }
@@ -410,16 +408,20 @@
     return true;
   }
 
+  void EndUnrun(const pending_call& pending, result_code code) {
+    if (!pending.call.claim.empty()) {
+      claims_.With([&](claim_book& book) {
+        book.EndUnrun(ClaimOf(pending.call.claim), code, boot_clock::Now());
+      });
+    }
+  }
+
   void Refuse(const refused_call& refused) {
     pending_call pending;
     if (!TakePending(refused.key, pending)) {
       return;
     }
-    if (!pending.call.claim.empty()) {
-      claims_.With([&](claim_book& book) {
-        book.EndUnrun(ClaimOf(pending.call.claim), refused.code, boot_clock::Now());
-      });
-    }
+    EndUnrun(pending, refused.code);
     Reply(pending, MakeNotRun(pending.call.request, refused.code, refused.retry_after));
   }
 
--- a/modules/cuminferry_node/runtime/serving_side.h
+++ b/modules/cuminferry_node/runtime/serving_side.h
@@ -29,6 +29,8 @@
   std::function<bool(std::string& part)> more_body;
   /** Set by Begin() from the row where the request enters here. */
   instant deadline;
+  /** It came before the drain, so that it is still served. */
+  bool before_drain = false;
   /** A request that enters here gets its rank, deadline and retries from its row. */
   bool enters_here = false;
   call_rank rank;
@@ -84,7 +86,7 @@
   /** The backend server's word on itself. */
   void ReportHealth(const backend_health& health);
 
-  /** Refuses what waits and all that comes; what runs is finished. */
+  /** Refuses all that comes from now on; what waits and what runs is finished. */
   void Drain();
 
   /** Moves time on; to be called every few milliseconds. */
