--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -31,12 +31,6 @@
   return table.dump();
 }
 
-std::uint64_t VersionAt(const trial::running_target& target) {
-  const json status =
-      json::parse(trial::deployment::Ask(target.admin, "GET", "/status"), nullptr, false);
-  return status.is_object() ? status.value("table_version", std::uint64_t(0)) : 0;
-}
-
 // Whether a map node refuses old maps for want of a row.
 bool IsClosedAt(endpoint front) {
   auto asking = caller::builder().WithNodes({front}).WithManners({.attempts = 1}).Build();
@@ -45,10 +39,10 @@
   return refused != nullptr && refused->code == result_code::kNoSuchRow;
 }
 
-bool IsDraining(const trial::running_target& target) {
+json StatusOf(const trial::running_target& target) {
   const json status =
       json::parse(trial::deployment::Ask(target.admin, "GET", "/status"), nullptr, false);
-  return status.is_object() && status.value("draining", false);
+  return status.is_object() ? status : json::object();
 }
 
 // An upload of which the first half is sent and the rest waits.
@@ -148,7 +142,7 @@
     CPPUNIT_ASSERT(running->PublishTable(TableWithout(kClosedRow, 3)).ok());
     CPPUNIT_ASSERT(running->WaitForTable(3, std::chrono::seconds(20)));
     for (const trial::running_target& target : running->targets()) {
-      CPPUNIT_ASSERT(VersionAt(target) >= 3);
+      CPPUNIT_ASSERT(StatusOf(target).value("table_version", 0) >= 3);
     }
     for (const endpoint front : running->FrontsOf("map")) {
       CPPUNIT_ASSERT(IsClosedAt(front));
@@ -164,9 +158,10 @@
     testing::permit_filers filers(*running, 8);
     filers.AwaitCompleted(8);
     halved_upload upload(archive.front);
+    AwaitEvent("upload admitted", [&] { return StatusOf(archive).value("running", 0) > 0; });
     archive.node_process->Signal(SIGTERM);
     permit.node_process->Signal(SIGTERM);
-    AwaitEvent("drain", [&] { return IsDraining(archive); });
+    AwaitEvent("drain", [&] { return StatusOf(archive).value("draining", false); });
     const auto [status, body] = upload.Finish();
     CPPUNIT_ASSERT_EQUAL(200, status);
     CPPUNIT_ASSERT(stand_ins::NameOfWholeAnswer(body) == "season");
