--- a/modules/cuminferry_node/runtime/egress_side.cpp
+++ b/modules/cuminferry_node/runtime/egress_side.cpp
@@ -175,6 +175,8 @@
       return result_code::kNoSuchRow;
     }
     about.deadline = std::min(about.deadline, now + about.row->deadline);
+    parts_.tables.WaitForTargets(about.service,
+                                 std::min(about.deadline, now + duration(kLongestTableWait)));
     return result_code::kOk;
   }
 
--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -185,6 +185,9 @@
         .on_targets =
             [this](std::string_view service, std::span<const target_info> targets) {
               egress_.UseTargets(service, targets);
+              if (!targets.empty()) {
+                tables_.NoteTargets(service);
+              }
             },
         .send = [this](endpoint peer,
                        std::string frame) { return links_.SendTo(peer, std::move(frame)); },
--- a/modules/cuminferry_node/runtime/table_store.cpp
+++ b/modules/cuminferry_node/runtime/table_store.cpp
@@ -30,4 +30,23 @@
   }
 }
 
+void table_store::NoteTargets(std::string_view service) {
+  ranked_lock lock(mutex_);
+  if (with_targets_.find(service) == with_targets_.end()) {
+    with_targets_.emplace(service);
+    changed_.SignalAll();
+  }
+}
+
+void table_store::WaitForTargets(std::string_view service, instant until) {
+  ranked_lock lock(mutex_);
+  while (with_targets_.find(service) == with_targets_.end()) {
+    const duration left = until - boot_clock::Now();
+    if (left <= duration::zero()) {
+      return;
+    }
+    mutex_.WaitFor(changed_, absl::FromChrono(left));
+  }
+}
+
 }  // namespace cuminferry
