--- a/extras/trial/demo.cpp
+++ b/extras/trial/demo.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t kDomains = 2;
 constexpr int kOk = 200;
+constexpr int kMicrosPerMilli = 1000;
 constexpr int kExitStart = 4;
 constexpr int kExitWrong = 5;
 constexpr duration kLongestEdit = std::chrono::seconds(15);
@@ -110,14 +111,20 @@
 
   // What each backend server noted of the request.
   void TellRuns(const std::string& name) {
-    for (const running_target& target : running_.targets()) {
-      journal_text journal;
-      ReadJournal(running_.JournalFileOf(target), target.service, journal);
-      for (const journal_entry& entry : journal.entries) {
-        if (entry.request == name && !entry.is_effect) {
-          std::printf("     worked on by %-26s for %3lld ms\n", target.instance.c_str(),
-                      static_cast<long long>(entry.busy.count() / 1000));
-        }
+    for (const service_plan& service : plan_.services) {
+      for (const running_target* target : running_.TargetsOf(service.name)) {
+        TellRunsAt(*target, name);
+      }
+    }
+  }
+
+  void TellRunsAt(const running_target& target, const std::string& name) const {
+    journal_text journal;
+    ReadJournal(running_.JournalFileOf(target), target.service, journal);
+    for (const journal_entry& entry : journal.entries) {
+      if (entry.request == name && !entry.is_effect) {
+        std::printf("     worked on by %-26s for %3lld ms\n", target.instance.c_str(),
+                    static_cast<long long>(entry.busy.count() / kMicrosPerMilli));
       }
     }
   }
--- a/extras/trial/link_faults.cpp
+++ b/extras/trial/link_faults.cpp
@@ -22,11 +22,11 @@
 using cuminferry::trial::link_fault_table;
 
 constexpr std::size_t kDescriptors = 65536;
-constexpr std::int8_t kNoDomain = -1;
+constexpr int kNoDomain = -1;
 
 // What is known of one open connection.
 struct connection_state {
-  std::atomic<std::int8_t> peer_domain = kNoDomain;
+  std::atomic<int> peer_domain = kNoDomain;
   std::atomic<bool> silent = false;
   std::atomic<std::uint32_t> epoch = 0;
 };
@@ -58,11 +58,11 @@
 }
 
 int OwnDomain() {
-  static const int domain = [] {
+  static const int kDomain = [] {
     const char* text = std::getenv(cuminferry::trial::kLinkFaultDomain);
     return text == nullptr ? 0 : std::atoi(text);
   }();
-  return domain;
+  return kDomain;
 }
 
 int DomainOf(const sockaddr* address) {
@@ -84,7 +84,7 @@
   connection_state& state = Connections()[static_cast<std::size_t>(descriptor)];
   state.silent = false;
   state.epoch = Table() == nullptr ? 0 : Table()->silence_epoch.load();
-  state.peer_domain = static_cast<std::int8_t>(peer_domain);
+  state.peer_domain = peer_domain;
 }
 
 // A connection that has lost one byte passes nothing any more: what came after
--- a/tests/process/process_support.cpp
+++ b/tests/process/process_support.cpp
@@ -25,13 +25,13 @@
 }  // namespace
 
 const trial::deployment_plan& Donauried() {
-  static const trial::deployment_plan plan = [] {
+  static const trial::deployment_plan kPlan = [] {
     auto read =
         trial::deployment_plan::Read(CUMINFERRY_SOURCE_DIR "/examples/donauried.trial.jsonc");
     CPPUNIT_ASSERT_MESSAGE(std::string(read.status().message()), read.ok());
     return *std::move(read);
   }();
-  return plan;
+  return kPlan;
 }
 
 std::unique_ptr<trial::deployment> StartDonauried(std::size_t domains) {
