Measure what two nodes add to a call

"cuminferry-trial hops" lets backend servers work for no time and compares the time that one waits for its call through its node and the callee's with direct calls of the same backend servers.

--- a/extras/stand_ins/backend/backend_stand_in.cpp
+++ b/extras/stand_ins/backend/backend_stand_in.cpp
@@ -172,8 +172,10 @@
 
   //============================================================================
   bool MakeCalls(const running_request& running, run_record& record, httplib::Response& response) {
+    const instant begun = boot_clock::Now();
     const call_outcome worst =
         running.kind.calls_in_parallel ? CallAllAtOnce(running) : CallOneByOne(running);
+    record.waited = boot_clock::Now() - begun;
     if (worst.end == call_end::kWell) {
       return true;
     }
--- a/extras/stand_ins/backend/run_journal.cpp
+++ b/extras/stand_ins/backend/run_journal.cpp
@@ -20,7 +20,8 @@
                         {"method", run.method},
                         {"path", run.path},
                         {"end", kEnds[static_cast<std::size_t>(run.end)]},
-                        {"busy_us", run.busy.count()}}
+                        {"busy_us", run.busy.count()},
+                        {"waited_us", run.waited.count()}}
              .dump() +
          "\n";
 }
--- a/extras/stand_ins/backend/run_journal.h
+++ b/extras/stand_ins/backend/run_journal.h
@@ -27,6 +27,8 @@
   run_end end = run_end::kDone;
   /** Time that the instance itself worked on it, its calls out left out. */
   duration busy{0};
+  /** Time that it waited for its calls out. */
+  duration waited{0};
 
   /** Whether the work took effect: a permit filed, a deposit charged. */
   bool had_effect() const { return end == run_end::kDone || end == run_end::kUnanswered; }
--- a/extras/trial/journal_reader.cpp
+++ b/extras/trial/journal_reader.cpp
@@ -21,6 +21,7 @@
   entry.is_effect = line.at("what") == "effect";
   entry.is_done = line.at("end") == "done";
   entry.busy = duration(line.at("busy_us").get<std::int64_t>());
+  entry.waited = duration(line.at("waited_us").get<std::int64_t>());
   return entry;
 }
 
--- a/extras/trial/journal_reader.h
+++ b/extras/trial/journal_reader.h
@@ -18,6 +18,7 @@
   bool is_effect = false;
   bool is_done = false;
   duration busy{0};
+  duration waited{0};
 };
 
 /** The entries of the journals of a deployment. */
--- a/extras/trial/trial_main.cpp
+++ b/extras/trial/trial_main.cpp
@@ -8,6 +8,7 @@
 
 #include "trial/child_process.h"
 #include "trial/demo.h"
+#include "trial/hop_cost.h"
 #include "trial/trial_run.h"
 
 namespace {
@@ -21,6 +22,7 @@
 constexpr int kExitPlan = 3;
 constexpr int kExitRun = 4;
 constexpr double kMillisPerSecond = 1000.0;
+constexpr double kModerateRate = 200.0;
 
 std::chrono::milliseconds Seconds(const cxxopts::ParseResult& given, const char* name) {
   return std::chrono::milliseconds(
@@ -36,8 +38,9 @@
   cxxopts::Options options(
       "cuminferry-trial",
       "Starts a deployment of real processes on this machine, loads it with callers that retry\n"
-      "hard, and prints the measures. \"cuminferry-trial demo FILE\" shows one walk through it.");
-  options.positional_help("[demo] DEPLOYMENT").show_positional_help();
+      "hard, and prints the measures. \"cuminferry-trial demo FILE\" shows one walk through it,\n"
+      "\"cuminferry-trial hops FILE\" measures what two nodes add to a call.");
+  options.positional_help("[demo|hops] DEPLOYMENT").show_positional_help();
   auto add = options.add_options();
   add("control", "full, static, none, or several of them with commas; all: one after another",
       cxxopts::value<std::string>()->default_value("full"));
@@ -212,11 +215,16 @@
   return EXIT_SUCCESS;
 }
 
+double HopRate(const cxxopts::ParseResult& given) {
+  const double rate = given["rate"].as<double>();
+  return rate > 0 ? rate : kModerateRate;
+}
+
 int Run(const cxxopts::ParseResult& given) {
   std::vector<std::string> words = given["words"].as<std::vector<std::string>>();
-  const bool demo = words.size() == 2 && words[0] == "demo";
-  if (!demo && words.size() != 1) {
-    std::cerr << "name one deployment file\n";
+  const std::string what = words.size() == 2 ? words[0] : "";
+  if (words.size() > 2 || (words.size() == 2 && what != "demo" && what != "hops")) {
+    std::cerr << "name one deployment file, and before it demo or hops or nothing\n";
     return kExitUsage;
   }
   const auto plan = deployment_plan::Read(words.back());
@@ -224,7 +232,13 @@
     std::cerr << plan.status().message() << "\n";
     return kExitPlan;
   }
-  return demo ? cuminferry::trial::RunDemo(*plan, ProgramsFolder()) : RunTrials(given, *plan);
+  if (what == "demo") {
+    return cuminferry::trial::RunDemo(*plan, ProgramsFolder());
+  }
+  if (what == "hops") {
+    return cuminferry::trial::RunHopCost(*plan, ProgramsFolder(), HopRate(given));
+  }
+  return RunTrials(given, *plan);
 }
 
 }  // namespace
