Tell the target chooser incarnations and own pauses

Cause: the chooser keeps a target out that said it leaves until another incarnation answers at its address. The node did not tell it incarnations, so that a drained instance restarted on the same address would never get work again.

Changed: the hello's incarnation goes along with MarkReachable, and a noticed pause clears what was lost meanwhile.

--- a/modules/cuminferry_node/runtime/call_router.cpp
+++ b/modules/cuminferry_node/runtime/call_router.cpp
@@ -18,8 +18,13 @@
   choice_.With([&](choice& state) { state.chooser.MarkLeaving(target, boot_clock::Now()); });
 }
 
-void call_router::MarkReachable(endpoint target) {
-  choice_.With([&](choice& state) { state.chooser.MarkReachable(target, boot_clock::Now()); });
+void call_router::MarkReachable(endpoint target, incarnation_id incarnation) {
+  choice_.With(
+      [&](choice& state) { state.chooser.MarkReachable(target, incarnation, boot_clock::Now()); });
+}
+
+void call_router::OnOwnPause() {
+  choice_.With([&](choice& state) { state.chooser.OnOwnPause(boot_clock::Now()); });
 }
 
 std::optional<endpoint> call_router::ChooseTarget(std::string_view service,
--- a/modules/cuminferry_node/runtime/call_router.h
+++ b/modules/cuminferry_node/runtime/call_router.h
@@ -20,7 +20,9 @@
   //============================================================================
   void UseTargets(std::string_view service, std::span<const target_info> targets);
   void MarkLeaving(endpoint target);
-  void MarkReachable(endpoint target);
+  void MarkReachable(endpoint target, incarnation_id incarnation);
+  /** This process woke up late; calls lost meanwhile are not the targets' fault. */
+  void OnOwnPause();
 
   /** Chooses the target of an attempt and counts it as sent there. */
   std::optional<endpoint> ChooseTarget(std::string_view service, std::span<const endpoint> avoid);
--- a/modules/cuminferry_node/runtime/egress_side.cpp
+++ b/modules/cuminferry_node/runtime/egress_side.cpp
@@ -221,7 +221,10 @@
 }
 
 void egress_side::MarkLeaving(endpoint target) { state_->router().MarkLeaving(target); }
-void egress_side::MarkReachable(endpoint target) { state_->router().MarkReachable(target); }
+void egress_side::MarkReachable(endpoint target, incarnation_id incarnation) {
+  state_->router().MarkReachable(target, incarnation);
+}
+void egress_side::OnOwnPause() { state_->router().OnOwnPause(); }
 void egress_side::MarkUnreachable(endpoint /*target*/) {}
 
 }  // namespace cuminferry
--- a/modules/cuminferry_node/runtime/egress_side.h
+++ b/modules/cuminferry_node/runtime/egress_side.h
@@ -52,7 +52,8 @@
   //============================================================================
   void UseTargets(std::string_view service, std::span<const target_info> targets);
   void MarkLeaving(endpoint target);
-  void MarkReachable(endpoint target);
+  void MarkReachable(endpoint target, incarnation_id incarnation);
+  void OnOwnPause();
   void MarkUnreachable(endpoint target);
 
  private:
--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -149,7 +149,7 @@
         .on_lost = [this](connection_id connection) { peers_.OnLost(connection); },
         .on_hello =
             [this](const hello_message& hello) {
-              egress_.MarkReachable(hello.listens_at);
+              egress_.MarkReachable(hello.listens_at, hello.incarnation);
               fleet_.OnHello(hello);
             },
         .on_leaving =
@@ -218,6 +218,7 @@
       if (paused) {
         const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now - last);
         events_.Add({.kind = event_kind::kPauseNoticed, .value = millis.count()});
+        egress_.OnOwnPause();
       }
       last = now;
       serving_.Tick(now);
