Take ports that refuse at once for the silent nodes of ctl_test

Cause: the HTTP library's bound server listens, so each silent node cost the time-out of 3 s; ctl_test took 10 s.

Changed: a plain socket that is bound and not listened on refuses at once.

--- a/tests/table/ctl_test.cpp
+++ b/tests/table/ctl_test.cpp
@@ -1,4 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
@@ -16,11 +19,24 @@
 using json = nlohmann::json;
 using testing::fake_node;
 
-/** A port of this machine on which nothing listens: bound, never listened on. */
-std::string SilentAddress() {
-  httplib::Server bound;
-  return "127.0.0.1:" + std::to_string(bound.bind_to_any_port("127.0.0.1"));
-}
+/** An address of this machine that refuses connections: bound, never listened on. */
+class silent_address {
+ public:
+  silent_address() : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    at_.sin_family = AF_INET;
+    at_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof at_;
+    CPPUNIT_ASSERT_EQUAL(0, bind(socket_, reinterpret_cast<sockaddr*>(&at_), length));
+    CPPUNIT_ASSERT_EQUAL(0, getsockname(socket_, reinterpret_cast<sockaddr*>(&at_), &length));
+  }
+  ~silent_address() { close(socket_); }
+
+  std::string text() const { return "127.0.0.1:" + std::to_string(ntohs(at_.sin_port)); }
+
+ private:
+  int socket_;
+  sockaddr_in at_{};
+};
 
 struct ctl_run {
   explicit ctl_run(const std::vector<std::string>& arguments) {
@@ -187,7 +203,8 @@
   void Status_NodesSilent_ShowsTheOthers() {
     fake_node node;
     node.AnswerGet("/status", StatusOf("permit-1", 7, 1));
-    const std::string silent = SilentAddress();
+    const silent_address refusing;
+    const std::string silent = refusing.text();
     const ctl_run some({"status", "--nodes", node.address() + "," + silent});
     CPPUNIT_ASSERT(some.code == exit_code::kSomeNodesSilent);
     CPPUNIT_ASSERT(some.Says("permit-1") && some.Says("silent: CF208"));
@@ -268,7 +285,7 @@
     CPPUNIT_ASSERT(kind.Complains("did you mean \"call_refused\"?"));
     CPPUNIT_ASSERT(ctl_run({"timeline", "--nodes", "127.0.0.1:1", "--since", "lately"}).code ==
                    exit_code::kBadCommandLine);
-    CPPUNIT_ASSERT(ctl_run({"timeline", "--nodes", SilentAddress()}).code ==
+    CPPUNIT_ASSERT(ctl_run({"timeline", "--nodes", silent_address().text()}).code ==
                    exit_code::kNoNodeAnswered);
   }
 
