--- a/extras/ctl/fleet/node_list.cpp
+++ b/extras/ctl/fleet/node_list.cpp
@@ -36,12 +36,12 @@
       return exit_code::kFileUnreadable;
     }
     const auto settings = node_settings::Parse(text);
-    if (!settings.ok()) {
-      // Other files may stand in the folder; one that was meant is missed aloud.
+    if (settings.ok()) {
+      into.push_back(settings->admin);
+    } else if (text.find("\"admin\"") != std::string::npos) {
+      // Other files may stand in the folder; a node that was meant is missed aloud.
       to.err << name << " is not asked: " << settings.status().message() << "\n";
-      continue;
     }
-    into.push_back(settings->admin);
   }
   return exit_code::kDone;
 }
