Say plainly what a ticket's state is, and prove what is usable can be begun

Cause: ticket show printed 'CF0 Done.' for a ticket that was never presented; a node that does not answer was called 'Connection'. Whoever binds the shares to admission needs to know when Begin() may be false.

Changed: the state is named as such, silent nodes say why; a property test: where less runs than is usable, Begin() is true.

--- a/extras/ctl/commands/ticket_command.cpp
+++ b/extras/ctl/commands/ticket_command.cpp
@@ -56,10 +56,18 @@
         << "\n";
     return;
   }
-  out << "end:     " << (report.end.empty() ? "-" : report.end) << "\n"
-      << "code:    CF" << report.code << " " << MeaningOf(report.code) << "\n"
+  const std::string close = report.body.ends_with('\n') ? "" : "\n";
+  if (report.code != 0) {
+    out << "code:    CF" << report.code << " " << MeaningOf(report.code) << "\n";
+  }
+  if (report.end.empty()) {
+    // Without an end the body names the state of the ticket at its home.
+    out << "state:   " << report.body << close;
+    return;
+  }
+  out << "end:     " << report.end << "\n"
       << "status:  " << report.http_status << "\n"
-      << "answer:  " << report.body << (report.body.ends_with('\n') ? "" : "\n");
+      << "answer:  " << report.body << close;
 }
 
 exit_code AskAbout(const cxxopts::ParseResult& parsed, bool revoke, streams to) {
--- a/extras/ctl/fleet/node_client.cpp
+++ b/extras/ctl/fleet/node_client.cpp
@@ -22,13 +22,26 @@
   return client;
 }
 
+std::string WhyNoAnswer(httplib::Error error) {
+  switch (error) {
+    case httplib::Error::Connection:
+      return "no connection: refused, or no answer in time";
+    case httplib::Error::Read:
+      return "connected, and no answer in time";
+    case httplib::Error::Canceled:
+      return "the answer is larger than " + std::to_string(kLargestAnswer) + " bytes";
+    default:
+      return httplib::to_string(error);
+  }
+}
+
 absl::Status Unreachable(endpoint at, const std::string& why) {
   return MakeStatus(result_code::kTargetUnreachable, at.ToString() + ": " + why);
 }
 
 absl::StatusOr<http_answer> AnswerOf(endpoint at, const httplib::Result& result, std::string body) {
   if (!result) {
-    return Unreachable(at, httplib::to_string(result.error()));
+    return Unreachable(at, WhyNoAnswer(result.error()));
   }
   http_answer answer{result->status, std::move(body), {}};
   answer.headers.insert(result->headers.begin(), result->headers.end());
--- a/modules/cuminferry_policy/shares/limit_shares.h
+++ b/modules/cuminferry_policy/shares/limit_shares.h
@@ -21,6 +21,12 @@
     it says so, and has it back only when the borrower can no longer use it,
     whatever is lost, late or restarted. See docs/design/limit-shares.md.
 
+    The owner gives admission Usable() of each row as its share, on every tick and
+    after every message, and calls Begin() for each call that admission starts:
+    where running calls are below Usable(), Begin() is true. Only where Usable()
+    fell since admission was told can it be false; the call is then refused as
+    result_code::kFleetLimitReached.
+
     Calls are counted from Begin() to End(); a call may be begun only if it is
     handed to the backend server before its deadline and ends by its deadline.
 
--- a/tests/table/ctl_test.cpp
+++ b/tests/table/ctl_test.cpp
@@ -207,7 +207,8 @@
     const std::string silent = refusing.text();
     const ctl_run some({"status", "--nodes", node.address() + "," + silent});
     CPPUNIT_ASSERT(some.code == exit_code::kSomeNodesSilent);
-    CPPUNIT_ASSERT(some.Says("permit-1") && some.Says("silent: CF208"));
+    CPPUNIT_ASSERT(some.Says("permit-1") && some.Says("silent: CF208") &&
+                   some.Says("no connection"));
     const ctl_run none({"status", "--json", "--nodes", silent});
     CPPUNIT_ASSERT(none.code == exit_code::kNoNodeAnswered);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, json::parse(none.out)["silent"].size());
@@ -309,9 +310,11 @@
     node.AnswerGet("/ticket/x", "", {{"Cuminferry-Code", "404"}}, 400);
     node.AnswerPost("/ticket/t/revoke", "tombstone\n", {{"Cuminferry-Code", "402"}});
     const ctl_run done({"ticket", "show", "done", "--node", node.address()});
-    CPPUNIT_ASSERT(done.code == exit_code::kDone && done.Says("granted"));
+    CPPUNIT_ASSERT(done.code == exit_code::kDone && done.Says("answer:  granted"));
     const ctl_run running({"ticket", "show", "running", "--node", node.address(), "--json"});
     CPPUNIT_ASSERT(running.code == exit_code::kFoundProblems);
+    CPPUNIT_ASSERT(
+        ctl_run({"ticket", "show", "running", "--node", node.address()}).Says("state:   running"));
     CPPUNIT_ASSERT_EQUAL(403, json::parse(running.out)["code"].get<int>());
     CPPUNIT_ASSERT(ctl_run({"ticket", "show", "x", "--node", node.address()}).code ==
                    exit_code::kBadCommandLine);
--- a/tests/targets/limit_shares_test.cpp
+++ b/tests/targets/limit_shares_test.cpp
@@ -106,6 +106,7 @@
   CPPUNIT_TEST_SUITE(limit_shares_test);
   CPPUNIT_TEST(Fleet_AnyMisfortune_StaysUnderTheLimit);
   CPPUNIT_TEST(Fleet_LimitEditedUnderMisfortune_StaysUnderTheLargerThenTheNew);
+  CPPUNIT_TEST(Usable_MoreThanRunning_BeginIsTrue);
   CPPUNIT_TEST(Domain_OneNodeBusy_UsesWhatOthersLeave);
   CPPUNIT_TEST(Domain_BusyNodeIsDone_LendersHaveTheirPartBack);
   CPPUNIT_TEST(Row_LimitTooSmallForEveryNode_IsStillUsed);
@@ -173,6 +174,29 @@
     });
   }
 
+  // Admission starts calls by the number that it was told. A call that it starts and
+  // that may then not begin is a farmer refused after he was let in.
+  void Usable_MoreThanRunning_BeginIsTrue() {
+    testing::CheckProperty("what is usable can be begun", [](std::uint64_t seed) {
+      const table_shard shard = AnyShard();
+      const duration deadline = shard.rows.front().deadline;
+      share_fleet fleet(shard, AnyWeather(), seed);
+      fleet.Step(limit_shares::kHoldBack);
+      moving_load load(fleet, deadline);
+      for (int step = 0; step < 300; ++step) {
+        load.Step();
+        for (std::size_t at = 0; at < fleet.size(); ++at) {
+          limit_shares& shares = fleet.shares(at);
+          const instant now = fleet.Clock(at);
+          if (shares.Running("row") < shares.Usable("row", now)) {
+            RC_ASSERT(shares.Begin("row", now + deadline, now));
+            shares.End("row", now);
+          }
+        }
+      }
+    });
+  }
+
   // A failure domain is cut off and its callers all reach one node. Three quarters
   // of what its idle peers may run must come to their aid.
   void Domain_OneNodeBusy_UsesWhatOthersLeave() {
