--- a/modules/cuminferry_policy/claims/claim_book.cpp
+++ b/modules/cuminferry_policy/claims/claim_book.cpp
@@ -44,6 +44,10 @@
   std::string text;
 };
 
+std::size_t CostOf(const std::string& answer) {
+  return answer.size() + claim_book::kBytesPerAnswer;
+}
+
 using claims_of_window = absl::flat_hash_map<nonce, entry>;
 
 }  // namespace
@@ -127,14 +131,14 @@
     if (found == nullptr || found->state != claim_state::kRunning) {
       return;
     }
-    if (answer.size() > chosen_.answer_bytes_bound) {
+    if (CostOf(answer) > chosen_.answer_bytes_bound) {
       End(*found, claim_state::kAnswerForgotten, result_code::kTicketAnswerForgotten);
       return;
     }
-    ForgetAnswersFor(answer.size());
+    ForgetAnswersFor(CostOf(answer));
     End(*found, claim_state::kCompleted, result_code::kOk);
     found->answer = ++last_answer_;
-    answer_bytes_ += answer.size();
+    answer_bytes_ += CostOf(answer);
     answers_.emplace(last_answer_, kept_answer{claim, std::move(answer)});
   }
 
@@ -241,7 +245,7 @@
     if (found == answers_.end()) {
       return;
     }
-    answer_bytes_ -= found->second.text.size();
+    answer_bytes_ -= CostOf(found->second.text);
     answers_.erase(found);
     owner.answer = 0;
   }
--- a/modules/cuminferry_policy/claims/claim_book.h
+++ b/modules/cuminferry_policy/claims/claim_book.h
@@ -60,6 +60,9 @@
 */
 class claim_book {
  public:
+  /** What keeping an answer costs beside its text; counts as bytes of answers. */
+  static constexpr std::size_t kBytesPerAnswer = 128;
+
   struct options {
     incarnation_id incarnation = 0;
     std::chrono::seconds window_length{60};
@@ -68,7 +71,7 @@
     /** For so many windows after those, a ticket is remembered but no new one is
         accepted: a late first arrival can be told for sure that it did not run. */
     std::uint32_t windows_remembered = 2;
-    /** Most tickets remembered, about 60 bytes each; one more is refused, none is
+    /** Most tickets remembered, about 50 bytes each; one more is refused, none is
         forgotten early. */
     std::size_t ticket_bound = 200'000;
     /** Most bytes of answers kept; the oldest go first, their tickets stay. */
--- a/tests/claims/claims_explore.cpp
+++ b/tests/claims/claims_explore.cpp
@@ -1,6 +1,8 @@
 // Plays random schedules of the claim code, each fault of the list, or explores
 // all interleavings of a small case. Prints what was found and reached.
 
+#include <malloc.h>
+
 #include <atomic>
 #include <cstdio>
 #include <cxxopts.hpp>
@@ -11,6 +13,7 @@
 
 #include "claims/claim_exploration.h"
 #include "claims/claim_schedule.h"
+#include "cuminferry_policy/cuminferry_policy.h"
 
 namespace cuminferry::testing {
 namespace {
@@ -92,6 +95,42 @@
   return found.violation.empty() ? 0 : 1;
 }
 
+std::uint64_t BytesInUse() {
+  const struct mallinfo2 heap = mallinfo2();
+  return heap.uordblks + heap.hblkhd;
+}
+
+/** What a ticket costs its home, with answers of a usual size and without. */
+int MeasureCost(std::uint64_t tickets, bool refused, std::size_t answer_bytes) {
+  const std::uint64_t before = BytesInUse();
+  const instant start = boot_clock::Now();
+  claim_book book({.incarnation = 1, .ticket_bound = tickets}, start);
+  random_source random(1);
+  std::vector<claim_id> claims(tickets);
+  for (claim_id& each : claims) {
+    each = MintTicket({{}, 1, book.Window(start)}, 2, random).id;
+  }
+  const std::uint64_t with_list = BytesInUse();
+  const instant begun = boot_clock::Now();
+  for (const claim_id& each : claims) {
+    if (refused) {
+      book.Refuse(each, result_code::kRefusedOverload, start);
+      continue;
+    }
+    book.Begin(each, start);
+    book.HandOver(each, start);
+    book.Complete(each, std::string(answer_bytes, 'a'), start);
+  }
+  const auto spent = std::chrono::duration<double, std::nano>(boot_clock::Now() - begun);
+  const std::uint64_t list = with_list - before;
+  const std::uint64_t book_bytes = BytesInUse() - before - list;
+  const double per_ticket = static_cast<double>(book_bytes) / static_cast<double>(tickets);
+  std::printf("%7llu tickets, %s, answers of %3zu bytes: %4.0f bytes and %5.0f ns a ticket\n",
+              static_cast<unsigned long long>(tickets), refused ? "refused" : "run", answer_bytes,
+              per_ticket, spent.count() / static_cast<double>(tickets));
+  return 0;
+}
+
 }  // namespace
 }  // namespace cuminferry::testing
 
@@ -101,6 +140,7 @@
                         cxxopts::value<std::uint64_t>()->default_value("100000"))(
       "seed", "number of the first schedule", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "threads", "threads to play on", cxxopts::value<unsigned>()->default_value("1"))(
+      "cost", "measure what a ticket costs its home")(
       "depth", "explore all interleavings of a small case to so many steps instead",
       cxxopts::value<int>())("faults", "play each deliberate fault until it is caught")(
       "help", "print this");
@@ -110,6 +150,14 @@
       std::printf("%s", options.help().c_str());
       return 0;
     }
+    if (chosen.count("cost") > 0) {
+      for (const std::uint64_t tickets : {1'000, 10'000, 50'000, 200'000}) {
+        cuminferry::testing::MeasureCost(tickets, true, 0);
+        cuminferry::testing::MeasureCost(tickets, false, 0);
+        cuminferry::testing::MeasureCost(tickets, false, 512);
+      }
+      return 0;
+    }
     const bool faults = chosen.count("faults") > 0;
     if (chosen.count("depth") > 0) {
       return cuminferry::testing::Explore(chosen["depth"].as<int>(), faults);
