--- a/extras/trial/trial_run.cpp
+++ b/extras/trial/trial_run.cpp
@@ -1,5 +1,6 @@
 #include "trial/trial_run.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <sstream>
 #include <utility>
@@ -64,6 +65,7 @@
 absl::StatusOr<trial_measures> RunTrial(const deployment_plan& plan, const run_options& options) {
   deployment::options chosen = options.deployment;
   chosen.heeds_deadlines = chosen.control == "full" || options.heeding_baselines;
+  chosen.link_faults = chosen.link_faults || !options.faults.empty();
   auto started = deployment::Start(plan, chosen);
   if (!started.ok()) {
     return started.status();
@@ -84,6 +86,9 @@
   trial_measures measures =
       Measure(plan, load, result, ReadJournals(running), ReadCounters(running));
   measures.control = options.deployment.control;
+  if (std::count(options.faults.begin(), options.faults.end(), fault_kind::kSlowDeep) > 0) {
+    measures.capacity /= kSlowFactor;
+  }
   return measures;
 }
 
--- a/modules/cuminferry_fleet/agent/fleet_agent.h
+++ b/modules/cuminferry_fleet/agent/fleet_agent.h
@@ -32,6 +32,7 @@
   std::uint64_t rejected = 0;
   std::uint64_t conflicts = 0;
   bool catching_up = false;
+  bool watching = false;
 };
 
 /** All decisions of one node about the fleet: which tables are in force, when to
@@ -58,8 +59,12 @@
   ~fleet_agent();
 
   //============================================================================
-  /** Follows one more service: its shard and its instances. */
-  void Follow(std::string_view service, instant now);
+  /** Most services that one node follows. */
+  static constexpr std::size_t kFollowedBound = 256;
+
+  /** Follows one more service: its shard and its instances. False where it is
+      followed already or the bound is reached. */
+  bool Follow(std::string_view service, instant now);
 
   void OnTick(instant now);
   void OnDigest(const spread_digest& digest, instant now);
@@ -69,6 +74,8 @@
   void OnUnreachable(endpoint peer, instant now);
   /** The read that an action asked for has ended. */
   void OnPlatformRead(std::string_view name, read_end end, std::string_view value, instant now);
+  /** The watch that an action asked for has ended, with or without a change. */
+  void OnPlatformWatched(std::string_view name, read_end end, std::string_view value, instant now);
 
   void OnHello(std::string_view service, const member_hello& hello, instant now);
   void OnPeerLeaving(endpoint peer, incarnation_id incarnation, instant now);
--- a/modules/cuminferry_policy/admission/offered_load.h
+++ b/modules/cuminferry_policy/admission/offered_load.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
@@ -21,9 +22,13 @@
   static constexpr std::size_t kLevelBound = 64;
   /** What was offered longer ago than this counts little. */
   static constexpr std::chrono::milliseconds kMemory{200};
+  /** A surge shows in a shorter memory first. */
+  static constexpr std::chrono::milliseconds kShortMemory{40};
 
   /** Counts one call. */
   void Record(call_rank rank);
+  /** A call of this rank was started. */
+  void RecordStart(call_rank rank, instant now);
   /** Lets the time pass. */
   void Decay(duration passed);
   /** Forgets all. */
@@ -33,6 +38,12 @@
   /** Calls per second of a rank at or above `threshold`. */
   double RateAbove(call_rank threshold) const;
   double rate() const;
+  /** How much more is offered at this moment than over the longer memory; at least 1. */
+  double SurgeFactor() const;
+
+  /** The highest weight below `weight` of which a call started since `since`;
+      nothing where none did. */
+  std::optional<std::uint16_t> StartedBelow(std::uint16_t weight, instant since) const;
 
   /** The lowest rank such that no more than `rate` calls per second are at or above it. */
   call_rank ThresholdForRate(double rate) const;
@@ -49,10 +60,12 @@
     float total = 0;
     /** The highest rate of late; forgotten slowly. */
     float remembered = 0;
+    instant last_start;
   };
 
   level& LevelOf(std::uint32_t number);
 
+  double short_rate_ = 0;
   /** By ascending number. */
   std::vector<level> levels_;
 };
--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -22,4 +22,6 @@
 #include "cuminferry_policy/claims/ticket_text.h"
 #include "cuminferry_policy/rank/call_rank.h"
 #include "cuminferry_policy/retries/retry_allowance.h"
+#include "cuminferry_policy/retries/retry_rule.h"
+#include "cuminferry_policy/shares/limit_shares.h"
 #include "cuminferry_policy/targets/target_chooser.h"
