--- a/tests/backend/backend_client_test.cpp
+++ b/tests/backend/backend_client_test.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(Send_Cancelled_EndsAtOnce);
   CPPUNIT_TEST(Send_AnswerTooLarge_IsBounded);
   CPPUNIT_TEST(Send_HostileHead_IsBounded);
+  CPPUNIT_TEST(Send_AnyBytesAsAnswer_EndsOnce);
   CPPUNIT_TEST(Send_LineBreakInHeader_IsNotSent);
   CPPUNIT_TEST(Send_NobodyListens_IsNotSent);
   CPPUNIT_TEST(AskHealth_AnyText_IsRead);
@@ -413,6 +414,25 @@
     }
   }
 
+  // A backend server that is broken, or something else that listens on its port,
+  // sends whatever it likes. The node must end the call, and go on.
+  void Send_AnyBytesAsAnswer_EndsOnce() {
+    CheckProperty("any bytes end the call", [] {
+      const std::string valid =
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: 1\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+      std::string answer = *rc::gen::element(valid, std::string(kHello));
+      const int changes = *rc::gen::inRange(1, 8);
+      for (int change = 0; change < changes; ++change) {
+        answer[*rc::gen::inRange<std::size_t>(0, answer.size())] = *rc::gen::arbitrary<char>();
+      }
+      scripted_backend backend(AnswerWith(answer));
+      const backend_answer got = SendTo(backend, Filing());
+      RC_ASSERT(got.end == backend_end::kAnswered || got.end == backend_end::kBrokenOff ||
+                got.end == backend_end::kTooLarge);
+      RC_ASSERT(backend.arrivals() == 1);
+    });
+  }
+
   // A line break in a header value, passed on as it is, begins a second request
   // on the connection, which nobody has weighed or counted.
   void Send_LineBreakInHeader_IsNotSent() {
