Ignore late word of an instance's earlier processes

Cause, found by reading: a datagram or hello of a process that is over, coming late, counted as a new incarnation, so an instance that had said it is leaving got work again; a late goodbye of the old process put the new one out of use. Changed: the last four incarnations of an address are remembered and their word is ignored. Conclusion: leaving holds whatever the order of arrival.

--- a/modules/cuminferry_fleet/members/member_view.cpp
+++ b/modules/cuminferry_fleet/members/member_view.cpp
@@ -7,6 +7,8 @@
 namespace cuminferry {
 namespace {
 
+// Earlier incarnations of one address that are told apart from new ones.
+constexpr std::size_t kPastIncarnations = 4;
 // Long enough for the platform's list to catch up with a new instance.
 constexpr std::chrono::minutes kKeepUnlisted{10};
 
@@ -16,6 +18,8 @@
   // What the list says; info.leaving is not used beyond the list.
   bool listed_leaving = false;
   incarnation_id incarnation = 0;
+  // Earlier ones, newest last.
+  std::vector<incarnation_id> past;
   // The incarnation that said it is leaving.
   incarnation_id left = 0;
   bool lost = false;
@@ -24,6 +28,28 @@
 
   bool said_leaving() const { return left != 0 && left == incarnation; }
   bool leaving() const { return said_leaving() || lost || listed_leaving; }
+
+  // A restarted process is a new instance in all but name: what the old one said of
+  // leaving no longer holds. The list's word of leaving was for the old one.
+  // False for word of an incarnation that is over. Datagrams come late and in any
+  // order: taken for a new start, it would bring a leaving instance back to life.
+  bool Note(incarnation_id heard) {
+    if (heard == incarnation || heard == 0) {
+      return true;
+    }
+    if (std::find(past.begin(), past.end(), heard) != past.end()) {
+      return false;
+    }
+    if (incarnation != 0) {
+      listed_leaving = false;
+      past.push_back(incarnation);
+    }
+    if (past.size() > kPastIncarnations) {
+      past.erase(past.begin());
+    }
+    incarnation = heard;
+    return true;
+  }
 };
 
 }  // namespace
@@ -51,7 +77,9 @@
     }
     member_record& record = records_[hello.info.peer];
     const bool was_eligible = known && !record.leaving();
-    NoteIncarnation(record, hello.incarnation);
+    if (!record.Note(hello.incarnation)) {
+      return false;
+    }
     record.info = hello.info;
     record.lost = false;
     record.heard_at = now;
@@ -68,8 +96,8 @@
     }
     member_record& record = found->second;
     const bool was_leaving = record.leaving();
-    if (incarnation != 0) {
-      record.incarnation = incarnation;
+    if (!record.Note(incarnation)) {
+      return false;
     }
     record.left = record.incarnation;
     record.lost = record.lost || record.incarnation == 0;
@@ -95,7 +123,9 @@
     }
     member_record& record = found->second;
     const bool was_leaving = record.leaving();
-    NoteIncarnation(record, incarnation);
+    if (!record.Note(incarnation)) {
+      return false;
+    }
     record.lost = false;
     record.heard_at = now;
     return was_leaving != record.leaving();
@@ -131,18 +161,6 @@
     record.listed_leaving = one.leaving;
   }
 
-  // A restarted process is a new instance in all but name: what the old one said
-  // of leaving no longer holds. The list's word of leaving was for the old one.
-  static void NoteIncarnation(member_record& record, incarnation_id incarnation) {
-    if (incarnation == 0 || incarnation == record.incarnation) {
-      return;
-    }
-    if (record.incarnation != 0) {
-      record.listed_leaving = false;
-    }
-    record.incarnation = incarnation;
-  }
-
   std::size_t unlisted() const {
     return static_cast<std::size_t>(std::count_if(
         records_.begin(), records_.end(), [](const auto& entry) { return !entry.second.listed; }));
--- a/tests/fleet/member_view_test.cpp
+++ b/tests/fleet/member_view_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST_SUITE(member_view_test);
   CPPUNIT_TEST(Leaving_AnyLaterWordOfTheList_GetsNothingNew);
   CPPUNIT_TEST(Restarted_NewIncarnationHeard_IsUsedAgain);
+  CPPUNIT_TEST(Restarted_LateGoodbyeOfTheOldOne_IsUsedStill);
   CPPUNIT_TEST(Newcomer_NotListedYet_IsUsed);
   CPPUNIT_TEST(Listed_Leaving_GetsNothingNewThoughItGreets);
   CPPUNIT_TEST(Lost_HeardAgain_IsUsedAgain);
@@ -53,12 +54,13 @@
       member_view view("permit");
       instant now = instant(seconds(1000));
       view.UseList(List(1, {Instance(1), Instance(2)}), now);
+      view.OnHello({Instance(1), 76}, now);
       view.OnHello({Instance(1), 77}, now);
       view.OnLeaving({1, 9000}, 77, now);
       std::uint64_t version = 1;
       for (const std::uint8_t step : steps) {
         now += seconds(step);
-        switch (step % 5) {
+        switch (step % 7) {
           case 0:
             view.UseList(List(++version, {Instance(1), Instance(2)}), now);
             break;
@@ -71,6 +73,12 @@
           case 3:
             view.OnLost({1, 9000}, now);
             break;
+          case 4:
+            view.OnHeard({1, 9000}, 76, now);
+            break;
+          case 5:
+            view.OnHello({Instance(1), 76}, now);
+            break;
           default:
             view.OnTick(now);
             break;
@@ -81,6 +89,16 @@
     });
   }
 
+  // The goodbye of the process that stopped comes after the hello of its successor.
+  void Restarted_LateGoodbyeOfTheOldOne_IsUsedStill() {
+    member_view view("permit");
+    const instant now = instant(seconds(1000));
+    view.OnHello({Instance(1), 77}, now);
+    view.OnHello({Instance(1), 78}, now);
+    CPPUNIT_ASSERT(!view.OnLeaving({1, 9000}, 77, now));
+    CPPUNIT_ASSERT(IsEligible(view, 1));
+  }
+
   // An instance restarts at the same address. Were it held to be leaving for ever, each
   // rolling restart would make the fleet smaller until nothing is left.
   void Restarted_NewIncarnationHeard_IsUsedAgain() {
