Ask the next source at once where the platform does not answer

Cause: a test of two real runtimes, one of them cut off from the platform, took 3 to 9 s. A content whose turn it was to come from the platform waited 3 s for it, each time, though the platform was known not to answer. Changed: a platform that is out of reach is skipped and what waits for it goes on to the next source; once it answers again, all that is missing is asked for anew. Conclusion: a domain without the platform is served by its peers at their speed.

--- a/modules/cuminferry_fleet/agent/fleet_agent.cpp
+++ b/modules/cuminferry_fleet/agent/fleet_agent.cpp
@@ -89,7 +89,7 @@
     }
     reader_.UseIsolated(now - heard_at_ > kIsolatedAfter);
     for (fetch_attempt& attempt : fetch_.OnTick(now, random_)) {
-      Attempt(attempt);
+      Attempt(attempt, now);
     }
     if (!actions_.platform_read.has_value()) {
       actions_.platform_read = reader_.OnTick(now, random_);
@@ -162,7 +162,7 @@
   void OnPlatformRead(std::string_view name, read_end end, std::string_view value, instant now) {
     const bool was_reachable = reader_.reachable();
     reader_.OnRead(end, now, random_);
-    NoteReachable(was_reachable);
+    NoteReachable(was_reachable, now);
     if (end == read_end::kValue) {
       Take(std::string(name), value, std::nullopt, now);
     } else {
@@ -257,8 +257,13 @@
     return std::max(spread_.fleet_size(), static_cast<std::uint32_t>(spread_.peers().size()));
   }
 
-  void NoteReachable(bool was_reachable) {
+  void NoteReachable(bool was_reachable, instant now) {
     const bool reachable = reader_.reachable();
+    if (reachable && !was_reachable) {
+      fetch_.OnSourceBack(now);
+    } else if (!reachable && was_reachable) {
+      fetch_.OnSourceGone(std::nullopt, now);
+    }
     if (reachable != was_reachable) {
       AddEvent(reachable ? event_kind::kPlatformBack : event_kind::kPlatformLost,
                reachable ? result_code::kOk : result_code::kPlatformUnreachable, "platform",
@@ -464,13 +469,13 @@
     return sources;
   }
 
-  void Attempt(fetch_attempt& attempt) {
+  void Attempt(fetch_attempt& attempt, instant now) {
     if (KindOf(attempt.name) != value_kind::kIndex && IsInNoIndex(ServiceOf(attempt.name))) {
       fetch_.Done(attempt.name);
       return;
     }
     if (!attempt.source.has_value()) {
-      reader_.Want(attempt.name);
+      AskPlatform(attempt.name, now);
       return;
     }
     const std::uint64_t newer_than = KindOf(attempt.name) == value_kind::kIndex
@@ -480,6 +485,15 @@
     actions_.requests.push_back({*attempt.source, std::move(attempt.name), newer_than});
   }
 
+  // A platform that does not answer is not waited for: a peer may have the value.
+  void AskPlatform(const std::string& name, instant now) {
+    if (reader_.reachable()) {
+      reader_.Want(name);
+    } else {
+      fetch_.OnNothing(name, std::nullopt, now);
+    }
+  }
+
   // The value is here in this version: nothing more to ask, unless a newer one exists.
   void Finish(const std::string& name, std::uint64_t version) {
     const value_version* const known = spread_.directory().Find(name);
--- a/modules/cuminferry_fleet/tables/content_fetch.cpp
+++ b/modules/cuminferry_fleet/tables/content_fetch.cpp
@@ -42,12 +42,14 @@
 
   void OnNothing(std::string_view name, const content_source& source, instant now) {
     const auto found = wanted_.find(name);
-    if (found == wanted_.end() || found->second.next_source == 0) {
-      return;
+    if (found != wanted_.end()) {
+      GoOn(found->second, source, now);
     }
-    wanted_value& wanted = found->second;
-    if (wanted.sources[wanted.next_source - 1] == source) {
-      wanted.due = std::min(wanted.due, now);
+  }
+
+  void OnSourceGone(const content_source& source, instant now) {
+    for (auto& [name, wanted] : wanted_) {
+      GoOn(wanted, source, now);
     }
   }
 
@@ -71,6 +73,12 @@
   std::map<std::string, wanted_value, std::less<>> wanted_;
 
  private:
+  static void GoOn(wanted_value& wanted, const content_source& source, instant now) {
+    if (wanted.next_source > 0 && wanted.sources[wanted.next_source - 1] == source) {
+      wanted.due = std::min(wanted.due, now);
+    }
+  }
+
   // Without growing pauses a fleet that lacks one value, because the platform is
   // down, would ask all its peers for ever at full speed.
   static void BeginAgain(wanted_value& wanted, instant now, random_source& random) {
@@ -101,6 +109,18 @@
   state_->OnNothing(name, source, now);
 }
 
+void content_fetch::OnSourceGone(const content_source& source, instant now) {
+  state_->OnSourceGone(source, now);
+}
+
+void content_fetch::OnSourceBack(instant now) {
+  for (auto& [name, wanted] : state_->wanted_) {
+    wanted.next_source = 0;
+    wanted.pause = kFirstPause;
+    wanted.due = std::min(wanted.due, now);
+  }
+}
+
 std::vector<fetch_attempt> content_fetch::OnTick(instant now, random_source& random) {
   return state_->OnTick(now, random);
 }
--- a/modules/cuminferry_fleet/tables/content_fetch.h
+++ b/modules/cuminferry_fleet/tables/content_fetch.h
@@ -40,6 +40,10 @@
   void Done(std::string_view name);
   /** A source said that it has nothing newer, or could not be asked. */
   void OnNothing(std::string_view name, const content_source& source, instant now);
+  /** A source does not answer: what was asked of it is asked of the next one. */
+  void OnSourceGone(const content_source& source, instant now);
+  /** A source that gave nothing for some time works again: begins anew. */
+  void OnSourceBack(instant now);
 
   /** The attempts that are due. */
   std::vector<fetch_attempt> OnTick(instant now, random_source& random);
