Cut the fleet agent into parts with one job each

Cause: fleet_agent.cpp had grown to 783 lines with three matters of its own. Changed, without a change of what it does: who is asked for a value (source_planner), first copies held back (first_copies), peers' requests that wait (waiting_requests).

--- a/modules/cuminferry_fleet/agent/fleet_agent.cpp
+++ b/modules/cuminferry_fleet/agent/fleet_agent.cpp
@@ -4,8 +4,11 @@
 #include <functional>
 #include <map>
 
+#include "cuminferry_fleet/members/source_planner.h"
 #include "cuminferry_fleet/tables/content_fetch.h"
+#include "cuminferry_fleet/tables/first_copies.h"
 #include "cuminferry_fleet/tables/value_store.h"
+#include "cuminferry_fleet/tables/waiting_requests.h"
 
 namespace cuminferry {
 namespace {
@@ -21,11 +24,6 @@
 constexpr seconds kProbePeriod{5};
 constexpr seconds kIsolatedAfter{5};
 constexpr std::size_t kProbesAtOnce = 16;
-/** Nodes of a service that watch its list of instances. */
-constexpr std::size_t kWatchers = 2;
-/** Requests of peers for one value that wait until this node has it. */
-constexpr std::size_t kWaitingBound = 64;
-constexpr seconds kWaitingAtMost{2};
 /** The platform's reads for contents that changed at one moment are spread so
     that the readers of all regions together stay near this rate. */
 constexpr double kContentReadsPerSecond = 400.0;
@@ -34,21 +32,6 @@
 constexpr seconds kStaleAfter{10};
 /** How long contents wait for the own list of instances after the start. */
 constexpr milliseconds kListComesFirst{1'500};
-/** How long a first copy of a shard is held back for a newer one of a peer. */
-constexpr seconds kFirstCopyWait{2};
-
-struct waiting_request {
-  content_request request;
-  endpoint from;
-  instant until;
-};
-
-// The first copy of a service's shard, until it is certain that no peer in
-// reach has a newer one.
-struct first_copy {
-  std::optional<table_shard> held;
-  instant until;
-};
 
 }  // namespace
 
@@ -60,6 +43,7 @@
         spread_({options_.self, options_.incarnation},
                 {options_.self, options_.failure_domain, options_.seeds}),
         reader_(ReaderOptions(), now, random_),
+        planner_({options_.self, options_.service, options_.region, options_.seeds}),
         last_tick_(now),
         heard_at_(now) {
     Follow(options_.service, now);
@@ -71,7 +55,7 @@
       return false;
     }
     views_.emplace(std::string(service), member_view(std::string(service)));
-    first_copies_[std::string(service)].until = now + kFirstCopyWait;
+    first_copies_.Follow(service, now);
     const std::string list = InstancesName(service);
     store_.Follow(service);
     store_.Follow(list);
@@ -207,7 +191,7 @@
 
   //============================================================================
   std::uint64_t InForceVersion(std::string_view service) const {
-    return first_copies_.contains(service) ? 0 : store_.VersionOf(service);
+    return first_copies_.Awaits(service) ? 0 : store_.VersionOf(service);
   }
 
   instant next_due(instant now) const {
@@ -242,6 +226,7 @@
   table_spread spread_;
   value_store store_;
   platform_reader reader_;
+  source_planner planner_;
   fleet_actions actions_;
   std::map<std::string, member_view, std::less<>> views_;
 
@@ -309,9 +294,7 @@
         NoteMembers(service);
       }
     }
-    for (auto& [name, waiting] : waiting_) {
-      std::erase_if(waiting, [now](const waiting_request& one) { return one.until < now; });
-    }
+    waiting_.OnTick(now);
   }
 
   void Send(outgoing_digest digest) {
@@ -380,93 +363,14 @@
   }
 
   //============================================================================
-  // Two watch, as one may be gone without the list saying so.
-  bool IsWatcher() const {
-    const std::vector<endpoint> order =
-        Ranked(options_.service, DigestOf(options_.service), std::string_view());
-    const auto place = std::find(order.begin(), order.end(), options_.self);
-    return static_cast<std::size_t>(place - order.begin()) < std::min(order.size(), kWatchers);
-  }
-
-  // Members of a service in this region that take new work, in an order that all
-  // nodes agree on and that differs from value to value: the first one reads it
-  // from the platform, so that not all do.
-  std::vector<endpoint> RankedInRegion(std::string_view service, std::uint64_t salt) const {
-    return Ranked(service, salt, options_.region);
-  }
-
-  // As above; an empty region stands for all of them.
-  std::vector<endpoint> Ranked(std::string_view service, std::uint64_t salt,
-                               std::string_view region) const {
-    struct ranked {
-      std::uint64_t draw;
-      endpoint at;
-      auto operator<=>(const ranked&) const = default;
-    };
-    std::vector<ranked> order;
+  std::vector<member> MembersOf(std::string_view service) const {
     const auto found = views_.find(service);
-    if (found != views_.end()) {
-      for (const member& one : found->second.members()) {
-        if (!one.leaving && (region.empty() || one.info.region == region)) {
-          const std::uint64_t place =
-              (std::uint64_t{one.info.peer.address} << 16) | one.info.peer.port;
-          order.push_back(
-              {random_source(salt ^ (place * 0x9E3779B97F4A7C15ULL)).Next(), one.info.peer});
-        }
-      }
-    }
-    std::sort(order.begin(), order.end());
-    std::vector<endpoint> all;
-    std::transform(order.begin(), order.end(), std::back_inserter(all),
-                   [](const ranked& one) { return one.at; });
-    return all;
-  }
-
-  // Own failure domain before the region; one of another region as a last resort.
-  std::vector<endpoint> Holders(std::string_view service, std::uint64_t salt) {
-    std::vector<endpoint> holders = RankedInRegion(service, salt);
-    std::erase(holders, options_.self);
-    if (holders.size() > 2) {
-      holders.resize(2);
-    }
-    const auto found = views_.find(service);
-    std::vector<endpoint> elsewhere;
-    if (found != views_.end()) {
-      for (const member& one : found->second.members()) {
-        if (one.info.region != options_.region && !one.leaving) {
-          elsewhere.push_back(one.info.peer);
-        }
-      }
-    }
-    if (!elsewhere.empty()) {
-      holders.push_back(elsewhere[random_.Below(elsewhere.size())]);
-    }
-    return holders;
+    return found == views_.end() ? std::vector<member>() : found->second.members();
   }
 
   std::vector<content_source> SourcesOf(const std::string& name, std::uint64_t version) {
-    const std::uint64_t salt = DigestOf(name) + version;
-    const std::string_view service = ServiceOf(name);
-    const std::vector<endpoint> fellows = RankedInRegion(options_.service, salt);
-    const bool first = fellows.empty() || fellows.front() == options_.self;
-    std::vector<content_source> sources;
-    if (first && service == options_.service) {
-      sources.emplace_back();
-    }
-    // Those that call the same service get it from the one of them that comes
-    // first, so that a service that everybody calls is not asked by everybody.
-    if (!first) {
-      sources.emplace_back(fellows.front());
-    }
-    for (const endpoint holder : Holders(service, salt)) {
-      sources.emplace_back(holder);
-    }
-    if (views_.size() == 1 && fellows.empty()) {
-      sources.insert(sources.end(), options_.seeds.begin(), options_.seeds.end());
-    }
-    sources.emplace_back();
-    sources.erase(std::unique(sources.begin(), sources.end()), sources.end());
-    return sources;
+    return planner_.SourcesOf(name, version, MembersOf(options_.service),
+                              MembersOf(ServiceOf(name)), random_);
   }
 
   void Attempt(fetch_attempt& attempt, instant now) {
@@ -568,16 +472,14 @@
     } else if (result.instances.has_value()) {
       UseList(*result.instances, now);
     }
-    for (const waiting_request& one : waiting_[name]) {
-      Reply(name, one.from);
+    for (const endpoint peer : waiting_.Take(name)) {
+      Reply(name, peer);
     }
-    waiting_.erase(name);
   }
 
   void PutInForce(table_shard shard) {
-    const auto first = first_copies_.find(shard.service.name);
-    if (first != first_copies_.end()) {
-      first->second.held = std::move(shard);
+    if (first_copies_.Awaits(shard.service.name)) {
+      first_copies_.Hold(std::move(shard));
       return;
     }
     AddEvent(event_kind::kTableInForce, result_code::kOk, shard.service.name,
@@ -585,28 +487,13 @@
     actions_.in_force.push_back(std::move(shard));
   }
 
-  // A platform that is stale gives a restarted node an older table than the one
-  // that was in force here before: an edit would seem to revert. So the first copy
-  // waits for word of a peer, though not for ever, as there may be none.
   void ReleaseFirstCopies(instant now) {
-    for (auto at = first_copies_.begin(); at != first_copies_.end();) {
-      const std::optional<table_shard>& held = at->second.held;
-      const bool ready = held.has_value() && (now >= at->second.until || IsNewest(*held));
-      if (!ready) {
-        ++at;
-        continue;
-      }
-      table_shard shard = *held;
-      at = first_copies_.erase(at);
+    const bool heard_a_peer = digests_received_ > 0;
+    for (table_shard& shard : first_copies_.Release(spread_.directory(), heard_a_peer, now)) {
       PutInForce(std::move(shard));
     }
   }
 
-  bool IsNewest(const table_shard& shard) const {
-    const value_version* const known = spread_.directory().Find(shard.service.name);
-    return digests_received_ > 0 && (known == nullptr || known->version <= shard.version);
-  }
-
   // Contents that never came are asked for anew, now that there are peers to ask.
   void ReplanMissing(const std::string& listed, instant now) {
     for (const auto& [service, view] : views_) {
@@ -630,7 +517,7 @@
     spread_.peers().UseList(list.service, list.instances);
     NoteMembers(list.service);
     if (list.service == options_.service) {
-      watching_ = IsWatcher();
+      watching_ = planner_.IsWatcher(MembersOf(options_.service));
       reader_.UseWatching(watching_);
     }
     ReplanMissing(list.service, now);
@@ -651,11 +538,9 @@
   // it asks back for the versions, as an empty answer would send the asker on to
   // the platform.
   bool Park(const content_request& request, endpoint from, instant now) {
-    std::vector<waiting_request>& waiting = waiting_[request.name];
-    if (waiting.size() >= kWaitingBound) {
+    if (!waiting_.Add(request.name, from, now)) {
       return false;
     }
-    waiting.push_back({request, from, now + kWaitingAtMost});
     if (!fetch_.Wants(request.name)) {
       Send(spread_.Probe(from));
     }
@@ -699,8 +584,8 @@
 
   content_fetch fetch_;
   std::map<std::string, endpoint> asked_;
-  std::map<std::string, first_copy, std::less<>> first_copies_;
-  std::map<std::string, std::vector<waiting_request>> waiting_;
+  first_copies first_copies_;
+  waiting_requests waiting_;
   instant last_tick_;
   instant heard_at_;
   instant next_probe_;
