Estimate what lies below the threshold from what is seen above it

Cause 1: what is refused further up is not seen here, and its density was taken from before the surge. Callers that retry had multiplied it since, so each lowering of the threshold let in several times what was meant, and the queue swung between empty and full. Changed: the density comes from what arrives above the threshold. The queue's correction takes off at most a fifth of the rate; the threshold gives way by the full wanted rate per second; the memories are 150 ms and five replies. Cause 2: calls of a higher weight that had waited long were refused while lower ones, that had come later, stood in the same queue. Changed: lower weights go first.

--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -485,15 +485,23 @@
   }
 
   /** A call below the threshold that has waited about as long as a call runs will
-      not come to its turn: its caller is told now instead of near its deadline. */
+      not come to its turn: its caller is told now instead of near its deadline.
+      Never one of a higher weight before all of the lower ones. */
   void RefuseStale(instant now, admission_actions& out) {
     const auto longest = std::max<duration>(
         milliseconds(50), duration(static_cast<std::int64_t>(board_.limit.hold_micros)));
+    std::optional<std::uint16_t> kept;
     std::size_t place = 0;
-    while (place < board_.queue.size() && board_.queue.calls()[place].rank < board_.threshold.own) {
-      if (now - board_.queue.calls()[place].arrived > longest) {
+    while (place < board_.queue.size()) {
+      const queued_call& call = board_.queue.calls()[place];
+      if (call.rank >= board_.threshold.own ||
+          call.rank.weight() > kept.value_or(call.rank.weight())) {
+        return;
+      }
+      if (now - call.arrived > longest) {
         RefuseAt(place, now, out);
       } else {
+        kept = call.rank.weight();
         ++place;
       }
     }
--- a/modules/cuminferry_policy/admission/offered_load.cpp
+++ b/modules/cuminferry_policy/admission/offered_load.cpp
@@ -111,18 +111,23 @@
   return sum;
 }
 
+double offered_load::AboveIn(const level& one, std::uint32_t hash) {
+  const std::size_t cut = hash / kHashesPerBucket;
+  const double inside = hash % kHashesPerBucket;
+  double sum = one.counts[cut] * (1.0 - inside / kHashesPerBucket);
+  for (std::size_t bucket = cut + 1; bucket < kBuckets; ++bucket) {
+    sum += one.counts[bucket];
+  }
+  return sum;
+}
+
 double offered_load::RateAbove(call_rank threshold) const {
   double sum = 0;
   for (const level& one : levels_) {
     if (one.number > LevelNumber(threshold)) {
       sum += one.total;
     } else if (one.number == LevelNumber(threshold)) {
-      const std::size_t cut = threshold.hash() / kHashesPerBucket;
-      const double inside = threshold.hash() % kHashesPerBucket;
-      sum += one.counts[cut] * (1.0 - inside / kHashesPerBucket);
-      for (std::size_t bucket = cut + 1; bucket < kBuckets; ++bucket) {
-        sum += one.counts[bucket];
-      }
+      sum += AboveIn(one, threshold.hash());
     }
   }
   return sum;
@@ -155,10 +160,13 @@
     if (one->number > LevelNumber(from)) {
       continue;
     }
+    double density = std::max(one->total, one->remembered) / kHashValues;
     if (one->number < LevelNumber(from)) {
       top = kHashValues;
+    } else {
+      const double seen_hashes = std::max(kHashValues - top, 1.0 * kHashesPerBucket);
+      density = std::max(density, AboveIn(*one, from.hash()) / seen_hashes);
     }
-    const double density = std::max(one->total, one->remembered) / kHashValues;
     const double available = density * top;
     if (available >= left && density > 0) {
       return RankAt(one->number, top - left / density);
--- a/modules/cuminferry_policy/admission/offered_load.h
+++ b/modules/cuminferry_policy/admission/offered_load.h
@@ -21,7 +21,7 @@
   static constexpr std::size_t kBuckets = 32;
   static constexpr std::size_t kLevelBound = 64;
   /** What was offered longer ago than this counts little. */
-  static constexpr std::chrono::milliseconds kMemory{200};
+  static constexpr std::chrono::milliseconds kMemory{150};
   /** A surge shows in a shorter memory first. */
   static constexpr std::chrono::milliseconds kShortMemory{40};
 
@@ -63,6 +63,8 @@
     instant last_start;
   };
 
+  /** Calls per second of a level at or above a hash. */
+  static double AboveIn(const level& one, std::uint32_t hash);
   level& LevelOf(std::uint32_t number);
 
   double short_rate_ = 0;
--- a/modules/cuminferry_policy/admission/threshold_controller.cpp
+++ b/modules/cuminferry_policy/admission/threshold_controller.cpp
@@ -18,7 +18,7 @@
 constexpr double kCorrectHolds = 1.5;
 /** By how much of the wanted rate a second the threshold lets in more, where the
     instance is busy. Doubles while it is idle. */
-constexpr double kGrowthPerSecond = 0.5;
+constexpr double kGrowthPerSecond = 1.0;
 constexpr double kIdleDoublesSeconds = 0.1;
 constexpr double kFastestGrowth = 32.0;
 constexpr double kEndsMemorySeconds = 0.3;
@@ -26,10 +26,10 @@
 constexpr double kLeastPartOfSlots = 0.5;
 /** Before so many ends nothing is known of how quickly calls end. */
 constexpr std::uint32_t kKnownFrom = 32;
-constexpr double kLeastPartOffered = 0.5;
+constexpr double kLeastPartOffered = 0.8;
 constexpr double kMicrosPerSecond = 1e6;
 /** A weight is refused only when no lower one has started for so long. */
-constexpr milliseconds kLowerWeightsGone{100};
+constexpr milliseconds kLowerWeightsGone{250};
 
 double Seconds(duration time) { return std::chrono::duration<double>(time).count(); }
 
--- a/modules/cuminferry_policy/blackboard/admission_blackboard.h
+++ b/modules/cuminferry_policy/blackboard/admission_blackboard.h
@@ -95,7 +95,7 @@
   static constexpr std::uint32_t kNoCallee = std::numeric_limits<std::uint32_t>::max();
 
   /** Replies of late that the threshold is the median of. */
-  static constexpr std::size_t kReplies = 8;
+  static constexpr std::size_t kReplies = 5;
 
   std::string callee_service;
   std::string callee_row;
