Keep running requests under fleet-wide limits with shares that nodes lend each other

Cause: fleet_limit of a row was read but bound nobody. Change: share_side binds limit_shares to the links; admission learns what may run now, the hand-over asks once more; peers of the own domain lend. The wait for a service's instances stood twice after a merge; the one in table_store stays. The trial's capacity counted requests that never reach the bottleneck; it no longer does.

--- a/extras/trial/deployment_plan.cpp
+++ b/extras/trial/deployment_plan.cpp
@@ -185,9 +185,10 @@
   double shares = 0.0;
   double seconds = 0.0;
   for (const load::load_kind& kind : kinds) {
-    shares += kind.share;
-    seconds += kind.share *
-               BottleneckShare(*this, kind.service, kind.method, kind.path, bottleneck, false);
+    const double needed =
+        BottleneckShare(*this, kind.service, kind.method, kind.path, bottleneck, false);
+    shares += needed > 0.0 ? kind.share : 0.0;
+    seconds += kind.share * needed;
   }
   return seconds > 0.0 ? slots * shares / seconds : 0.0;
 }
--- a/extras/trial/deployment_plan.h
+++ b/extras/trial/deployment_plan.h
@@ -45,7 +45,8 @@
   /** Calls of a service that one whole request of this kind makes, calls of
       calls included. */
   double VisitsOf(const load::load_kind& kind, std::string_view service) const;
-  /** Whole requests of the load's mix that the bottleneck can complete a second. */
+  /** Whole requests a second that the bottleneck can complete, of those in the
+      load's mix that need it. */
   double Capacity() const;
 
   /** Reads a deployment file, JSON with comments, and the table it names. */
--- a/extras/trial/trial_main.cpp
+++ b/extras/trial/trial_main.cpp
@@ -178,7 +178,7 @@
   }
   std::printf(
       "%s: service times x%g, slots x%g so that this machine's processors are not the bottleneck; "
-      "%.0f whole requests/s, x%.0f in the surge; %s can complete %.0f/s of this mix\n",
+      "%.0f whole requests/s, x%.0f in the surge; %s can complete %.0f/s of those that need it\n",
       plan.name.c_str(), plan.scale, plan.slots_scale, plan.rate, options.surge,
       plan.bottleneck.c_str(), plan.Capacity());
   const std::vector<std::string> controls = Controls(given["control"].as<std::string>());
--- a/modules/cuminferry_node/cuminferry_node.h
+++ b/modules/cuminferry_node/cuminferry_node.h
@@ -6,6 +6,7 @@
     - http/    the HTTP server and the watch on its connections
     - peers/   connections to other nodes
     - backend/ the hand-over to the backend server
+    - shares/  this node's part of fleet-wide limits
     - runtime/ calls in, calls out, the backend server, draining
 
     May use all modules but cuminferry_caller.
--- a/modules/cuminferry_node/runtime/call_router.cpp
+++ b/modules/cuminferry_node/runtime/call_router.cpp
@@ -12,25 +12,6 @@
 void call_router::UseTargets(std::string_view service, std::span<const target_info> targets) {
   choice_.With(
       [&](choice& state) { state.chooser.UseTargets(service, targets, boot_clock::Now()); });
-  const ranked_lock lock(targets_mutex_);
-  targets_changed_.SignalAll();
-}
-
-std::size_t call_router::EligibleTargets(std::string_view service) {
-  return choice_.With(
-      [&](choice& state) { return state.chooser.EligibleTargets(service, boot_clock::Now()); });
-}
-
-bool call_router::WaitForTargets(std::string_view service, instant until) {
-  ranked_lock lock(targets_mutex_);
-  while (EligibleTargets(service) == 0) {
-    const duration left = until - boot_clock::Now();
-    if (left <= duration::zero()) {
-      return false;
-    }
-    targets_mutex_.WaitFor(targets_changed_, absl::FromChrono(left));
-  }
-  return true;
 }
 
 void call_router::LearnTarget(const hello_message& hello) {
--- a/modules/cuminferry_node/runtime/call_router.h
+++ b/modules/cuminferry_node/runtime/call_router.h
@@ -26,10 +26,6 @@
   /** This process did not run for a while: its losses are not the targets' fault. */
   void NoteOwnPause();
 
-  /** Waits until a target of the service is known; false where none came in time.
-      A service is followed from its first call on, so that call comes before the list. */
-  bool WaitForTargets(std::string_view service, instant until);
-
   /** Chooses the target of an attempt and counts it as sent there. */
   std::optional<endpoint> ChooseTarget(std::string_view service, std::span<const endpoint> avoid);
   void OnSent(endpoint target);
@@ -49,11 +45,7 @@
     random_source random;
   };
 
-  std::size_t EligibleTargets(std::string_view service);
-
   section<choice> choice_;
-  ranked_mutex targets_mutex_{lock_rank::kMembers};
-  absl::CondVar targets_changed_;
   section<std::map<std::string, retry_ratio, std::less<>>> ratios_;
 };
 
--- a/modules/cuminferry_node/runtime/egress_side.cpp
+++ b/modules/cuminferry_node/runtime/egress_side.cpp
@@ -167,22 +167,12 @@
     return FindRow(now, about);
   }
 
-  // The first call to a service: its rows and its instances are asked for now.
-  std::shared_ptr<const table_shard> WaitForService(const std::string& service, instant now,
-                                                    instant deadline) {
-    const instant until = std::min(deadline, now + duration(kLongestTableWait));
-    parts_.follow(service);
-    auto shard = parts_.tables.WaitFor(service, until);
-    if (shard != nullptr) {
-      router_.WaitForTargets(service, until);
-    }
-    return shard;
-  }
-
   result_code FindRow(instant now, outgoing_call::target_call& about) {
     about.shard = parts_.tables.Find(about.service);
     if (about.shard == nullptr) {
-      about.shard = WaitForService(about.service, now, about.deadline);
+      parts_.follow(about.service);
+      about.shard = parts_.tables.WaitFor(
+          about.service, std::min(about.deadline, now + duration(kLongestTableWait)));
     }
     if (about.shard == nullptr) {
       return result_code::kNoTableYet;
--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -26,6 +26,7 @@
 constexpr std::chrono::milliseconds kTickEvery{5};
 /** A tick that comes this late means that the process did not run meanwhile. */
 constexpr std::chrono::milliseconds kPauseIsLonger{500};
+constexpr std::chrono::milliseconds kSharesEvery{50};
 constexpr std::chrono::milliseconds kHealthEvery{500};
 constexpr std::chrono::milliseconds kHealthTimeout{200};
 constexpr std::chrono::milliseconds kDrainPoll{20};
@@ -46,8 +47,11 @@
       : settings_(std::move(settings)),
         incarnation_(NewIncarnation()),
         backend_({.backend = settings_.backend}),
-        serving_({.settings = settings_, .incarnation = incarnation_}, backend_, records_, metrics_,
-                 events_),
+        shares_(
+            settings_, incarnation_,
+            [this](endpoint peer, std::string frame) { links_.SendTo(peer, std::move(frame)); }),
+        serving_({.settings = settings_, .incarnation = incarnation_}, backend_, shares_, records_,
+                 metrics_, events_),
         peers_(serving_),
         links_(LinkHooks(), events_),
         egress_(settings_, EgressParts()),
@@ -161,7 +165,7 @@
         .on_unreachable = [this](endpoint peer) { fleet_.OnPeerLost(peer); },
         .on_fleet_message =
             [this](endpoint from, message_type type, std::span<const char> payload) {
-              fleet_.OnPeerMessage(from, type, payload);
+              OnFleetMessage(from, type, payload);
             },
         .own_hello = [this] { return Hello(); },
         .own_load = [this] { return serving_.Load(); },
@@ -186,6 +190,7 @@
         .on_targets =
             [this](std::string_view service, std::span<const target_info> targets) {
               egress_.UseTargets(service, targets);
+              UseSharePeers(service, targets);
               if (!targets.empty()) {
                 tables_.NoteTargets(service);
               }
@@ -197,8 +202,34 @@
     };
   }
 
+  void OnFleetMessage(endpoint from, message_type type, std::span<const char> payload) {
+    const bool of_shares = type == message_type::kShareRequest ||
+                           type == message_type::kShareGrant || type == message_type::kShareReturn;
+    if (!of_shares) {
+      fleet_.OnPeerMessage(from, type, payload);
+    } else if (shares_.OnMessage(from, type, payload)) {
+      serving_.FollowShares();
+    }
+  }
+
+  // Shares are lent among the instances of the own service in the own failure
+  // domain, which stay together when domains are cut off from each other.
+  void UseSharePeers(std::string_view service, std::span<const target_info> targets) {
+    if (service != settings_.service) {
+      return;
+    }
+    std::vector<endpoint> peers;
+    for (const target_info& one : targets) {
+      if (one.failure_domain == settings_.failure_domain && one.at != at_.peer && !one.leaving) {
+        peers.push_back(one.at);
+      }
+    }
+    shares_.UsePeers(peers);
+  }
+
   void UseShard(const table_shard& shard) {
     if (shard.service.name == settings_.service) {
+      shares_.UseTable(shard);
       serving_.UseTable(shard);
     }
     tables_.Put(shard);
@@ -217,6 +248,7 @@
 
   void TickLoop() {
     instant last = boot_clock::Now();
+    instant last_shares = last;
     while (!stopping_) {
       absl::SleepFor(absl::FromChrono(kTickEvery));
       const instant now = boot_clock::Now();
@@ -229,6 +261,11 @@
       last = now;
       serving_.Tick(now);
       links_.Tick(now, paused);
+      if (now - last_shares >= kSharesEvery) {
+        last_shares = now;
+        shares_.Tick(now);
+        serving_.FollowShares();
+      }
     }
   }
 
@@ -322,6 +359,7 @@
   request_records records_;
   connection_watch watch_;
   backend_client backend_;
+  share_side shares_;
   serving_side serving_;
   peer_side peers_;
   peer_links links_;
--- a/modules/cuminferry_node/runtime/serving_side.cpp
+++ b/modules/cuminferry_node/runtime/serving_side.cpp
@@ -93,10 +93,11 @@
 
 class serving_side::state {
  public:
-  state(options chosen, backend_client& backend, request_records& records, node_metrics& metrics,
-        event_log& events)
+  state(options chosen, backend_client& backend, share_side& shares, request_records& records,
+        node_metrics& metrics, event_log& events)
       : settings_(chosen.settings),
         backend_(backend),
+        shares_(shares),
         records_(records),
         metrics_(metrics),
         events_(events),
@@ -247,6 +248,32 @@
 
   load_advert Load() { return Load(nullptr, nullptr); }
 
+  void FollowShares() {
+    const auto shard = CurrentShard();
+    if (shard == nullptr) {
+      return;
+    }
+    std::vector<std::uint32_t> usable;
+    for (const request_row& row : shard->rows) {
+      usable.push_back(shares_.Usable(row.name));
+    }
+    std::vector<std::uint32_t> waiting(shard->rows.size(), 0);
+    admission_.With([&](admission_state& admission) {
+      if (admission.shard != shard) {
+        return;
+      }
+      for (std::uint32_t row = 0; row < usable.size(); ++row) {
+        admission.controller.SetRowShare(row, usable[row]);
+        waiting[row] = admission.controller.queued(row);
+      }
+    });
+    for (std::uint32_t row = 0; row < usable.size(); ++row) {
+      if (shard->rows[row].fleet_limit != 0) {
+        shares_.NoteWaiting(shard->rows[row].name, waiting[row]);
+      }
+    }
+  }
+
   // With the threshold of a row, where one is named.
   load_advert Load(const table_shard* shard, const request_row* row) {
     load_advert load;
@@ -442,11 +469,8 @@
     if (pending->cancelled) {
       EndClaim(*pending, reply);
       FinishAdmission(key, run_result::kCancelled);
-    } else if (HandOver(*pending)) {
-      reply = AskBackend(*pending, *running, key);
     } else {
-      reply = MakeNotRun(pending->call.request, result_code::kTicketRevoked);
-      FinishAdmission(key, run_result::kCancelled);
+      reply = RunWithinShare(*pending, *running, key);
     }
     pending_call ended;
     if (TakePending(key, ended)) {
@@ -454,6 +478,24 @@
     }
   }
 
+  reply_message RunWithinShare(const pending_call& pending, running_request& running,
+                               call_key key) {
+    const std::string& row = pending.row->name;
+    if (!shares_.Begin(row, pending.call.deadline)) {
+      EndUnrun(pending, result_code::kFleetLimitReached);
+      FinishAdmission(key, run_result::kCancelled);
+      return MakeNotRun(pending.call.request, result_code::kFleetLimitReached);
+    }
+    reply_message reply = MakeNotRun(pending.call.request, result_code::kTicketRevoked);
+    if (HandOver(pending)) {
+      reply = AskBackend(pending, running, key);
+    } else {
+      FinishAdmission(key, run_result::kCancelled);
+    }
+    shares_.End(row);
+    return reply;
+  }
+
   std::shared_ptr<running_request> MakeRunning(call_key key) {
     ranked_lock lock(calls_mutex_);
     const auto found = calls_.find(key);
@@ -580,6 +622,7 @@
 
   const node_settings settings_;
   backend_client& backend_;
+  share_side& shares_;
   request_records& records_;
   node_metrics& metrics_;
   event_log& events_;
@@ -594,9 +637,10 @@
   worker_pool workers_;
 };
 
-serving_side::serving_side(options chosen, backend_client& backend, request_records& records,
-                           node_metrics& metrics, event_log& events)
-    : state_(std::make_unique<state>(std::move(chosen), backend, records, metrics, events)) {}
+serving_side::serving_side(options chosen, backend_client& backend, share_side& shares,
+                           request_records& records, node_metrics& metrics, event_log& events)
+    : state_(
+          std::make_unique<state>(std::move(chosen), backend, shares, records, metrics, events)) {}
 serving_side::~serving_side() = default;
 
 void serving_side::UseTable(const table_shard& shard) { state_->UseTable(shard); }
@@ -620,6 +664,7 @@
 void serving_side::ReportHealth(const backend_health& health) { state_->ReportHealth(health); }
 void serving_side::Drain() { state_->Drain(); }
 void serving_side::Tick(instant now) { state_->Tick(now); }
+void serving_side::FollowShares() { state_->FollowShares(); }
 std::vector<serving_side::row_threshold> serving_side::Thresholds() { return state_->Thresholds(); }
 load_advert serving_side::Load() { return state_->Load(); }
 std::uint32_t serving_side::ClaimWindow() { return state_->ClaimWindow(); }
--- a/modules/cuminferry_node/runtime/serving_side.h
+++ b/modules/cuminferry_node/runtime/serving_side.h
@@ -10,6 +10,7 @@
 #include "cuminferry_node/backend/backend_client.h"
 #include "cuminferry_node/runtime/node_metrics.h"
 #include "cuminferry_node/runtime/running_request.h"
+#include "cuminferry_node/shares/share_side.h"
 #include "cuminferry_policy/claims/claim_book.h"
 #include "cuminferry_policy/cuminferry_policy.h"
 #include "cuminferry_table/cuminferry_table.h"
@@ -53,8 +54,8 @@
     incarnation_id incarnation = 0;
   };
 
-  serving_side(options chosen, backend_client& backend, request_records& records,
-               node_metrics& metrics, event_log& events);
+  serving_side(options chosen, backend_client& backend, share_side& shares,
+               request_records& records, node_metrics& metrics, event_log& events);
   /** Waits for the calls that run. */
   ~serving_side();
   serving_side(const serving_side&) = delete;
@@ -91,6 +92,9 @@
 
   /** Moves time on; to be called every few milliseconds. */
   void Tick(instant now);
+  /** Tells admission how much of the fleet-wide limits this node may use now, and
+      the shares how many calls wait for more. To be called every 50 to 100 ms. */
+  void FollowShares();
 
   /** The rank below which a row is refused here or further down. */
   struct row_threshold {
--- /dev/null
+++ b/modules/cuminferry_node/shares/share_side.cpp
@@ -0,0 +1,100 @@
+#include "cuminferry_node/shares/share_side.h"
+
+#include <utility>
+
+namespace cuminferry {
+namespace {
+
+template <typename Message>
+bool Decode(std::span<const char> payload, Message& into) {
+  return DecodeMessage(payload, into).ok();
+}
+
+}  // namespace
+
+share_side::share_side(const node_settings& settings, incarnation_id incarnation, send_hook send)
+    : shares_(lock_rank::kShares, limit_shares::options{.failure_domain = settings.failure_domain,
+                                                        .target_slot = settings.target_slot,
+                                                        .incarnation = incarnation,
+                                                        .started = boot_clock::Now()}),
+      send_(std::move(send)) {}
+
+void share_side::UseTable(const table_shard& shard) {
+  shares_.With([&](limit_shares& shares) { shares.UseTable(shard, boot_clock::Now()); });
+}
+
+void share_side::UsePeers(std::span<const endpoint> peers) {
+  shares_.With([&](limit_shares& shares) { shares.UsePeers(peers); });
+}
+
+bool share_side::Begin(std::string_view row, instant deadline) {
+  return shares_.With(
+      [&](limit_shares& shares) { return shares.Begin(row, deadline, boot_clock::Now()); });
+}
+
+void share_side::End(std::string_view row) {
+  shares_.With([&](limit_shares& shares) { shares.End(row, boot_clock::Now()); });
+}
+
+void share_side::NoteWaiting(std::string_view row, std::uint32_t waiting) {
+  shares_.With([&](limit_shares& shares) { shares.NoteWaiting(row, waiting, boot_clock::Now()); });
+}
+
+std::uint32_t share_side::Usable(std::string_view row) {
+  return shares_.With([&](limit_shares& shares) { return shares.Usable(row, boot_clock::Now()); });
+}
+
+//==============================================================================
+bool share_side::OnMessage(endpoint from, message_type type, std::span<const char> payload) {
+  share_actions actions;
+  const instant now = boot_clock::Now();
+  if (type == message_type::kShareRequest) {
+    share_request_message message;
+    if (!Decode(payload, message)) {
+      return false;
+    }
+    shares_.With([&](limit_shares& shares) {
+      shares.OnRequest(from, {message.number, message.row, message.amount}, now, actions);
+    });
+  } else if (type == message_type::kShareGrant) {
+    share_grant_message message;
+    if (!Decode(payload, message)) {
+      return false;
+    }
+    const duration lasts(static_cast<std::int64_t>(message.lasts_micros));
+    shares_.With([&](limit_shares& shares) {
+      shares.OnGrant(from, {message.number, message.row, message.amount, lasts}, now, actions);
+    });
+  } else {
+    share_return_message message;
+    if (!Decode(payload, message)) {
+      return false;
+    }
+    shares_.With([&](limit_shares& shares) {
+      shares.OnReturn(from, {message.number, message.row, message.amount}, now);
+    });
+  }
+  Send(actions);
+  return true;
+}
+
+void share_side::Tick(instant now) {
+  share_actions actions;
+  shares_.With([&](limit_shares& shares) { shares.Tick(now, actions); });
+  Send(actions);
+}
+
+void share_side::Send(const share_actions& actions) {
+  for (const auto& [to, one] : actions.requests) {
+    send_(to, FrameOf(share_request_message{one.number, one.row, one.amount}));
+  }
+  for (const auto& [to, one] : actions.grants) {
+    send_(to, FrameOf(share_grant_message{one.number, one.row, one.amount,
+                                          static_cast<std::uint64_t>(one.lasts.count())}));
+  }
+  for (const auto& [to, one] : actions.returns) {
+    send_(to, FrameOf(share_return_message{one.number, one.row, one.amount}));
+  }
+}
+
+}  // namespace cuminferry
--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -210,6 +210,9 @@
 
   std::uint32_t running() const { return board_.running(); }
   std::uint32_t queued() const { return static_cast<std::uint32_t>(board_.queue.size()); }
+  std::uint32_t queued(std::uint32_t row) const {
+    return row < board_.rows.rows.size() ? board_.rows.rows[row].queued : 0;
+  }
   std::uint32_t limit() const { return static_cast<std::uint32_t>(board_.limit.limit); }
 
  private:
@@ -565,6 +568,7 @@
 
 std::uint32_t admission_controller::running() const { return state_->running(); }
 std::uint32_t admission_controller::queued() const { return state_->queued(); }
+std::uint32_t admission_controller::queued(std::uint32_t row) const { return state_->queued(row); }
 std::uint32_t admission_controller::limit() const { return state_->limit(); }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/admission/admission_controller.h
+++ b/modules/cuminferry_policy/admission/admission_controller.h
@@ -118,6 +118,8 @@
 
   std::uint32_t running() const;
   std::uint32_t queued() const;
+  /** Calls of a row that wait. */
+  std::uint32_t queued(std::uint32_t row) const;
   /** The present concurrency limit. */
   std::uint32_t limit() const;
 
