Bound a stranger's memory, keep own headers to ourselves, note what moves

Cause, from reading: a connection that had not said hello could claim a frame of 20 MB; headers that begin with Cuminferry- passed between caller and backend server; a call that a pause had made late was still handed over; the time line showed no thresholds, limits or the way of a request. Change: 4 KB until the first frame; the prefix is filtered both ways; the deadline is looked at before the hand-over; events for each. The header Idempotency-Key was named but did nothing: removed.

--- a/modules/cuminferry_core/http/header_names.h
+++ b/modules/cuminferry_core/http/header_names.h
@@ -6,6 +6,9 @@
     docs/design/http-interface.md. */
 namespace header_names {
 
+/** What all of them begin with; none is passed on between caller and backend server. */
+inline constexpr char kPrefix[] = "Cuminferry-";
+
 /** Node to backend server and back again on its calls out: the opaque handle
     of the request that the backend server is working on. */
 inline constexpr char kContext[] = "Cuminferry-Context";
@@ -20,9 +23,6 @@
 inline constexpr char kRequest[] = "Cuminferry-Request";
 /** Both ways, non-idempotent rows: the ticket that the request is bound to. */
 inline constexpr char kTicket[] = "Cuminferry-Ticket";
-/** Caller to node: any text; the same text with the same ticket home is the
-    same request. */
-inline constexpr char kIdempotencyKey[] = "Idempotency-Key";
 /** Node to caller, refusals: when to come back, in milliseconds. The usual
     Retry-After goes along, rounded up to seconds. */
 inline constexpr char kRetryAfter[] = "Cuminferry-Retry-After-Ms";
--- a/modules/cuminferry_node/runtime/http_replies.cpp
+++ b/modules/cuminferry_node/runtime/http_replies.cpp
@@ -9,18 +9,9 @@
 namespace cuminferry {
 namespace {
 
-constexpr std::array<std::string_view, 12> kOwnHeaders = {"Connection",
-                                                          "Content-Length",
-                                                          "Transfer-Encoding",
-                                                          "Host",
-                                                          "Keep-Alive",
-                                                          "Expect",
-                                                          "TE",
-                                                          "Upgrade",
-                                                          header_names::kContext,
-                                                          header_names::kTimeLeft,
-                                                          header_names::kTicket,
-                                                          header_names::kNotRun};
+constexpr std::array<std::string_view, 8> kConnectionHeaders = {
+    "Connection", "Content-Length", "Transfer-Encoding", "Host", "Keep-Alive", "Expect",
+    "TE",         "Upgrade"};
 
 // Set by the library for its own connection; never the caller's.
 constexpr std::array<std::string_view, 4> kLibraryHeaders = {"REMOTE_ADDR", "REMOTE_PORT",
@@ -32,7 +23,10 @@
 
 bool IsPassedOn(const header_field& field) {
   const auto is_it = [&](std::string_view name) { return SameName(name, field.name); };
-  return std::ranges::none_of(kOwnHeaders, is_it) && std::ranges::none_of(kLibraryHeaders, is_it);
+  const std::string_view prefix = header_names::kPrefix;
+  return !SameName(std::string_view(field.name).substr(0, prefix.size()), prefix) &&
+         std::ranges::none_of(kConnectionHeaders, is_it) &&
+         std::ranges::none_of(kLibraryHeaders, is_it);
 }
 
 void AddRetryAfter(std::uint32_t millis, http_response& into) {
--- a/modules/cuminferry_node/runtime/serving_side.cpp
+++ b/modules/cuminferry_node/runtime/serving_side.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kMostBackendThreads = 2048;
 constexpr std::size_t kLeastBackendThreads = 16;
 constexpr std::uint32_t kQueueBound = 1024;
+constexpr std::chrono::seconds kNoteEvery{1};
 
 // A call from its beginning to its reply.
 struct pending_call {
@@ -232,6 +233,10 @@
     WithAdmission([&](admission_state& admission, admission_actions& actions) {
       admission.controller.Tick(now, actions);
     });
+    if (now - last_note_ >= kNoteEvery) {
+      last_note_ = now;
+      NoteMoves();
+    }
   }
 
   std::vector<row_threshold> Thresholds() {
@@ -481,6 +486,12 @@
   reply_message RunWithinShare(const pending_call& pending, running_request& running,
                                call_key key) {
     const std::string& row = pending.row->name;
+    if (boot_clock::Now() >= pending.call.deadline) {
+      // This process slept between admission and here: nobody waits any more.
+      EndUnrun(pending, result_code::kDeadlineExceeded);
+      FinishAdmission(key, run_result::kTimedOut);
+      return MakeNotRun(pending.call.request, result_code::kDeadlineExceeded);
+    }
     if (!shares_.Begin(row, pending.call.deadline)) {
       EndUnrun(pending, result_code::kFleetLimitReached);
       FinishAdmission(key, run_result::kCancelled);
@@ -524,6 +535,14 @@
 
   reply_message AskBackend(const pending_call& pending, running_request& running, call_key key) {
     const std::string handle = records_.Add(pending.running);
+    if (IsSampled(pending.call.request)) {
+      const auto kind =
+          pending.call.enters_here ? event_kind::kRequestEntered : event_kind::kCallAdmitted;
+      events_.Add({.kind = kind,
+                   .request = pending.call.request,
+                   .subject = pending.row->name,
+                   .value = pending.call.rank.weight()});
+    }
     backend_request request{.method = pending.call.method,
                             .target = pending.call.target,
                             .headers = pending.call.headers,
@@ -607,7 +626,7 @@
     event_kind kind = event_kind::kCallCompleted;
     if (reply.end == call_end::kUnknown) {
       kind = event_kind::kCallUnknown;
-    } else if (pending.call.request.low % settings_.sample_every != 0) {
+    } else if (!IsSampled(pending.call.request)) {
       return;
     } else if (reply.end == call_end::kNotRun) {
       kind = event_kind::kCallRefused;
@@ -620,12 +639,38 @@
                  .value = reply.http_status});
   }
 
+  // Once a second at the most: under overload both move with each tick, and the
+  // ring would hold nothing else.
+  void NoteMoves() {
+    const std::uint32_t new_limit = limit();
+    if (new_limit != noted_limit_) {
+      events_.Add({.kind = event_kind::kLimitMoved, .value = new_limit});
+      noted_limit_ = new_limit;
+    }
+    std::uint16_t weight = 0;
+    for (const row_threshold& one : Thresholds()) {
+      weight = std::max(weight, one.threshold.weight());
+    }
+    if (weight != noted_weight_) {
+      events_.Add({.kind = event_kind::kThresholdMoved, .value = weight});
+      noted_weight_ = weight;
+    }
+  }
+
+  bool IsSampled(const request_id& request) const {
+    return request.low % settings_.sample_every == 0;
+  }
+
   const node_settings settings_;
   backend_client& backend_;
   share_side& shares_;
   request_records& records_;
   node_metrics& metrics_;
   event_log& events_;
+  // Used by the ticking thread alone.
+  instant last_note_;
+  std::uint32_t noted_limit_ = 0;
+  std::uint16_t noted_weight_ = 0;
   std::atomic<bool> draining_ = false;
   std::atomic<call_key> next_key_ = 1;
   section<admission_state> admission_;
--- a/modules/cuminferry_wire/frames/frame.cpp
+++ b/modules/cuminferry_wire/frames/frame.cpp
@@ -27,7 +27,7 @@
   return DigestOf(payload) + static_cast<std::uint64_t>(type);
 }
 
-absl::Status ReadHeader(std::span<const char> bytes, frame_header& into) {
+absl::Status ReadHeader(std::span<const char> bytes, std::size_t largest, frame_header& into) {
   if (LoadAt<std::uint16_t>(bytes, 0) != kFrameMagic) {
     return MakeStatus(result_code::kFrameBadMagic, "the stream does not begin with a frame");
   }
@@ -43,10 +43,10 @@
                       "type " + std::to_string(static_cast<int>(into.type)));
   }
   into.length = LoadAt<std::uint32_t>(bytes, 4);
-  if (into.length > kLargestPayload) {
+  if (into.length > largest) {
     return MakeStatus(
         result_code::kFrameTooLarge,
-        std::to_string(into.length) + " bytes, at most " + std::to_string(kLargestPayload));
+        std::to_string(into.length) + " bytes, at most " + std::to_string(largest));
   }
   into.digest = LoadAt<std::uint64_t>(bytes, 8);
   return absl::OkStatus();
@@ -82,7 +82,7 @@
   while (pending_.size() - begin >= kFrameHeaderBytes) {
     const std::span<const char> rest = std::span<const char>(pending_).subspan(begin);
     frame_header header;
-    failed_ = ReadHeader(rest, header);
+    failed_ = ReadHeader(rest, largest_, header);
     if (!failed_.ok()) {
       return failed_;
     }
@@ -107,7 +107,7 @@
     return MakeStatus(result_code::kFrameTruncated, "a datagram shorter than a frame header");
   }
   frame_header header;
-  absl::Status read = ReadHeader(bytes, header);
+  absl::Status read = ReadHeader(bytes, kLargestPayload, header);
   if (!read.ok()) {
     return read;
   }
--- a/modules/cuminferry_wire/frames/frame.h
+++ b/modules/cuminferry_wire/frames/frame.h
@@ -30,6 +30,8 @@
 inline constexpr std::size_t kFrameHeaderBytes = 16;
 /** Largest payload that is read or written. */
 inline constexpr std::size_t kLargestPayload = 20 << 20;
+/** Largest payload of a peer's first message, its hello. */
+inline constexpr std::size_t kLargestHello = 4096;
 
 /** A frame around a payload. */
 std::string EncodeFrame(message_type type, std::string_view payload);
@@ -49,10 +51,14 @@
  public:
   using frame_hook = std::function<void(message_type, std::span<const char> payload)>;
 
+  /** Largest payload taken from now on; a frame that claims more is an error. */
+  void SetLargest(std::size_t bytes) { largest_ = bytes; }
+
   /** Takes in bytes; calls the hook for each whole frame. */
   absl::Status Feed(std::span<const char> bytes, const frame_hook& on_frame);
 
  private:
+  std::size_t largest_ = kLargestPayload;
   std::string pending_;
   absl::Status failed_;
 };
--- a/modules/cuminferry_wire/tcp/tcp_hub.cpp
+++ b/modules/cuminferry_wire/tcp/tcp_hub.cpp
@@ -280,6 +280,9 @@
       }
       SetNoDelay(descriptor);
       const auto made = Add(descriptor, true);
+      // A stranger gets no more memory than a hello needs, until its first frame
+      // has been read.
+      made->reader().SetLargest(kLargestHello);
       hooks_.on_open(made->id(), true);
       Watch(descriptor, made->id(), EPOLLIN);
     }
@@ -317,6 +320,7 @@
     const absl::Status fed =
         on.reader().Feed(std::span<const char>(buffer_.data(), static_cast<std::size_t>(count)),
                          [&](message_type type, std::span<const char> payload) {
+                           on.reader().SetLargest(kLargestPayload);
                            hooks_.on_message(on.id(), type, payload);
                          });
     if (!fed.ok()) {
