Take targets that greeted before the first list for warm

Cause: peers introduce themselves before a starting node's first list comes. The chooser took all targets of that list for cold then, counted a tenth of their limits, and sent calls to other failure domains during the first 5 s.

Changed: all targets of the first list are warm, also those that were known before.

--- a/modules/cuminferry_policy/targets/known_target.h
+++ b/modules/cuminferry_policy/targets/known_target.h
@@ -21,6 +21,8 @@
   /** A list has the target, or has it no more. */
   void NoteListed(const target_info& info);
   void NoteUnlisted();
+  /** It was there before this node. */
+  void NoteWarm() { warm_ = true; }
   void NoteLeaving(instant now);
   /** As above, unless another incarnation has answered since. */
   void NoteLeaving(incarnation_id incarnation, instant now);
--- a/modules/cuminferry_policy/targets/service_targets.cpp
+++ b/modules/cuminferry_policy/targets/service_targets.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace cuminferry {
 namespace {
@@ -34,7 +35,7 @@
     return;
   }
   // The first list finds a service that is running; what comes later is cold.
-  const bool first_list = targets_.empty();
+  const bool first_list = !std::exchange(had_list_, true);
   absl::flat_hash_set<std::uint64_t> listed;
   for (const target_info& info : list) {
     known_target* target = Find(info.at);
@@ -43,6 +44,12 @@
           info, TierOf(info), SubsetWeight(options_.identity, info.at), first_list);
       target = targets_.emplace(KeyOf(info.at), std::move(made)).first->second.get();
     }
+    if (target != nullptr && first_list) {
+      // It may have introduced itself before the list came. Taken for cold, all
+      // targets would look full to a node that has just started, and its calls
+      // would cross to other failure domains.
+      target->NoteWarm();
+    }
     if (target != nullptr) {
       target->NoteListed(info);
       listed.insert(KeyOf(info.at));
--- a/modules/cuminferry_policy/targets/service_targets.h
+++ b/modules/cuminferry_policy/targets/service_targets.h
@@ -52,6 +52,7 @@
   std::array<target_order, known_target::kTiers> subset_;
   /** Failed targets of the subset; few. */
   target_order failed_;
+  bool had_list_ = false;
   /** Choices since a failed target was last given a call. */
   std::uint32_t since_retest_ = 0;
 };
--- a/tests/targets/target_chooser_test.cpp
+++ b/tests/targets/target_chooser_test.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(Choose_EverythingFull_StaysInOwnDomain);
   CPPUNIT_TEST(Choose_TargetRefusedForItself_GetsLessForAWhile);
   CPPUNIT_TEST(Choose_ColdTarget_IsRampedUp);
+  CPPUNIT_TEST(Choose_TargetsGreetedBeforeTheFirstList_AreNotCold);
   CPPUNIT_TEST(Choose_ListedButNeverSeen_GetsAFewCallsOnly);
   CPPUNIT_TEST_SUITE_END();
 
@@ -230,6 +231,19 @@
     CPPUNIT_ASSERT_EQUAL(100, harness.Spread(100)[TargetAt(1)]);
   }
 
+  // A node starts, peers introduce themselves, and then its first list comes. Were
+  // they all taken for cold they would look full, and calls leave the domain.
+  void Choose_TargetsGreetedBeforeTheFirstList_AreNotCold() {
+    chooser_harness harness;
+    const std::vector<target_info> targets = {Target(0), Target(1, "west")};
+    harness.chooser.LearnTarget("map", Target(0), harness.now);
+    harness.Prove({Target(0)}, {10, 100});
+    harness.List(targets);
+    harness.Prove(targets, {20, 100});
+    harness.Call(TargetAt(1), target_outcome::kAnswered, {0, 100});
+    CPPUNIT_ASSERT_EQUAL(100, harness.Spread(100)[TargetAt(0)]);
+  }
+
   // A list names an instance that is not there yet. Until it has answered once it
   // may hold only a few calls, which are all that are lost.
   void Choose_ListedButNeverSeen_GetsAFewCallsOnly() {
