Name a static in ctl as the linter's rules now have it

Changed: its name. Two more places that the rule names are in tests/process and extras/trial, which are others'.

--- a/extras/ctl/command_line.cpp
+++ b/extras/ctl/command_line.cpp
@@ -101,8 +101,8 @@
 }  // namespace
 
 std::span<const command> AllCommands() {
-  static const std::vector<command> kCommands = MakeCommands();
-  return kCommands;
+  static const std::vector<command> commands = MakeCommands();
+  return commands;
 }
 
 exit_code RunCtl(std::span<const std::string> arguments, streams to) {
