Draw the first wait between index reads from the whole period

Cause, found while working out the reads at 7,000 nodes: the wait was half a period to one and a half. Where a whole fleet starts at one moment, nobody reads the index for half a period after that, at 7,000 nodes three minutes, and an edit in that time is seen by nobody. Changed: the first wait is drawn from nothing to one period. Conclusion: reads are spread from the first second on.

--- a/modules/cuminferry_fleet/platform/platform_reader.cpp
+++ b/modules/cuminferry_fleet/platform/platform_reader.cpp
@@ -40,11 +40,12 @@
   std::optional<instant> last;
   double factor = 1.0;
 
+  // Nodes that began at one moment, after a power cut say, would otherwise read at
+  // one moment for ever. The first wait is drawn from the whole period: with half a
+  // period at least, none of them would read for minutes after their common start.
   void Restart(instant now, random_source& random) {
+    factor = last.has_value() ? 0.5 + random.Fraction() : random.Fraction();
     last = now;
-    // Nodes that began at one moment, after a power cut say, would otherwise read
-    // at one moment for ever.
-    factor = 0.5 + random.Fraction();
   }
 
   instant Due(duration period) const {
--- a/tests/fleet/platform_reader_test.cpp
+++ b/tests/fleet/platform_reader_test.cpp
@@ -1,5 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
+#include <vector>
+
 #include "cuminferry_fleet/cuminferry_fleet.h"
 
 namespace cuminferry::testing {
@@ -25,6 +28,7 @@
 class platform_reader_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(platform_reader_test);
   CPPUNIT_TEST(Reads_FleetOfSevenThousand_StayWithinTheBudget);
+  CPPUNIT_TEST(Reads_AllStartAtOnce_SomeoneReadsTheIndexEachSecond);
   CPPUNIT_TEST(Reads_PlatformDown_BackOff);
   CPPUNIT_TEST(Contents_ManyWantedAtOnce_AreHeldToTheBudget);
   CPPUNIT_TEST_SUITE_END();
@@ -41,6 +45,32 @@
     CPPUNIT_ASSERT(reads >= 30 && reads <= 75);
   }
 
+  // A whole fleet starts at one moment. If all waited at least half a period before they
+  // read the index again, an edit in these minutes would be seen by nobody.
+  void Reads_AllStartAtOnce_SomeoneReadsTheIndexEachSecond() {
+    constexpr int kReaders = 700;
+    random_source random(7);
+    const instant start = instant(seconds(1000));
+    std::vector<std::unique_ptr<platform_reader>> readers;
+    for (int number = 0; number < kReaders; ++number) {
+      readers.push_back(std::make_unique<platform_reader>(
+          platform_reader::options{.own_list = "instances/a"}, start, random));
+      readers.back()->UseFleetSize(kReaders);
+    }
+    for (int second = 1; second < 40; ++second) {
+      std::size_t index_reads = 0;
+      for (auto& reader : readers) {
+        const instant now = start + seconds(second);
+        const auto name = reader->OnTick(now, random);
+        index_reads += name == kIndexName ? 1 : 0;
+        if (name.has_value()) {
+          reader->OnRead(read_end::kValue, now, random);
+        }
+      }
+      CPPUNIT_ASSERT(index_reads > 0);
+    }
+  }
+
   // The platform does not answer for hours. Thousands of nodes that went on trying at
   // full speed would keep it down when it comes back.
   void Reads_PlatformDown_BackOff() {
