Keep an instance's own word when a list renames its address

Cause, found by reading: a list with another name for an address wiped what the process there had said, so a leaving instance got work again where a lagging list still had an old name. Also, a platform that answers after two seconds counted as lost, and lists changed members without a line on the time line. Changed: only another incarnation ends what an incarnation said; a read may take 4 s; changes by lists are events.

--- a/modules/cuminferry_fleet/agent/fleet_agent.cpp
+++ b/modules/cuminferry_fleet/agent/fleet_agent.cpp
@@ -508,12 +508,33 @@
     }
   }
 
+  // Tells on the time line how a list changed the members of a service. Not for its
+  // first list, which would fill the ring with names.
+  void NoteChanges(std::span<const member> before, std::span<const member> after) {
+    if (before.empty()) {
+      return;
+    }
+    std::map<endpoint, bool> was_leaving;
+    for (const member& one : before) {
+      was_leaving[one.info.peer] = one.leaving;
+    }
+    for (const member& one : after) {
+      const auto old = was_leaving.find(one.info.peer);
+      if (old == was_leaving.end() || old->second != one.leaving) {
+        AddEvent(one.leaving ? event_kind::kMemberLeaving : event_kind::kMemberUp, result_code::kOk,
+                 one.info.instance, 0);
+      }
+    }
+  }
+
   void UseList(const published_instances& list, instant now) {
     const auto found = views_.find(list.service);
     if (found == views_.end()) {
       return;
     }
+    const std::vector<member> before = found->second.members();
     found->second.UseList(list, now);
+    NoteChanges(before, found->second.members());
     spread_.peers().UseList(list.service, list.instances);
     NoteMembers(list.service);
     if (list.service == options_.service) {
--- a/modules/cuminferry_fleet/members/member_view.cpp
+++ b/modules/cuminferry_fleet/members/member_view.cpp
@@ -150,12 +150,10 @@
   const std::map<endpoint, member_record>& records() const { return records_; }
 
  private:
+  // Also where the list has another name for the address: what the process there has
+  // said holds until another incarnation is heard of, as the name may be an old one.
   void TakeListed(const published_instance& one) {
     member_record& record = records_[one.peer];
-    if (!record.info.instance.empty() && record.info.instance != one.instance) {
-      // Another instance got the address; what was known of the old one is void.
-      record = {};
-    }
     record.info = one;
     record.listed = true;
     record.listed_leaving = one.leaving;
--- a/modules/cuminferry_fleet/tables/content_fetch.cpp
+++ b/modules/cuminferry_fleet/tables/content_fetch.cpp
@@ -12,7 +12,7 @@
 // Peers hold a request until they have the value themselves; this is how long
 // the next source waits for that.
 constexpr milliseconds kPeerWait{400};
-constexpr milliseconds kPlatformWait{3000};
+constexpr milliseconds kPlatformWait{5000};
 constexpr milliseconds kFirstPause{500};
 constexpr milliseconds kLongestPause{30'000};
 
--- a/modules/cuminferry_node/fleet/fleet_runtime.cpp
+++ b/modules/cuminferry_node/fleet/fleet_runtime.cpp
@@ -15,7 +15,7 @@
 using json = nlohmann::json;
 
 constexpr std::size_t kThreadStack = 256 * 1024;
-constexpr std::chrono::milliseconds kLongestRead{2000};
+constexpr std::chrono::milliseconds kLongestRead{4000};
 constexpr std::chrono::seconds kLongestWatch{10};
 constexpr std::chrono::milliseconds kInterruptEvery{20};
 // Datagrams that come this close together are answered in one go.
