--- a/modules/cuminferry_fleet/agent/fleet_agent.cpp
+++ b/modules/cuminferry_fleet/agent/fleet_agent.cpp
@@ -315,6 +315,7 @@
       }
     }
     if (changes.table_newer) {
+      reader_.OnIndexFromPeer(now, random_);
       Finish(kIndexName, spread_.directory().table_version());
     }
   }
--- a/modules/cuminferry_fleet/platform/platform_reader.cpp
+++ b/modules/cuminferry_fleet/platform/platform_reader.cpp
@@ -138,6 +138,7 @@
   std::uint64_t failed_reads_ = 0;
   std::deque<std::string> wanted_;
   std::vector<std::string> lists_;
+  regular_read index_;
 
  private:
   duration Period(double reads_per_second) const {
@@ -209,7 +210,6 @@
     return std::nullopt;
   }
 
-  regular_read index_;
   regular_read own_list_;
   regular_read other_list_;
   instant not_before_ = instant::min();
@@ -249,6 +249,13 @@
   state_->OnWatched(end, now, random);
 }
 
+void platform_reader::OnIndexFromPeer(instant now, random_source& random) {
+  const bool none_read_yet = state_->reads_ == 0 && !state_->index_.last.has_value();
+  if (none_read_yet) {
+    state_->index_.Restart(now, random);
+  }
+}
+
 void platform_reader::Want(std::string_view name) { state_->Want(name); }
 
 void platform_reader::Unwant(std::string_view name) { std::erase(state_->wanted_, name); }
--- a/modules/cuminferry_fleet/platform/platform_reader.h
+++ b/modules/cuminferry_fleet/platform/platform_reader.h
@@ -63,6 +63,10 @@
   /** Whether this node watches the list of its own service. */
   void UseWatching(bool watching);
 
+  /** A peer gave the index: the first read of it can wait its turn. A domain that
+      starts at one moment would otherwise read it once for each node. */
+  void OnIndexFromPeer(instant now, random_source& random);
+
   /** Reads a value as soon as the budget allows. */
   void Want(std::string_view name);
   void Unwant(std::string_view name);
