--- a/modules/cuminferry_node/runtime/serving_side.h
+++ b/modules/cuminferry_node/runtime/serving_side.h
@@ -10,6 +10,7 @@
 #include "cuminferry_node/backend/backend_client.h"
 #include "cuminferry_node/runtime/node_metrics.h"
 #include "cuminferry_node/runtime/running_request.h"
+#include "cuminferry_node/shares/share_side.h"
 #include "cuminferry_policy/claims/claim_book.h"
 #include "cuminferry_policy/cuminferry_policy.h"
 #include "cuminferry_table/cuminferry_table.h"
@@ -29,6 +30,8 @@
   std::function<bool(std::string& part)> more_body;
   /** Set by Begin() from the row where the request enters here. */
   instant deadline;
+  /** It came before the drain, so that it is still served. */
+  bool before_drain = false;
   /** A request that enters here gets its rank, deadline and retries from its row. */
   bool enters_here = false;
   call_rank rank;
@@ -51,8 +54,8 @@
     incarnation_id incarnation = 0;
   };
 
-  serving_side(options chosen, backend_client& backend, request_records& records,
-               node_metrics& metrics, event_log& events);
+  serving_side(options chosen, backend_client& backend, share_side& shares,
+               request_records& records, node_metrics& metrics, event_log& events);
   /** Waits for the calls that run. */
   ~serving_side();
   serving_side(const serving_side&) = delete;
@@ -84,11 +87,14 @@
   /** The backend server's word on itself. */
   void ReportHealth(const backend_health& health);
 
-  /** Refuses what waits and all that comes; what runs is finished. */
+  /** Refuses all that comes from now on; what waits and what runs is finished. */
   void Drain();
 
   /** Moves time on; to be called every few milliseconds. */
   void Tick(instant now);
+  /** Tells admission how much of the fleet-wide limits this node may use now, and
+      the shares how many calls wait for more. To be called every 50 to 100 ms. */
+  void FollowShares();
 
   /** The rank below which a row is refused here or further down. */
   struct row_threshold {
