Let in little more than is answered while a callee refuses

Cause: a threshold that a callee states lets in more with each round, as refused callers come back and the offered load doubles; the difference was refused at the bottom after work was done for it. Changed: while a callee states a threshold, a node lets in new requests of its rows only up to 1.25 times what was answered over the last 300 ms, by rank.

--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -304,7 +304,11 @@
         call.rank < board_.threshold.own) {
       return true;
     }
-    const bool below = call.rank < learned_.Of(call.row, now).ForNewRequests();
+    const call_rank learned = learned_.Of(call.row, now).ForNewRequests();
+    if (learned == call_rank()) {
+      return false;
+    }
+    const bool below = call.rank < std::max(learned, board_.threshold.answered);
     return below && !learned_.TakeProbe(call.row, now);
   }
 
@@ -452,6 +456,7 @@
     }
     limit_.OnEnded(call, overloaded, hold - call.waited, hold, now);
     if (result == run_result::kAnswered) {
+      threshold_.OnAnswered();
       FollowQuickest(board_.rows.rows[call.row], hold, now);
     }
   }
--- a/modules/cuminferry_policy/admission/threshold_controller.cpp
+++ b/modules/cuminferry_policy/admission/threshold_controller.cpp
@@ -26,6 +26,9 @@
 constexpr double kLeastPartOfSlots = 0.5;
 /** Before so many ends nothing is known of how quickly calls end. */
 constexpr std::uint32_t kKnownFrom = 32;
+/** More is let in than is answered by this factor, so that the answers can grow. */
+constexpr double kOverAnswers = 1.25;
+constexpr double kLeastLetIn = 20;
 constexpr double kLeastPartOffered = 0.8;
 constexpr double kMicrosPerSecond = 1e6;
 /** A weight is refused only when no lower one has started for so long. */
@@ -85,6 +88,7 @@
   last_tick_ = now;
   board_.offered.Decay(passed);
   FollowEnds(passed);
+  FollowAnswers(passed);
   Move(passed, now);
 }
 
@@ -99,6 +103,20 @@
   rate = std::max(rate, of_slots * kLeastPartOfSlots);
 }
 
+// While callees refuse, callers come back and more is offered with each round. A
+// threshold that a callee stated then lets in more than was meant until its next word
+// arrives, and the difference is refused down there after work was done for it.
+void threshold_controller::FollowAnswers(duration passed) {
+  const double seconds = Seconds(passed);
+  const double sample = answers_since_tick_ / seconds;
+  answers_since_tick_ = 0;
+  answers_per_second_ +=
+      (sample - answers_per_second_) * (1.0 - std::exp(-seconds / kEndsMemorySeconds));
+  const double let_in = std::max(kLeastLetIn, answers_per_second_ * kOverAnswers);
+  board_.threshold.answered =
+      board_.offered.ThresholdForRate(let_in / board_.offered.SurgeFactor());
+}
+
 // A burst of permits at one instance would lift the threshold into their weight while
 // maps still run there and enter elsewhere. A farmer would be turned away in favour of
 // a map. So the threshold stops below a weight until all lower ones are gone.
--- a/modules/cuminferry_policy/admission/threshold_controller.h
+++ b/modules/cuminferry_policy/admission/threshold_controller.h
@@ -23,6 +23,7 @@
     ++ends_since_tick_;
     ++ends_seen_;
   }
+  void OnAnswered() { ++answers_since_tick_; }
   void OnTick(instant now);
   /** Forgets what was learned from the load before a pause of this process. */
   void Reset(instant now);
@@ -39,6 +40,7 @@
   /** Calls per second that the slots allow at the present times. */
   double RateOfSlots() const;
   void FollowEnds(duration passed);
+  void FollowAnswers(duration passed);
   double HoldSeconds() const;
   /** Calls per second to be let in, so that the queue comes to its aim. */
   double WantedRate() const;
@@ -52,6 +54,8 @@
   instant last_tick_;
   std::uint32_t ends_since_tick_ = 0;
   std::uint64_t ends_seen_ = 0;
+  std::uint32_t answers_since_tick_ = 0;
+  double answers_per_second_ = 0;
   duration idle_for_{0};
 };
 
--- a/modules/cuminferry_policy/blackboard/admission_blackboard.h
+++ b/modules/cuminferry_policy/blackboard/admission_blackboard.h
@@ -88,6 +88,9 @@
 /** The rank below which new requests are refused for this instance's own load. */
 struct threshold_section {
   call_rank own;
+  /** The rank above which about as much is offered as is answered; counts for
+      requests whose callees refuse some. */
+  call_rank answered;
 };
 
 /** What a callee said of one of its rows, on replies to calls of one own row. */
--- a/tests/policy/scenarios/surge_on_heavy_chain.lua
+++ b/tests/policy/scenarios/surge_on_heavy_chain.lua
@@ -4,5 +4,5 @@
 
 local surge = dofile(folder .. "/shared/chain_surge.lua")
 local found = surge({50, 50, 50}, {2000, 1000})
--- The aim is 0.03; see docs/design/thresholds.md for what is missing.
-expect(found.waste <= 0.05, "much work is done for requests that fail")
+-- The mean of five seeds meets the aim of 0.03; a single seed may lie a little above.
+expect(found.waste <= 0.032, "work is done for requests that fail")
