--- /dev/null
+++ b/modules/cuminferry_fleet/platform/platform_reader.cpp
@@ -0,0 +1,275 @@
+#include "cuminferry_fleet/platform/platform_reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <vector>
+
+#include "cuminferry_fleet/tables/value_version.h"
+
+namespace cuminferry {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kMicrosPerSecond = 1e6;
+constexpr milliseconds kStartSpread{200};
+constexpr milliseconds kShortestPeriod{200};
+constexpr milliseconds kFirstBackOff{250};
+constexpr milliseconds kShortestLongestBackOff{1'000};
+constexpr milliseconds kLongestBackOff{30'000};
+constexpr std::size_t kWantedBound = 1024;
+
+duration Seconds(double seconds) {
+  return duration(static_cast<std::int64_t>(seconds * kMicrosPerSecond));
+}
+
+duration Scaled(duration length, double factor) {
+  return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * factor));
+}
+
+// Between half and one and a half times as long.
+duration Jittered(duration about, random_source& random) {
+  return Scaled(about, 0.5 + random.Fraction());
+}
+
+// One of the reads that come again and again. Its due time follows the period as
+// it is now: a period set while the fleet was thought larger, or peers were heard
+// of, may be minutes long, and a node that is alone now would serve an old table.
+struct regular_read {
+  std::optional<instant> last;
+  double factor = 1.0;
+
+  void Restart(instant now, random_source& random) {
+    last = now;
+    // Nodes that began at one moment, after a power cut say, would otherwise read
+    // at one moment for ever.
+    factor = 0.5 + random.Fraction();
+  }
+
+  instant Due(duration period) const {
+    return last.has_value() ? *last + Scaled(period, factor) : instant::min();
+  }
+};
+
+}  // namespace
+
+class platform_reader::state {
+ public:
+  state(options chosen, instant now, random_source& random)
+      : options_(std::move(chosen)), tokens_(options_.content_burst), refilled_at_(now) {
+    not_before_ = now + Jittered(kStartSpread / 2, random);
+    own_list_.Restart(now, random);
+    other_list_.Restart(now, random);
+  }
+
+  void Want(std::string_view name) {
+    const bool known = std::find(wanted_.begin(), wanted_.end(), name) != wanted_.end();
+    if (!known && wanted_.size() < kWantedBound) {
+      wanted_.emplace_back(name);
+    }
+  }
+
+  void OnWakeUp(instant now, random_source& random) {
+    index_.last.reset();
+    not_before_ = now + Jittered(kStartSpread / 2, random);
+    under_way_.reset();
+  }
+
+  std::optional<std::string> OnTick(instant now, random_source& random) {
+    Refill(now);
+    if (under_way_.has_value() || now < not_before_) {
+      return std::nullopt;
+    }
+    under_way_ = Next(now, random);
+    if (under_way_.has_value()) {
+      ++reads_;
+    }
+    return under_way_;
+  }
+
+  std::optional<std::string> NextWatch(instant now) {
+    if (!watching_ || watch_under_way_ || failures_ > 0 || now < not_before_) {
+      return std::nullopt;
+    }
+    watch_under_way_ = true;
+    ++reads_;
+    return options_.own_list;
+  }
+
+  void OnWatched(read_end end, instant now, random_source& random) {
+    watch_under_way_ = false;
+    if (end == read_end::kRefused || end == read_end::kUnreachable) {
+      NoteFailure(now, random);
+    }
+  }
+
+  void OnRead(read_end end, instant now, random_source& random) {
+    under_way_.reset();
+    reachable_ = end != read_end::kUnreachable;
+    if (end == read_end::kValue || end == read_end::kNoSuchKey) {
+      failures_ = 0;
+      return;
+    }
+    NoteFailure(now, random);
+  }
+
+  instant next_due() const {
+    if (under_way_.has_value()) {
+      return instant::max();
+    }
+    instant due = std::min({index_.Due(IndexPeriod()), own_list_.Due(OwnListPeriod()),
+                            other_list_.Due(OtherListPeriod())});
+    if (!wanted_.empty()) {
+      due = tokens_ >= 1.0 ? not_before_ : std::min(due, refilled_at_ + ContentPeriod());
+    }
+    return std::max(due, not_before_);
+  }
+
+  const options options_;
+  // Until the index tells; too low a guess would make a starting fleet fall upon the
+  // platform.
+  std::uint32_t fleet_size_ = 64;
+  bool isolated_ = false;
+  bool watching_ = false;
+  bool reachable_ = true;
+  std::uint64_t reads_ = 0;
+  std::uint64_t failed_reads_ = 0;
+  std::deque<std::string> wanted_;
+  std::vector<std::string> lists_;
+
+ private:
+  duration Period(double reads_per_second) const {
+    const double factor = isolated_ ? options_.isolated_factor : 1.0;
+    return std::max<duration>(Seconds(fleet_size_ / (reads_per_second * factor)), kShortestPeriod);
+  }
+
+  duration IndexPeriod() const { return Period(options_.index_reads_per_second); }
+  duration OwnListPeriod() const { return Period(options_.list_reads_per_second); }
+  duration OtherListPeriod() const { return Period(options_.other_list_reads_per_second); }
+
+  duration ContentPeriod() const {
+    return Seconds(fleet_size_ / options_.content_reads_per_second);
+  }
+
+  // A small fleet may ask more often; it is the sum over the fleet that counts.
+  duration BackOff() const {
+    const duration longest = std::clamp<duration>(Period(options_.index_reads_per_second),
+                                                  kShortestLongestBackOff, kLongestBackOff);
+    const int doublings = std::min(failures_ - 1, 10);
+    return std::min<duration>(kFirstBackOff * (1 << doublings), longest);
+  }
+
+  void NoteFailure(instant now, random_source& random) {
+    ++failures_;
+    ++failed_reads_;
+    // Whatever was wanted goes on waiting; the index is what tells first that the
+    // platform is back, and costs one read whatever was missed meanwhile.
+    not_before_ = now + Jittered(BackOff(), random);
+    index_.last.reset();
+  }
+
+  void Refill(instant now) {
+    const double passed = static_cast<double>((now - refilled_at_).count()) / kMicrosPerSecond;
+    const double gained = passed * options_.content_reads_per_second / fleet_size_;
+    tokens_ = std::min(tokens_ + gained, options_.content_burst);
+    refilled_at_ = now;
+  }
+
+  std::optional<std::string> Next(instant now, random_source& random) {
+    if (now >= index_.Due(IndexPeriod())) {
+      index_.Restart(now, random);
+      return kIndexName;
+    }
+    if (failures_ > 0) {
+      return std::nullopt;
+    }
+    if (!wanted_.empty() && tokens_ >= 1.0) {
+      tokens_ -= 1.0;
+      std::string name = std::move(wanted_.front());
+      wanted_.pop_front();
+      return name;
+    }
+    return NextList(now, random);
+  }
+
+  std::optional<std::string> NextList(instant now, random_source& random) {
+    if (now >= own_list_.Due(OwnListPeriod())) {
+      own_list_.Restart(now, random);
+      return options_.own_list;
+    }
+    if (now >= other_list_.Due(OtherListPeriod())) {
+      other_list_.Restart(now, random);
+      if (!lists_.empty()) {
+        next_list_ = (next_list_ + 1) % lists_.size();
+        return lists_[next_list_];
+      }
+    }
+    return std::nullopt;
+  }
+
+  regular_read index_;
+  regular_read own_list_;
+  regular_read other_list_;
+  instant not_before_ = instant::min();
+  std::optional<std::string> under_way_;
+  bool watch_under_way_ = false;
+  int failures_ = 0;
+  double tokens_;
+  instant refilled_at_;
+  std::size_t next_list_ = 0;
+};
+
+platform_reader::platform_reader(options chosen, instant now, random_source& random)
+    : state_(std::make_unique<state>(std::move(chosen), now, random)) {}
+
+platform_reader::~platform_reader() = default;
+
+void platform_reader::UseFleetSize(std::uint32_t nodes) {
+  state_->fleet_size_ = std::max<std::uint32_t>(nodes, 1);
+}
+
+void platform_reader::UseIsolated(bool isolated) { state_->isolated_ = isolated; }
+
+void platform_reader::Follow(std::string_view list) {
+  if (list != state_->options_.own_list &&
+      std::find(state_->lists_.begin(), state_->lists_.end(), list) == state_->lists_.end()) {
+    state_->lists_.emplace_back(list);
+  }
+}
+
+void platform_reader::UseWatching(bool watching) { state_->watching_ = watching; }
+
+std::optional<std::string> platform_reader::NextWatch(instant now) {
+  return state_->NextWatch(now);
+}
+
+void platform_reader::OnWatched(read_end end, instant now, random_source& random) {
+  state_->OnWatched(end, now, random);
+}
+
+void platform_reader::Want(std::string_view name) { state_->Want(name); }
+
+void platform_reader::Unwant(std::string_view name) { std::erase(state_->wanted_, name); }
+
+void platform_reader::OnWakeUp(instant now, random_source& random) {
+  state_->OnWakeUp(now, random);
+}
+
+std::optional<std::string> platform_reader::OnTick(instant now, random_source& random) {
+  return state_->OnTick(now, random);
+}
+
+void platform_reader::OnRead(read_end end, instant now, random_source& random) {
+  state_->OnRead(end, now, random);
+}
+
+bool platform_reader::reachable() const { return state_->reachable_; }
+
+std::uint64_t platform_reader::reads() const { return state_->reads_; }
+
+std::uint64_t platform_reader::failed_reads() const { return state_->failed_reads_; }
+
+instant platform_reader::next_due() const { return state_->next_due(); }
+
+}  // namespace cuminferry
