Bound the head of an HTTP request in length and time

Cause: the HTTP library bounds each header line but not their number, and its time-outs begin anew with each byte.

Changed: head_bound (64 KiB, and the read time-out for the whole head), used by the server and by the connection to the backend server, whose own copy of the logic goes. A caller that breaks it is cut off; the library would answer 400 and take the rest of the head for further requests.

--- a/modules/cuminferry_node/backend/backend_stream.cpp
+++ b/modules/cuminferry_node/backend/backend_stream.cpp
@@ -17,7 +17,6 @@
 constexpr std::string_view kEndOfChunks = "0\r\n\r\n";
 /** Where "HTTP/1.1 " ends. */
 constexpr std::size_t kStatusOffset = 9;
-constexpr std::string_view kEndOfHead = "\r\n\r\n";
 
 int MillisUntil(instant deadline) {
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - boot_clock::Now());
@@ -149,23 +148,20 @@
 }
 
 bool backend_stream::HeadWithinBounds(std::string_view bytes) {
-  if (head_over_) {
+  if (head_.over()) {
     return true;
   }
-  head_bytes_ += bytes.size();
   if (!status_line_.ends_with('\n')) {
     const std::size_t line_end = bytes.find('\n');
-    status_line_.append(
-        bytes.substr(0, line_end == std::string_view::npos ? line_end : line_end + 1));
+    const bool ends = line_end != std::string_view::npos;
+    status_line_.append(bytes.substr(0, ends ? line_end + 1 : bytes.size()));
   }
-  return head_bytes_ <= kLongestHead && status_line_.size() <= kLongestStatusLine &&
-         !IsInterim(status_line_);
+  return head_.Take(bytes) && status_line_.size() <= kLongestStatusLine && !IsInterim(status_line_);
 }
 
 void backend_stream::Remember(std::string_view bytes) {
   tail_.append(bytes.substr(bytes.size() - std::min(bytes.size(), kEndOfChunks.size())));
   tail_.erase(0, tail_.size() - std::min(tail_.size(), kEndOfChunks.size()));
-  head_over_ = head_over_ || tail_.ends_with(kEndOfHead);
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_node/backend/backend_stream.h
+++ b/modules/cuminferry_node/backend/backend_stream.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_node/http/head_bound.h"
 
 namespace cuminferry {
 
@@ -24,8 +25,6 @@
   /** Most bytes of a status line: the library matches it with a recursive
       regular expression, and a long one would overflow a worker's small stack. */
   static constexpr std::size_t kLongestStatusLine = 128;
-  /** Most bytes of status line and headers together. */
-  static constexpr std::size_t kLongestHead = 64 * 1024;
 
   backend_stream(int socket, instant deadline);
 
@@ -63,8 +62,7 @@
   std::size_t end_ = 0;
   std::string tail_;
   std::string status_line_;
-  std::size_t head_bytes_ = 0;
-  bool head_over_ = false;
+  head_bound head_;
   std::uint64_t bytes_sent_ = 0;
   mutable bool timed_out_ = false;
   bool answered_early_ = false;
--- a/modules/cuminferry_node/http/http_server.cpp
+++ b/modules/cuminferry_node/http/http_server.cpp
@@ -11,6 +11,7 @@
 #include <cstring>
 #include <utility>
 
+#include "cuminferry_node/http/head_bound.h"
 #include "cuminferry_wire/tcp/socket_address.h"
 
 namespace cuminferry {
@@ -44,13 +45,16 @@
       if (count <= 0) {
         return count;
       }
+      if (head_.IsLate(boot_clock::Now())) {
+        return CutOff();
+      }
       begin_ = 0;
       end_ = static_cast<std::size_t>(count);
     }
     const std::size_t count = std::min(size, end_ - begin_);
     std::memcpy(into, buffer_.data() + begin_, count);
     begin_ += count;
-    return static_cast<ssize_t>(count);
+    return head_.Take({into, count}) ? static_cast<ssize_t>(count) : CutOff();
   }
 
   ssize_t write(const char* from, std::size_t size) override {
@@ -79,6 +83,13 @@
 
   socket_t socket() const override { return descriptor_; }
 
+  // The next request begins; its head is to be over as soon as one silence may last.
+  void BeginRequest() { head_.Begin(boot_clock::Now() + timeout_); }
+
+  // The caller broke a bound. The library would answer 400 and read on, taking
+  // the rest of the head for further requests.
+  bool cut_off() const { return cut_off_; }
+
   // True once the next request's first bytes are there.
   bool WaitForRequest(std::chrono::milliseconds longest) const {
     return begin_ < end_ || Poll(POLLIN, longest);
@@ -103,11 +114,18 @@
     return ::recv(descriptor_, into, size, 0);
   }
 
+  ssize_t CutOff() {
+    cut_off_ = true;
+    return -1;
+  }
+
   const int descriptor_;
   const std::chrono::milliseconds timeout_;
   std::array<char, kReadBuffer> buffer_{};
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
+  head_bound head_;
+  bool cut_off_ = false;
 };
 
 // cpp-httplib's queue of accepted connections over our pool.
@@ -137,7 +155,8 @@
   bool process_and_close_socket(socket_t descriptor) override {
     current_descriptor = descriptor;
     polled_stream stream(descriptor, read_);
-    while (WaitForRequest(stream)) {
+    while (!stream.cut_off() && WaitForRequest(stream)) {
+      stream.BeginRequest();
       bool closed = false;
       if (!process_request(stream, stopping_, closed, nullptr) || closed) {
         break;
--- /dev/null
+++ b/tests/fuzz/hostile_caller_test.cpp
@@ -0,0 +1,116 @@
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+#include "cuminferry_node/http/http_server.h"
+#include "support/property.h"
+
+namespace cuminferry::testing {
+namespace {
+
+constexpr std::uint32_t kLoopback = 0x7F000001;
+
+/** A caller on a raw socket. */
+class raw_caller {
+ public:
+  explicit raw_caller(endpoint to) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(to.address);
+    address.sin_port = htons(to.port);
+    connected_ = ::connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  }
+  ~raw_caller() { ::close(socket_); }
+  raw_caller(const raw_caller&) = delete;
+  raw_caller& operator=(const raw_caller&) = delete;
+
+  /** False once the other side has closed. */
+  bool Send(std::string_view bytes) {
+    return connected_ && ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0;
+  }
+
+  /** All that comes until the other side closes. */
+  std::string ReadToEnd() {
+    std::string text;
+    std::array<char, 4096> part{};
+    for (ssize_t got = 0; (got = ::recv(socket_, part.data(), part.size(), 0)) > 0;) {
+      text.append(part.data(), static_cast<std::size_t>(got));
+    }
+    return text;
+  }
+
+ private:
+  int socket_;
+  bool connected_ = false;
+};
+
+}  // namespace
+
+class hostile_caller_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(hostile_caller_test);
+  CPPUNIT_TEST(Server_EndlessHeaders_CutsTheCallerOff);
+  CPPUNIT_TEST(Server_HeadInDrops_CutsTheCallerOff);
+  CPPUNIT_TEST(Server_AnyHead_ServesTheNextCaller);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::chrono::seconds kReadTimeout{1};
+
+  http_server server_{{.threads = 2, .read_timeout = kReadTimeout},
+                      [](const http_request&, http_response& response) { response.body = "ok"; }};
+  endpoint at_{kLoopback, 0};
+
+  void AssertServes() {
+    raw_caller caller(at_);
+    caller.Send("GET /map HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT(caller.ReadToEnd().starts_with("HTTP/1.1 200"));
+  }
+
+ public:
+  void setUp() override { CPPUNIT_ASSERT(server_.Start(at_).ok()); }
+  void tearDown() override { server_.Stop(); }
+
+  // A caller sends headers without end. The library keeps each of them, and the
+  // node's memory goes to one caller until the machine ends the process.
+  void Server_EndlessHeaders_CutsTheCallerOff() {
+    constexpr std::size_t kFarTooMuch = 64 << 20;
+    std::string fields;
+    for (int field = 0; field < 1000; ++field) {
+      fields += "X-" + std::to_string(field) + ": 0123456789\r\n";
+    }
+    raw_caller caller(at_);
+    caller.Send("GET / HTTP/1.1\r\n");
+    std::size_t sent = 0;
+    while (sent < kFarTooMuch && caller.Send(fields)) {
+      sent += fields.size();
+    }
+    CPPUNIT_ASSERT(sent < kFarTooMuch);
+    AssertServes();
+  }
+
+  // A caller sends one byte now and then. Each one renews the library's time-out,
+  // so a few such callers hold all threads and nobody else is served.
+  void Server_HeadInDrops_CutsTheCallerOff() {
+    raw_caller caller(at_);
+    const instant given_up = boot_clock::Now() + 10 * kReadTimeout;
+    while (boot_clock::Now() < given_up && caller.Send("x")) {
+      ::usleep(20'000);
+    }
+    CPPUNIT_ASSERT(boot_clock::Now() < given_up);
+    AssertServes();
+  }
+
+  void Server_AnyHead_ServesTheNextCaller() {
+    CheckProperty("any head leaves the server whole", [this](const std::string& bytes) {
+      raw_caller caller(at_);
+      caller.Send("POST /permits HTTP/1.1\r\nContent-Length: 1\r\n" + bytes + "\r\n\r\n");
+    });
+    AssertServes();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(hostile_caller_test);
+
+}  // namespace cuminferry::testing
