--- a/modules/cuminferry_node/runtime/call_router.h
+++ b/modules/cuminferry_node/runtime/call_router.h
@@ -8,6 +8,7 @@
 
 #include "cuminferry_policy/cuminferry_policy.h"
 #include "cuminferry_table/cuminferry_table.h"
+#include "cuminferry_wire/cuminferry_wire.h"
 
 namespace cuminferry {
 
@@ -19,8 +20,15 @@
 
   //============================================================================
   void UseTargets(std::string_view service, std::span<const target_info> targets);
-  void MarkLeaving(endpoint target);
-  void MarkReachable(endpoint target);
+  /** A node of a service that this node calls was heard of directly. */
+  void LearnTarget(const hello_message& hello);
+  void MarkLeaving(endpoint target, incarnation_id incarnation);
+  /** This process did not run for a while: its losses are not the targets' fault. */
+  void NoteOwnPause();
+
+  /** Waits until a target of the service is known; false where none came in time.
+      A service is followed from its first call on, so that call comes before the list. */
+  bool WaitForTargets(std::string_view service, instant until);
 
   /** Chooses the target of an attempt and counts it as sent there. */
   std::optional<endpoint> ChooseTarget(std::string_view service, std::span<const endpoint> avoid);
@@ -41,7 +49,11 @@
     random_source random;
   };
 
+  std::size_t EligibleTargets(std::string_view service);
+
   section<choice> choice_;
+  ranked_mutex targets_mutex_{lock_rank::kMembers};
+  absl::CondVar targets_changed_;
   section<std::map<std::string, retry_ratio, std::less<>>> ratios_;
 };
 
--- a/modules/cuminferry_node/runtime/egress_side.cpp
+++ b/modules/cuminferry_node/runtime/egress_side.cpp
@@ -136,6 +136,13 @@
     return reply;
   }
 
+  // Only services that are called from here: the others' nodes are none of its targets.
+  void OnHello(const hello_message& hello) {
+    if (parts_.tables.Find(hello.service) != nullptr) {
+      router_.LearnTarget(hello);
+    }
+  }
+
   void SetOwnService(std::string service) { own_service_ = std::move(service); }
   call_router& router() { return router_; }
 
@@ -160,12 +167,22 @@
     return FindRow(now, about);
   }
 
+  // The first call to a service: its rows and its instances are asked for now.
+  std::shared_ptr<const table_shard> WaitForService(const std::string& service, instant now,
+                                                    instant deadline) {
+    const instant until = std::min(deadline, now + duration(kLongestTableWait));
+    parts_.follow(service);
+    auto shard = parts_.tables.WaitFor(service, until);
+    if (shard != nullptr) {
+      router_.WaitForTargets(service, until);
+    }
+    return shard;
+  }
+
   result_code FindRow(instant now, outgoing_call::target_call& about) {
     about.shard = parts_.tables.Find(about.service);
     if (about.shard == nullptr) {
-      parts_.follow(about.service);
-      about.shard = parts_.tables.WaitFor(
-          about.service, std::min(about.deadline, now + duration(kLongestTableWait)));
+      about.shard = WaitForService(about.service, now, about.deadline);
     }
     if (about.shard == nullptr) {
       return result_code::kNoTableYet;
@@ -175,6 +192,8 @@
       return result_code::kNoSuchRow;
     }
     about.deadline = std::min(about.deadline, now + about.row->deadline);
+    parts_.tables.WaitForTargets(about.service,
+                                 std::min(about.deadline, now + duration(kLongestTableWait)));
     return result_code::kOk;
   }
 
@@ -220,8 +239,12 @@
   state_->router().UseTargets(service, targets);
 }
 
-void egress_side::MarkLeaving(endpoint target) { state_->router().MarkLeaving(target); }
-void egress_side::MarkReachable(endpoint target) { state_->router().MarkReachable(target); }
-void egress_side::MarkUnreachable(endpoint /*target*/) {}
+void egress_side::OnHello(const hello_message& hello) { state_->OnHello(hello); }
+
+void egress_side::MarkLeaving(endpoint target, incarnation_id incarnation) {
+  state_->router().MarkLeaving(target, incarnation);
+}
+
+void egress_side::NoteOwnPause() { state_->router().NoteOwnPause(); }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -94,7 +94,8 @@
     events_.Add({.kind = event_kind::kDraining, .subject = settings_.instance});
     serving_.Drain();
     links_.AnnounceLeaving({settings_.instance, incarnation_});
-    while (serving_.running() > 0 || links_.attempts_outstanding() > 0) {
+    while (front_->being_served() > 0 || serving_.running() > 0 || serving_.queued() > 0 ||
+           links_.attempts_outstanding() > 0) {
       absl::SleepFor(absl::FromChrono(kDrainPoll));
     }
     // Answers that have just been written are on their way to their callers: the
@@ -149,15 +150,15 @@
         .on_lost = [this](connection_id connection) { peers_.OnLost(connection); },
         .on_hello =
             [this](const hello_message& hello) {
-              egress_.MarkReachable(hello.listens_at);
+              egress_.OnHello(hello);
               fleet_.OnHello(hello);
             },
         .on_leaving =
-            [this](endpoint peer) {
-              egress_.MarkLeaving(peer);
-              fleet_.OnPeerLeaving(peer);
+            [this](endpoint peer, incarnation_id incarnation) {
+              egress_.MarkLeaving(peer, incarnation);
+              fleet_.OnPeerLeaving(peer, incarnation);
             },
-        .on_unreachable = [this](endpoint peer) { egress_.MarkUnreachable(peer); },
+        .on_unreachable = [this](endpoint peer) { fleet_.OnPeerLost(peer); },
         .on_fleet_message =
             [this](endpoint from, message_type type, std::span<const char> payload) {
               fleet_.OnPeerMessage(from, type, payload);
@@ -185,9 +186,14 @@
         .on_targets =
             [this](std::string_view service, std::span<const target_info> targets) {
               egress_.UseTargets(service, targets);
+              if (!targets.empty()) {
+                tables_.NoteTargets(service);
+              }
             },
         .send = [this](endpoint peer,
                        std::string frame) { return links_.SendTo(peer, std::move(frame)); },
+        .on_self_leaving = [this] { drain_requested_ = true; },
+        .on_pause = {},
     };
   }
 
@@ -216,6 +222,7 @@
       const instant now = boot_clock::Now();
       const bool paused = now - last > kPauseIsLonger;
       if (paused) {
+        egress_.NoteOwnPause();
         const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now - last);
         events_.Add({.kind = event_kind::kPauseNoticed, .value = millis.count()});
       }
--- a/modules/cuminferry_policy/blackboard/admission_blackboard.h
+++ b/modules/cuminferry_policy/blackboard/admission_blackboard.h
@@ -96,7 +96,7 @@
   static constexpr std::uint32_t kNoCallee = std::numeric_limits<std::uint32_t>::max();
 
   /** Replies of late that the threshold is the median of. */
-  static constexpr std::size_t kReplies = 8;
+  static constexpr std::size_t kReplies = 5;
 
   std::string callee_service;
   std::string callee_row;
