Make not_run true where a call is refused before its ticket is weighed

Cause: three refusals said not_run without asking the ticket's home. serving_side refused a call with no table or no row without leaving a tombstone, so that a second copy ran after the table came. The front of a node without a table did not read a caller's ticket at all and refused the request although an earlier copy might run at its home; so did a relayed request whose row the node did not know, and one with an unreadable header.

Changed: serving_side refuses through claim_book::Refuse() and tells what the book knows; the front reads the ticket first and sends the request to its home, or says unknown where it can't; breaking off keeps its code for those who ask later. Code 315's text no longer says "not run" of more than the one copy.

Not tested: the front's two paths.

--- a/modules/cuminferry_core/result/result_code.cpp
+++ b/modules/cuminferry_core/result/result_code.cpp
@@ -90,7 +90,7 @@
     result_code_info{kFleetLimitReached, "fleet_limit_reached", 503,
                      "Not run: the row's limit on running requests is reached."},
     result_code_info{kBadRequestHeader, "bad_request_header", 400,
-                     "Not run: a cuminferry header cannot be read."},
+                     "A cuminferry header cannot be read; this copy of the request did not run."},
 
     result_code_info{kTicketExpired, "ticket_expired", 409,
                      "Not run under this ticket, now or later: its claim window has passed."},
--- a/modules/cuminferry_node/runtime/egress_side.cpp
+++ b/modules/cuminferry_node/runtime/egress_side.cpp
@@ -108,7 +108,8 @@
     about.shard = shard;
     about.row = shard == nullptr ? nullptr : shard->FindRow(incoming.method, incoming.target);
     if (about.row == nullptr) {
-      return MakeNotRun(incoming.request, result_code::kNoSuchRow);
+      // Of what an earlier copy did under this ticket only its home knows.
+      return MakeUnknown(incoming.request, result_code::kTicketHomeUnreachable);
     }
     about.rank = EntryRank(*about.row);
     about.deadline = std::min(incoming.deadline, boot_clock::Now() + about.row->deadline);
--- a/modules/cuminferry_node/runtime/front_side.cpp
+++ b/modules/cuminferry_node/runtime/front_side.cpp
@@ -90,7 +90,7 @@
     const instant now = boot_clock::Now();
     const result_code fault = ReadOwnHeaders(request, now, call);
     reply_message reply =
-        fault != result_code::kOk ? MakeNotRun(call.request, fault) : RunAtHome(request, call);
+        fault != result_code::kOk ? Refuse(call, fault) : RunAtHome(request, call);
     response.close = !call.before_drain;
     response.close |= request.has_body && reply.end != call_end::kCompleted;
     if (!call.claim.empty()) {
@@ -99,31 +99,45 @@
     ToHttp(reply, response);
   }
 
+  // Of a request that came with a ticket an earlier copy may run.
+  static reply_message Refuse(const incoming_call& call, result_code fault) {
+    return call.claim.empty() ? MakeNotRun(call.request, fault) : MakeUnknown(call.request, fault);
+  }
+
   static request_id NewRequestId() {
     thread_local random_source random = random_source::FromMachine();
     return {random.Next(), random.Next()};
   }
 
   result_code ReadOwnHeaders(const http_request& request, instant now, incoming_call& call) {
+    const auto shard = tables_.Find(service_);
+    const request_row* row = shard == nullptr ? nullptr : shard->FindRow(call.method, call.target);
+    // Where the row is not known, a ticket still tells who knows of the request.
+    const bool idempotent = row != nullptr && row->idempotent;
+    if (!idempotent && !ReadTicket(request, call.claim)) {
+      return result_code::kTicketMalformed;
+    }
     if (!ReadTimeLeft(request, now, now + kLongestTime, call.deadline)) {
       return result_code::kBadRequestHeader;
     }
-    const auto shard = tables_.Find(service_);
-    const request_row* row = shard == nullptr ? nullptr : shard->FindRow(call.method, call.target);
-    if (row == nullptr || row->idempotent) {
-      return result_code::kOk;
+    if (row != nullptr && !idempotent && call.claim.empty()) {
+      call.claim = NewTicket();
     }
+    return result_code::kOk;
+  }
+
+  // False where there is one that can't be read.
+  static bool ReadTicket(const http_request& request, ticket& into) {
     const auto text = request.Header(header_names::kTicket);
+    claim_ticket given;
     if (!text.has_value()) {
-      call.claim = NewTicket();
-      return result_code::kOk;
+      return true;
     }
-    claim_ticket given;
     if (!ticket_text::Read(*text, given)) {
-      return result_code::kTicketMalformed;
+      return false;
     }
-    call.claim = ToWire(given);
-    return result_code::kOk;
+    into = ToWire(given);
+    return true;
   }
 
   ticket NewTicket() {
--- a/modules/cuminferry_node/runtime/serving_side.cpp
+++ b/modules/cuminferry_node/runtime/serving_side.cpp
@@ -132,7 +132,7 @@
                          .cancelled = false};
     const result_code fault = Prepare(pending);
     if (fault != result_code::kOk) {
-      Reply(pending, MakeNotRun(pending.call.request, fault));
+      Reply(pending, RefuseUnweighed(pending.call, fault));
       return key;
     }
     if (!pending.call.claim.empty() && !BeginClaim(pending)) {
@@ -317,6 +317,19 @@
     call.deadline = std::min(call.deadline, boot_clock::Now() + row.deadline);
   }
 
+  // Refuses a call before its ticket is begun. Without a tombstone a second copy
+  // could run later, and its caller was told that it never would; and where an
+  // earlier copy runs already, this refusal says nothing of it.
+  reply_message RefuseUnweighed(const incoming_call& call, result_code fault) {
+    if (call.claim.empty()) {
+      return MakeNotRun(call.request, fault);
+    }
+    const claim_report report = claims_.With([&](claim_book& book) {
+      return book.Refuse(ClaimOf(call.claim), fault, boot_clock::Now());
+    });
+    return AnswerFrom(report, call.request);
+  }
+
   // False where the call was answered from what is known of its ticket.
   bool BeginClaim(pending_call& pending) {
     const claim_report report = claims_.With([&](claim_book& book) {
@@ -346,7 +359,7 @@
       case claim_state::kAnswerForgotten:
         return MakeUnknown(request, result_code::kTicketAnswerForgotten);
       case claim_state::kBrokenOff:
-        return MakeUnknown(request, result_code::kBackendFailed);
+        return MakeUnknown(request, report.code);
       case claim_state::kRefused:
       case claim_state::kNeverSeen:
         break;
@@ -543,7 +556,7 @@
       } else if (reply.end == call_end::kNotRun) {
         book.EndUnrun(claim, static_cast<result_code>(reply.code), now);
       } else {
-        book.BreakOff(claim, now);
+        book.BreakOff(claim, static_cast<result_code>(reply.code), now);
       }
     });
   }
