Bind a permit anew when its instance has no table yet

Cause: a freshly replaced instance refuses for want of a table; that concerns it alone, and leaves a tombstone now, yet the sender ended the call as not_run. Idempotent calls go elsewhere on it already.

--- a/modules/cuminferry_policy/claims/claim_sender.cpp
+++ b/modules/cuminferry_policy/claims/claim_sender.cpp
@@ -14,6 +14,7 @@
     case result_code::kRefusedInstanceOnly:
     case result_code::kRefusedDraining:
     case result_code::kNoTarget:
+    case result_code::kNoTableYet:
     case result_code::kTicketTableFull:
     case result_code::kTicketExpired:
     case result_code::kTicketRevoked:
--- a/tests/claims/claim_sender_test.cpp
+++ b/tests/claims/claim_sender_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(Call_Answered_EndsCompleted);
   CPPUNIT_TEST(Call_RefusedForOverload_EndsNotRunAtOnce);
   CPPUNIT_TEST(Call_RefusedByInstance_BindsAnewOnce);
+  CPPUNIT_TEST(Call_RefusedByInstanceWithoutTable_BindsAnew);
   CPPUNIT_TEST(SharedTicket_RefusedByInstance_IsNotBoundAnew);
   CPPUNIT_TEST(Call_RunsOnAGoodConnection_IsAskedAboutSeldom);
   CPPUNIT_TEST(Connection_Lost_AsksOverANewOneAndNotTooOften);
@@ -80,6 +81,16 @@
                            kStart));
   }
 
+  // Of instances that have just been replaced, one has no table yet. The permit
+  // goes to another one instead of being refused.
+  void Call_RefusedByInstanceWithoutTable_BindsAnew() {
+    claim_sender sender = Made();
+    const claim_ticket first = Only(Bind(sender)).ticket;
+    const claim_actions actions =
+        sender.Heard(first, claim_state::kTombstone, result_code::kNoTableYet, kStart);
+    CPPUNIT_ASSERT(Only(actions).what == kRebind);
+  }
+
   // A caller tries again through two nodes with one ticket, and the home
   // refuses it. If both nodes went on to other instances, both would file.
   void SharedTicket_RefusedByInstance_IsNotBoundAnew() {
