--- a/tests/claims/serving_claims_test.cpp
+++ b/tests/claims/serving_claims_test.cpp
@@ -4,6 +4,7 @@
 
 #include "backend/scripted_backend.h"
 #include "cuminferry_node/runtime/serving_side.h"
+#include "cuminferry_node/shares/share_side.h"
 #include "support/property.h"
 
 namespace cuminferry::testing {
@@ -39,13 +40,15 @@
   request_records records_;
   node_metrics metrics_;
   event_log events_;
-  serving_side serving_{{.settings = {.instance = "p1",
-                                      .service = "permit",
-                                      .failure_domain = "halle-nord",
-                                      .backend_slots = 4,
-                                      .backend_connections = 4},
-                         .incarnation = kIncarnation},
+  node_settings settings_{.instance = "p1",
+                          .service = "permit",
+                          .failure_domain = "halle-nord",
+                          .backend_slots = 4,
+                          .backend_connections = 4};
+  share_side shares_{settings_, kIncarnation, [](endpoint, std::string) {}};
+  serving_side serving_{{.settings = settings_, .incarnation = kIncarnation},
                         client_,
+                        shares_,
                         records_,
                         metrics_,
                         events_};
@@ -53,6 +56,7 @@
   void UseTable() {
     const auto table = policy_table::Parse(kTable);
     CPPUNIT_ASSERT_MESSAGE(std::string(table.status().message()), table.ok());
+    shares_.UseTable(*table->FindShard("permit"));
     serving_.UseTable(*table->FindShard("permit"));
   }
 
