--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -210,6 +210,9 @@
 
   std::uint32_t running() const { return board_.running(); }
   std::uint32_t queued() const { return static_cast<std::uint32_t>(board_.queue.size()); }
+  std::uint32_t queued(std::uint32_t row) const {
+    return row < board_.rows.rows.size() ? board_.rows.rows[row].queued : 0;
+  }
   std::uint32_t limit() const { return static_cast<std::uint32_t>(board_.limit.limit); }
 
  private:
@@ -475,15 +478,23 @@
   }
 
   /** A call below the threshold that has waited about as long as a call runs will
-      not come to its turn: its caller is told now instead of near its deadline. */
+      not come to its turn: its caller is told now instead of near its deadline.
+      Never one of a higher weight before all of the lower ones. */
   void RefuseStale(instant now, admission_actions& out) {
     const auto longest = std::max<duration>(
         milliseconds(50), duration(static_cast<std::int64_t>(board_.limit.hold_micros)));
+    std::optional<std::uint16_t> kept;
     std::size_t place = 0;
-    while (place < board_.queue.size() && board_.queue.calls()[place].rank < board_.threshold.own) {
-      if (now - board_.queue.calls()[place].arrived > longest) {
+    while (place < board_.queue.size()) {
+      const queued_call& call = board_.queue.calls()[place];
+      if (call.rank >= board_.threshold.own ||
+          call.rank.weight() > kept.value_or(call.rank.weight())) {
+        return;
+      }
+      if (now - call.arrived > longest) {
         RefuseAt(place, now, out);
       } else {
+        kept = call.rank.weight();
         ++place;
       }
     }
@@ -557,6 +568,7 @@
 
 std::uint32_t admission_controller::running() const { return state_->running(); }
 std::uint32_t admission_controller::queued() const { return state_->queued(); }
+std::uint32_t admission_controller::queued(std::uint32_t row) const { return state_->queued(row); }
 std::uint32_t admission_controller::limit() const { return state_->limit(); }
 
 }  // namespace cuminferry
