--- a/extras/trial/deployment.h
+++ b/extras/trial/deployment.h
@@ -53,7 +53,8 @@
     bool keep_files = false;
   };
 
-  /** Starts all processes and waits until each node has a table. */
+  /** Starts all processes and waits until each node has a table.
+      @param plan  outlives the deployment */
   static absl::StatusOr<std::unique_ptr<deployment>> Start(const deployment_plan& plan,
                                                            options chosen);
   ~deployment();
