Take a table for in force only where its parts are

Cause: a deployment counted as started when nodes knew of the table's version. A map node that did not have its own rows yet refused the first request with CF312 (2 of 8 runs of process_path_test).

--- a/extras/trial/deployment.cpp
+++ b/extras/trial/deployment.cpp
@@ -31,8 +31,16 @@
 
 void WriteText(const std::string& file, const std::string& text) { std::ofstream(file) << text; }
 
-std::uint64_t VersionOf(const json& status) {
-  return status.is_object() ? status.value("table_version", std::uint64_t(0)) : 0;
+// Whether a node says that it knows of this table, has its own service's part
+// in force, and waits for no part that it knows to be newer.
+bool IsInForce(const json& status, const std::string& service, std::uint64_t version) {
+  if (!status.is_object() || status.value("table_version", std::uint64_t(0)) < version ||
+      status.value("contents_wanted", 0) > 0) {
+    return false;
+  }
+  const json tables = status.value("tables", json::array());
+  return std::any_of(tables.begin(), tables.end(),
+                     [&](const json& one) { return one.value("service", "") == service; });
 }
 
 }  // namespace
@@ -287,7 +295,7 @@
 
   static bool HasTable(const running_target& target, std::uint64_t version) {
     const std::string text = Ask(target.admin, "GET", "/status");
-    return VersionOf(json::parse(text, nullptr, false)) >= version;
+    return IsInForce(json::parse(text, nullptr, false), target.service, version);
   }
 
   const deployment_plan& plan_;
--- a/tests/process/process_support.cpp
+++ b/tests/process/process_support.cpp
@@ -22,6 +22,8 @@
   return counters.is_object() && counters["running"] == 0 && counters["waiting"] == 0;
 }
 
+std::string FirstLine(const std::string& text) { return text.substr(0, text.find('\n')); }
+
 }  // namespace
 
 const trial::deployment_plan& Donauried() {
@@ -59,7 +61,7 @@
 
 std::string DescribeEnd(const call_result& result) {
   if (const auto* completed = std::get_if<completed_call>(&result)) {
-    return completed->http_status == 200 ? "answered" : "failed: " + completed->body;
+    return completed->http_status == 200 ? "answered" : "failed: " + FirstLine(completed->body);
   }
   if (const auto* refused = std::get_if<call_not_run>(&result)) {
     return "not_run CF" + std::to_string(static_cast<int>(refused->code));
