Keep weights in order under the bound on what is let in; move the table's change out

Cause: with a callee row's threshold shared by all own rows, the bound on what is let in (1.25 times what is answered) could reach into a weight while lower ones were let in. Changed: it stays below a weight until all lower ones are gone, as the threshold does.

--- a/modules/cuminferry_policy/admission/admission_controller.cpp
+++ b/modules/cuminferry_policy/admission/admission_controller.cpp
@@ -1,13 +1,12 @@
 #include "cuminferry_policy/admission/admission_controller.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <algorithm>
 #include <utility>
 
 #include "cuminferry_policy/admission/concurrency_limit.h"
 #include "cuminferry_policy/admission/learned_thresholds.h"
 #include "cuminferry_policy/admission/path_bulkhead.h"
+#include "cuminferry_policy/admission/table_change.h"
 #include "cuminferry_policy/admission/threshold_controller.h"
 #include "cuminferry_policy/blackboard/admission_blackboard.h"
 
@@ -25,10 +24,6 @@
 constexpr double kLargestRetryFactor = 20;
 /** Without an end for so long, a row's quickest run is not used any more. */
 constexpr milliseconds kQuickestLasts{500};
-/** The place of a row that the new table does not have. */
-constexpr std::uint32_t kGone = std::numeric_limits<std::uint32_t>::max();
-constexpr std::uint32_t kNoLimit = std::numeric_limits<std::uint32_t>::max();
-
 enum class control_mode : std::uint8_t { kFull, kStatic, kNone };
 
 control_mode ModeOf(const std::string& name) {
@@ -38,13 +33,6 @@
   return name == "static" ? control_mode::kStatic : control_mode::kFull;
 }
 
-row_record RecordOf(const request_row& row) {
-  row_record record;
-  record.name = row.name;
-  record.target_limit = row.target_limit == 0 ? kNoLimit : row.target_limit;
-  return record;
-}
-
 }  // namespace
 
 class admission_controller::state {
@@ -62,29 +50,7 @@
   }
 
   //============================================================================
-  void UseTable(const table_shard& shard) {
-    std::vector<row_record> rows;
-    absl::flat_hash_map<std::string_view, std::uint32_t> places;
-    rows.reserve(shard.rows.size());
-    for (const request_row& row : shard.rows) {
-      places.emplace(row.name, static_cast<std::uint32_t>(rows.size()));
-      rows.push_back(RecordOf(row));
-    }
-    std::vector<row_paths> paths(rows.size());
-    std::vector<std::uint32_t> new_place(board_.rows.rows.size());
-    for (std::uint32_t old = 0; old < new_place.size(); ++old) {
-      const auto same = places.find(board_.rows.rows[old].name);
-      new_place[old] = CarryOver(old, same == places.end() ? kGone : same->second, rows, paths);
-    }
-    board_.rows.rows = std::move(rows);
-    board_.paths.rows = std::move(paths);
-    for (auto& [key, call] : board_.calls.running) {
-      call.row = new_place[call.row];
-    }
-    for (queued_call& call : board_.queue.calls()) {
-      call.row = new_place[call.row];
-    }
-  }
+  void UseTable(const table_shard& shard) { UseRows(shard, board_); }
 
   void SetRowShare(std::uint32_t row, std::uint32_t most_running) {
     RowOf(row).share = most_running;
@@ -234,25 +200,6 @@
     return board_.rows.rows[row];
   }
 
-  /** Takes a row's figures to its place in the new table and returns that place. A
-      row that is gone stays at the end while calls of it are in flight. */
-  std::uint32_t CarryOver(std::uint32_t old, std::uint32_t place, std::vector<row_record>& rows,
-                          std::vector<row_paths>& paths) {
-    row_record& record = board_.rows.rows[old];
-    if (place != kGone) {
-      record.target_limit = rows[place].target_limit;
-      rows[place] = std::move(record);
-      paths[place] = std::move(board_.paths.rows[old]);
-      return place;
-    }
-    if (record.running + record.queued > 0) {
-      rows.push_back(std::move(record));
-      paths.push_back(std::move(board_.paths.rows[old]));
-      return static_cast<std::uint32_t>(rows.size() - 1);
-    }
-    return kGone;
-  }
-
   //============================================================================
   void OfferFifo(const offered_call& call, instant now, admission_actions& out) {
     if (board_.queue.empty() && MayStart(call.row)) {
--- a/modules/cuminferry_policy/admission/threshold_controller.cpp
+++ b/modules/cuminferry_policy/admission/threshold_controller.cpp
@@ -88,7 +88,7 @@
   last_tick_ = now;
   board_.offered.Decay(passed);
   FollowEnds(passed);
-  FollowAnswers(passed);
+  FollowAnswers(passed, now);
   Move(passed, now);
 }
 
@@ -106,15 +106,15 @@
 // While callees refuse, callers come back and more is offered with each round. A
 // threshold that a callee stated then lets in more than was meant until its next word
 // arrives, and the difference is refused down there after work was done for it.
-void threshold_controller::FollowAnswers(duration passed) {
+void threshold_controller::FollowAnswers(duration passed, instant now) {
   const double seconds = Seconds(passed);
   const double sample = answers_since_tick_ / seconds;
   answers_since_tick_ = 0;
   answers_per_second_ +=
       (sample - answers_per_second_) * (1.0 - std::exp(-seconds / kEndsMemorySeconds));
   const double let_in = std::max(kLeastLetIn, answers_per_second_ * kOverAnswers);
-  board_.threshold.answered =
-      board_.offered.ThresholdForRate(let_in / board_.offered.SurgeFactor());
+  const double at_present = let_in / board_.offered.SurgeFactor();
+  board_.threshold.answered = InOrder(board_.offered.ThresholdForRate(at_present), now);
 }
 
 // A burst of permits at one instance would lift the threshold into their weight while
--- a/modules/cuminferry_policy/admission/threshold_controller.h
+++ b/modules/cuminferry_policy/admission/threshold_controller.h
@@ -40,7 +40,7 @@
   /** Calls per second that the slots allow at the present times. */
   double RateOfSlots() const;
   void FollowEnds(duration passed);
-  void FollowAnswers(duration passed);
+  void FollowAnswers(duration passed, instant now);
   double HoldSeconds() const;
   /** Calls per second to be let in, so that the queue comes to its aim. */
   double WantedRate() const;
