--- a/modules/cuminferry_wire/frames/frame.cpp
+++ b/modules/cuminferry_wire/frames/frame.cpp
@@ -44,9 +44,8 @@
   }
   into.length = LoadAt<std::uint32_t>(bytes, 4);
   if (into.length > largest) {
-    return MakeStatus(
-        result_code::kFrameTooLarge,
-        std::to_string(into.length) + " bytes, at most " + std::to_string(largest));
+    return MakeStatus(result_code::kFrameTooLarge,
+                      std::to_string(into.length) + " bytes, at most " + std::to_string(largest));
   }
   into.digest = LoadAt<std::uint64_t>(bytes, 8);
   return absl::OkStatus();
--- a/tests/wire/tcp_hub_test.cpp
+++ b/tests/wire/tcp_hub_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(tcp_hub_test);
   CPPUNIT_TEST(Hub_LargeFramesBothWays_ArriveWhole);
   CPPUNIT_TEST(Hub_ConnectToNobody_SaysClosed);
+  CPPUNIT_TEST(Hub_StrangerBeginsWithALargeFrame_IsCutOff);
   CPPUNIT_TEST(Udp_DatagramSent_Arrives);
   CPPUNIT_TEST_SUITE_END();
 
@@ -49,6 +50,8 @@
                     .on_closed = [](connection_id, const absl::Status&) {}},
                    {});
     const connection_id connection = client.Connect(at);
+    // A connection's first frame may be no longer than a hello.
+    CPPUNIT_ASSERT(client.SendMessage(connection, hello_message{}));
     reply_message reply;
     reply.body = body;
     for (int frame = 0; frame < kFrames; ++frame) {
@@ -69,6 +72,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, hub.connections());
   }
 
+  // Anybody who reaches the port opens thousands of connections and claims twenty
+  // megabytes on each. Nodes would run out of memory before a single call came in.
+  void Hub_StrangerBeginsWithALargeFrame_IsCutOff() {
+    absl::Notification cut_off;
+    std::atomic<int> taken = 0;
+    tcp_hub server(
+        {.on_open = [](connection_id, bool) {},
+         .on_message = [&](connection_id, message_type, std::span<const char>) { ++taken; },
+         .on_closed =
+             [&](connection_id, const absl::Status& why) {
+               CPPUNIT_ASSERT(CodeOf(why) == result_code::kFrameTooLarge);
+               cut_off.Notify();
+             }},
+        {});
+    endpoint at{kLoopback, 0};
+    CPPUNIT_ASSERT(server.Listen(at).ok());
+    tcp_hub stranger({.on_open = [](connection_id, bool) {},
+                      .on_message = [](connection_id, message_type, std::span<const char>) {},
+                      .on_closed = [](connection_id, const absl::Status&) {}},
+                     {});
+    call_message call;
+    call.body.assign(kLargestHello + 1, 'x');
+    stranger.SendMessage(stranger.Connect(at), call);
+    cut_off.WaitForNotification();
+    CPPUNIT_ASSERT_EQUAL(0, taken.load());
+  }
+
   void Udp_DatagramSent_Arrives() {
     absl::Notification arrived;
     udp_socket receiver([&](endpoint, message_type type, std::span<const char>) {
