Keep a target in choice when only its connection went silent

Cause: a silent connection loses all its calls in one moment; the target passed for failed and no call went there that would have opened a new connection. Change: links open a new connection when they give one up; a hello brings a target back with a ramp; a lost call counts only if nothing was heard since it was sent. Also: a drain reports what it waits for, /ticket names the end, a publisher keeps the version of shards that an edit leaves alone, retry_rule decides for both kinds of call. Ruled out: sending to failed targets when all seem to have failed: two tests hold that callers are then told at once, and a property found a leaving target chosen so.

--- a/extras/stand_ins/platform/platform_stand_in.cpp
+++ b/extras/stand_ins/platform/platform_stand_in.cpp
@@ -94,17 +94,21 @@
   }
 
   absl::Status PublishTable(std::string_view text, std::vector<table_problem>& problems) {
-    const absl::StatusOr<policy_table> table = policy_table::Parse(text, problems);
+    absl::StatusOr<policy_table> table = policy_table::Parse(text, problems);
     if (!table.ok()) {
       return table.status();
     }
+    const std::lock_guard lock(publishing_);
+    if (table_.has_value() && table->version() > table_->version()) {
+      table->KeepVersionsOf(*table_);
+    }
+    table_ = *table;
     published_index index;
     index.version = table->version();
     for (const table_shard& shard : table->shards()) {
       PublishShard(shard);
       index.shards.push_back({shard.service.name, shard.version, ShardDigest(shard)});
     }
-    const std::lock_guard lock(publishing_);
     index_ = std::move(index);
     PublishIndex();
     return absl::OkStatus();
@@ -316,6 +320,7 @@
   http_host host_;
 
   std::mutex publishing_;
+  std::optional<policy_table> table_;
   published_index index_;
   std::map<std::string, std::size_t> instances_;
 
--- a/modules/cuminferry_node/peers/peer_links.cpp
+++ b/modules/cuminferry_node/peers/peer_links.cpp
@@ -356,6 +356,11 @@
       }
       peer = found->second.peer;
       Detach(connection, found->second);
+      if (found->second.outgoing) {
+        // Whether the node still lives shows by its hello on a new connection.
+        // Without it the target would wait for a call to be sent there again.
+        ConnectionTo(peer);
+      }
     }
     events_.Add({.kind = event_kind::kConnectionSilent,
                  .code = result_code::kPeerSilent,
--- a/modules/cuminferry_node/runtime/call_router.cpp
+++ b/modules/cuminferry_node/runtime/call_router.cpp
@@ -54,6 +54,10 @@
       [&](choice& state) { state.chooser.OnEnded(target, outcome, load, boot_clock::Now()); });
 }
 
+void call_router::OnLost(endpoint target, instant sent) {
+  choice_.With([&](choice& state) { state.chooser.OnLost(target, sent, boot_clock::Now()); });
+}
+
 void call_router::CountFirstAttempt(std::string_view row) {
   ratios_.With([&](auto& ratios) {
     auto found = ratios.find(row);
--- a/modules/cuminferry_node/runtime/call_router.h
+++ b/modules/cuminferry_node/runtime/call_router.h
@@ -30,6 +30,8 @@
   std::optional<endpoint> ChooseTarget(std::string_view service, std::span<const endpoint> avoid);
   void OnSent(endpoint target);
   void OnEnded(endpoint target, target_outcome outcome, const advertised_load& load);
+  /** A call that was sent at `sent` got no reply. */
+  void OnLost(endpoint target, instant sent);
 
   /** Counts a first attempt on the path to a row. */
   void CountFirstAttempt(std::string_view row);
--- a/modules/cuminferry_node/runtime/claimed_call.cpp
+++ b/modules/cuminferry_node/runtime/claimed_call.cpp
@@ -89,7 +89,7 @@
       return sender_.Bind(target, boot_clock::Now(), random_);
     }
     // Nothing of the call has left this node: another target is no second attempt.
-    NoteNoReply(*chosen, target_outcome::kLost);
+    with().router.OnLost(*chosen, boot_clock::Now());
   }
   return sender_.NoTarget(cancelled() ? result_code::kCallerGone : otherwise, boot_clock::Now());
 }
--- a/modules/cuminferry_node/runtime/front_side.cpp
+++ b/modules/cuminferry_node/runtime/front_side.cpp
@@ -8,6 +8,7 @@
 #include "cuminferry_node/runtime/body_pipe.h"
 #include "cuminferry_node/runtime/claimed_call.h"
 #include "cuminferry_node/runtime/http_replies.h"
+#include "cuminferry_policy/claims/claim_end.h"
 #include "cuminferry_policy/claims/ticket_text.h"
 
 namespace cuminferry {
@@ -193,6 +194,10 @@
       ToHttp(report.answer, response);
       return;
     }
+    if (IsFinal(state)) {
+      response.headers.push_back(
+          {header_names::kEnd, std::string(NameOf(static_cast<call_end>(EndOf(state))))});
+    }
     response.headers.push_back({header_names::kCode, std::to_string(report.code)});
     response.body = std::string(NameOf(state)) + "\n";
   }
--- a/modules/cuminferry_node/runtime/idempotent_call.cpp
+++ b/modules/cuminferry_node/runtime/idempotent_call.cpp
@@ -99,9 +99,7 @@
     }
     return true;
   }
-  // An overloaded service is not asked again: it would be asked most when it can
-  // least answer. Another instance of it may be in a better state than this one.
-  const bool elsewhere = IsThisInstanceOnly(code) || code == result_code::kBackendFailed;
+  const bool elsewhere = RetryRuleOf(code, true) != retry_rule::kNever;
   if (elsewhere || with().blind_retries) {
     return RetryElsewhere(std::move(reply));
   }
--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -98,9 +98,16 @@
     events_.Add({.kind = event_kind::kDraining, .subject = settings_.instance});
     serving_.Drain();
     links_.AnnounceLeaving({settings_.instance, incarnation_});
+    instant report_at = boot_clock::Now() + settings_.drain_report;
     while (front_->being_served() > 0 || serving_.running() > 0 || serving_.queued() > 0 ||
            links_.attempts_outstanding() > 0) {
       absl::SleepFor(absl::FromChrono(kDrainPoll));
+      if (boot_clock::Now() >= report_at) {
+        report_at += settings_.drain_report;
+        spdlog::warn("{} still drains: {} requests of callers, {} running, {} queued",
+                     settings_.instance, front_->being_served(), serving_.running(),
+                     serving_.queued());
+      }
     }
     // Answers that have just been written are on their way to their callers: the
     // servers end each connection only after its response.
@@ -255,8 +262,6 @@
       const bool paused = now - last > kPauseIsLonger;
       if (paused) {
         egress_.NoteOwnPause();
-        const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now - last);
-        events_.Add({.kind = event_kind::kPauseNoticed, .value = millis.count()});
       }
       last = now;
       serving_.Tick(now);
--- a/modules/cuminferry_node/runtime/outgoing_call.cpp
+++ b/modules/cuminferry_node/runtime/outgoing_call.cpp
@@ -14,11 +14,6 @@
 
 }  // namespace
 
-bool IsThisInstanceOnly(result_code code) {
-  return code == result_code::kRefusedInstanceOnly || code == result_code::kRefusedDraining ||
-         code == result_code::kNoTableYet;
-}
-
 std::unique_ptr<outgoing_call> outgoing_call::Make(target_call about, parts chosen) {
   if (about.row->idempotent) {
     return std::make_unique<idempotent_call>(std::move(about), std::move(chosen));
@@ -107,6 +102,7 @@
     parts_.router.CountFirstAttempt(about_.row->name);
   }
   ++attempts_;
+  sent_at_ = boot_clock::Now();
   auto attempt = parts_.links.StartCall(target, message);
   if (attempt == nullptr) {
     TakeBackRetries(lent_);
@@ -126,8 +122,8 @@
 
 void outgoing_call::NoteReply(endpoint target, const reply_message& reply) {
   TakeBackRetries(reply.retries_left);
-  const bool here_only =
-      reply.end == call_end::kNotRun && IsThisInstanceOnly(static_cast<result_code>(reply.code));
+  const bool here_only = RetryRuleOf(static_cast<result_code>(reply.code),
+                                     about_.row->idempotent) == retry_rule::kOtherTargetOnce;
   parts_.router.OnEnded(target,
                         here_only ? target_outcome::kRefusedHere : target_outcome::kAnswered,
                         {reply.load.in_flight, reply.load.limit});
@@ -138,7 +134,11 @@
 
 void outgoing_call::NoteNoReply(endpoint target, target_outcome outcome) {
   lent_ = 0;  // What was lent with a reply that never came stays lost.
-  parts_.router.OnEnded(target, outcome, {});
+  if (outcome == target_outcome::kLost) {
+    parts_.router.OnLost(target, sent_at_);
+  } else {
+    parts_.router.OnEnded(target, outcome, {});
+  }
 }
 
 bool outgoing_call::TakeRetry() {
--- a/modules/cuminferry_node/runtime/outgoing_call.h
+++ b/modules/cuminferry_node/runtime/outgoing_call.h
@@ -11,6 +11,7 @@
 #include "cuminferry_node/runtime/call_router.h"
 #include "cuminferry_node/runtime/node_metrics.h"
 #include "cuminferry_node/runtime/running_request.h"
+#include "cuminferry_policy/retries/retry_rule.h"
 
 namespace cuminferry {
 
@@ -122,6 +123,7 @@
   const target_call about_;
   parts parts_;
   std::uint32_t attempts_ = 0;
+  instant sent_at_;
   std::uint8_t lent_ = 0;
   bool streams_ = false;
   std::uint64_t sent_bytes_ = 0;
@@ -134,7 +136,4 @@
   bool cancelled_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
-/** Whether another instance may well take what this one refused. */
-bool IsThisInstanceOnly(result_code code);
-
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/targets/known_target.cpp
+++ b/modules/cuminferry_policy/targets/known_target.cpp
@@ -76,6 +76,11 @@
   incarnation_ = incarnation;
   if (replaced) {
     BeginAfresh(now);
+  } else {
+    // The process itself answered. When a connection went silent, all calls on it
+    // were lost at once, and the target would pass for dead though a new
+    // connection works: callers would hear that there is no instance.
+    Recover(now);
   }
   return replaced;
 }
@@ -93,6 +98,13 @@
   retest_pause_ = std::min(retest_pause_ * 2, target_chooser::kLongestRetest);
 }
 
+void known_target::NoteLost(instant sent, instant now) {
+  in_flight_ -= std::min<std::uint32_t>(in_flight_, 1);
+  if (sent > evidence_at_) {
+    Lost(now);
+  }
+}
+
 void known_target::NoteEnded(target_outcome outcome, const advertised_load& load, instant now) {
   in_flight_ -= std::min<std::uint32_t>(in_flight_, 1);
   if (outcome == target_outcome::kLost) {
@@ -146,15 +158,20 @@
   evidence_at_ = now;
   lost_in_a_row_ = 0;
   retest_pause_ = target_chooser::kFirstRetest;
+  Recover(now);
+  if (!proven_) {
+    proven_ = true;
+    ramp_from_ = now;
+  }
+}
+
+void known_target::Recover(instant now) {
   if (failed_) {
     failed_ = false;
+    lost_in_a_row_ = 0;
     warm_ = false;
     ramp_from_ = now;
   }
-  if (!proven_) {
-    proven_ = true;
-    ramp_from_ = now;
-  }
 }
 
 void known_target::Lost(instant now) {
--- a/modules/cuminferry_policy/targets/known_target.h
+++ b/modules/cuminferry_policy/targets/known_target.h
@@ -34,6 +34,7 @@
   /** A failed target was given its next call; the one after that has to wait. */
   void NoteRetest(instant now);
   void NoteSent() { ++in_flight_; }
+  void NoteLost(instant sent, instant now);
   void NoteEnded(target_outcome outcome, const advertised_load& load, instant now);
 
   //============================================================================
@@ -57,6 +58,8 @@
  private:
   void BeginAfresh(instant now);
   void Answered(instant now);
+  /** A failed target shows that it lives. */
+  void Recover(instant now);
   void Lost(instant now);
   double RampPart(instant now) const;
   double RefusalPenalty(instant now) const;
--- a/modules/cuminferry_policy/targets/target_chooser.cpp
+++ b/modules/cuminferry_policy/targets/target_chooser.cpp
@@ -164,6 +164,10 @@
   state_->ForTarget(target, [&](known_target& known) { known.NoteEnded(outcome, load, now); });
 }
 
+void target_chooser::OnLost(endpoint target, instant sent, instant now) {
+  state_->ForTarget(target, [&](known_target& known) { known.NoteLost(sent, now); });
+}
+
 //==============================================================================
 std::optional<endpoint> target_chooser::Choose(std::string_view service,
                                                std::span<const endpoint> avoid, instant now,
--- a/modules/cuminferry_policy/targets/target_chooser.h
+++ b/modules/cuminferry_policy/targets/target_chooser.h
@@ -104,6 +104,9 @@
 
   void OnSent(endpoint target, instant now);
   void OnEnded(endpoint target, target_outcome outcome, const advertised_load& load, instant now);
+  /** A call that was sent at `sent` got no reply. Counts against the target only
+      where nothing has been heard of it since. */
+  void OnLost(endpoint target, instant sent, instant now);
 
   //============================================================================
   /** The target of the next call; none where no instance is eligible.
--- a/modules/cuminferry_table/rows/policy_table.cpp
+++ b/modules/cuminferry_table/rows/policy_table.cpp
@@ -160,6 +160,15 @@
   return Parse(json_text, problems);
 }
 
+void policy_table::KeepVersionsOf(const policy_table& earlier) {
+  for (table_shard& shard : shards_) {
+    const table_shard* same = earlier.FindShard(shard.service.name);
+    if (same != nullptr && same->SameContent(shard)) {
+      shard.version = same->version;
+    }
+  }
+}
+
 const table_shard* policy_table::FindShard(std::string_view service) const {
   const auto found = std::ranges::find(
       shards_, service,
--- a/modules/cuminferry_table/rows/policy_table.h
+++ b/modules/cuminferry_table/rows/policy_table.h
@@ -91,6 +91,11 @@
                                             std::vector<table_problem>& problems);
   static absl::StatusOr<policy_table> Parse(std::string_view json);
 
+  /** Gives each shard that is the same in an earlier table the version that it has
+      there. A publisher does this with each edit: otherwise every node would take
+      every shard anew, and at 360 services one edit would cost 1,800 reads. */
+  void KeepVersionsOf(const policy_table& earlier);
+
   //============================================================================
   std::uint64_t version() const { return version_; }
   std::span<const table_shard> shards() const { return shards_; }
--- a/tests/targets/target_evidence_test.cpp
+++ b/tests/targets/target_evidence_test.cpp
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(FailedTarget_ConnectionOpens_IsRetestedAtOnce);
   CPPUNIT_TEST(FailedTargets_AllOfThem_AreRetestedAndNotFlooded);
   CPPUNIT_TEST(FailedDomain_ManyTargets_CostsFewCalls);
+  CPPUNIT_TEST(SilentConnection_ManyCallsLost_TargetStaysOnceItSaysHello);
+  CPPUNIT_TEST(LostCalls_SentBeforeTheLastHello_DontCount);
   CPPUNIT_TEST(OwnPause_CallsLost_IsNotBlamedOnPeers);
   CPPUNIT_TEST(LeavingTarget_LaggingListSaysLive_GetsNothing);
   CPPUNIT_TEST(LeavingTarget_ReplacedAtItsAddress_NewOneGetsWork);
@@ -57,6 +59,40 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.chooser.EligibleTargets("map", harness.now));
   }
 
+  // Something between two instances forgets their connection. All calls on it are
+  // lost in one moment, but a new connection works. Farmers must not hear for
+  // seconds that there is no instance.
+  void SilentConnection_ManyCallsLost_TargetStaysOnceItSaysHello() {
+    chooser_harness harness;
+    harness.List({Target(0)});
+    harness.chooser.MarkReachable(TargetAt(0), kOld, harness.now);
+    const instant sent = harness.now += milliseconds(1);
+    harness.Pass(milliseconds(400));
+    for (int call = 0; call < 50; ++call) {
+      harness.chooser.OnSent(TargetAt(0), sent);
+      harness.chooser.OnLost(TargetAt(0), sent, harness.now);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.chooser.EligibleTargets("map", harness.now));
+    harness.Pass(milliseconds(2));
+    harness.chooser.MarkReachable(TargetAt(0), kOld, harness.now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.chooser.EligibleTargets("map", harness.now));
+  }
+
+  // The losses of a silent connection are told by many threads, some of them after
+  // the target has said hello on a new one.
+  void LostCalls_SentBeforeTheLastHello_DontCount() {
+    chooser_harness harness;
+    harness.List({Target(0)});
+    const instant sent = harness.now;
+    harness.Pass(milliseconds(400));
+    harness.chooser.MarkReachable(TargetAt(0), kOld, harness.now);
+    for (int call = 0; call < 50; ++call) {
+      harness.chooser.OnSent(TargetAt(0), sent);
+      harness.chooser.OnLost(TargetAt(0), sent, harness.now);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.chooser.EligibleTargets("map", harness.now));
+  }
+
   void FailedTarget_OthersEligible_GetsATrickle() {
     chooser_harness harness;
     harness.List({Target(0), Target(1)});
