Take the home's side of tickets out of the serving side

Change: claim_home holds the book and what follows from it, own_replies the replies that a node gives itself; a flag that another thread writes is now read under its mutex. Behaviour as before.

--- a/modules/cuminferry_node/runtime/http_replies.cpp
+++ b/modules/cuminferry_node/runtime/http_replies.cpp
@@ -53,18 +53,6 @@
 
 }  // namespace
 
-std::string_view NameOf(call_end end) {
-  switch (end) {
-    case call_end::kCompleted:
-      return "completed";
-    case call_end::kNotRun:
-      return "not_run";
-    case call_end::kUnknown:
-      return "unknown";
-  }
-  return "invalid";
-}
-
 void ToHttp(const reply_message& reply, http_response& into) {
   into.status = reply.http_status;
   into.headers.push_back({header_names::kEnd, std::string(NameOf(reply.end))});
--- a/modules/cuminferry_node/runtime/http_replies.h
+++ b/modules/cuminferry_node/runtime/http_replies.h
@@ -5,13 +5,11 @@
 #include <vector>
 
 #include "cuminferry_node/http/http_server.h"
+#include "cuminferry_node/runtime/own_replies.h"
 #include "cuminferry_wire/cuminferry_wire.h"
 
 namespace cuminferry {
 
-/** "completed", "not_run" or "unknown". */
-std::string_view NameOf(call_end end);
-
 /** A reply as the caller, or the backend server on its call out, sees it. */
 void ToHttp(const reply_message& reply, http_response& into);
 
--- a/modules/cuminferry_node/runtime/node_metrics.cpp
+++ b/modules/cuminferry_node/runtime/node_metrics.cpp
@@ -8,23 +8,9 @@
 #include <array>
 #include <map>
 
-namespace cuminferry {
-namespace {
-
-std::string_view NameOfEnd(call_end end) {
-  switch (end) {
-    case call_end::kCompleted:
-      return "completed";
-    case call_end::kNotRun:
-      return "not_run";
-    case call_end::kUnknown:
-      return "unknown";
-  }
-  return "invalid";
-}
-
-}  // namespace
+#include "cuminferry_node/runtime/own_replies.h"
 
+namespace cuminferry {
 class node_metrics::state {
  public:
   state()
@@ -37,7 +23,7 @@
              std::uint16_t code) {
     family
         .Add({{"row", std::string(row)},
-              {"end", std::string(NameOfEnd(end))},
+              {"end", std::string(NameOf(end))},
               {"code", std::to_string(code)}})
         .Increment();
   }
--- /dev/null
+++ b/modules/cuminferry_node/runtime/own_replies.cpp
@@ -0,0 +1,34 @@
+#include "cuminferry_node/runtime/own_replies.h"
+
+namespace cuminferry {
+
+reply_message MakeNotRun(request_id request, result_code code,
+                         std::chrono::milliseconds retry_after) {
+  reply_message reply;
+  reply.request = request;
+  reply.end = call_end::kNotRun;
+  reply.code = static_cast<std::uint16_t>(code);
+  reply.http_status = static_cast<std::uint16_t>(DescribeResultCode(code).http_status);
+  reply.retry_after_millis = static_cast<std::uint32_t>(retry_after.count());
+  return reply;
+}
+
+reply_message MakeUnknown(request_id request, result_code code) {
+  reply_message reply = MakeNotRun(request, code);
+  reply.end = call_end::kUnknown;
+  return reply;
+}
+
+std::string_view NameOf(call_end end) {
+  switch (end) {
+    case call_end::kCompleted:
+      return "completed";
+    case call_end::kNotRun:
+      return "not_run";
+    case call_end::kUnknown:
+      return "unknown";
+  }
+  return "invalid";
+}
+
+}  // namespace cuminferry
--- a/modules/cuminferry_node/runtime/serving_side.cpp
+++ b/modules/cuminferry_node/runtime/serving_side.cpp
@@ -37,10 +37,6 @@
   std::shared_ptr<const table_shard> shard;
 };
 
-claim_id ClaimOf(const ticket& claim) {
-  return {claim.home_incarnation, claim.window, claim.nonce_high, claim.nonce_low};
-}
-
 std::uint32_t RowNumber(const table_shard& shard, std::string_view name) {
   const auto found = std::ranges::find(shard.rows, name, &request_row::name);
   return static_cast<std::uint32_t>(found - shard.rows.begin());
@@ -75,23 +71,6 @@
 
 }  // namespace
 
-reply_message MakeNotRun(request_id request, result_code code,
-                         std::chrono::milliseconds retry_after) {
-  reply_message reply;
-  reply.request = request;
-  reply.end = call_end::kNotRun;
-  reply.code = static_cast<std::uint16_t>(code);
-  reply.http_status = static_cast<std::uint16_t>(DescribeResultCode(code).http_status);
-  reply.retry_after_millis = static_cast<std::uint32_t>(retry_after.count());
-  return reply;
-}
-
-reply_message MakeUnknown(request_id request, result_code code) {
-  reply_message reply = MakeNotRun(request, code);
-  reply.end = call_end::kUnknown;
-  return reply;
-}
-
 class serving_side::state {
  public:
   state(options chosen, backend_client& backend, share_side& shares, request_records& records,
@@ -106,8 +85,7 @@
                    admission_controller::options{.control = settings_.control,
                                                  .slots = settings_.backend_slots,
                                                  .queue_bound = kQueueBound}),
-        claims_(lock_rank::kClaims, claim_book::options{.incarnation = chosen.incarnation},
-                boot_clock::Now()),
+        claims_(chosen.incarnation),
         random_(lock_rank::kRetries, random_source::FromMachine()),
         workers_({.name = "backend",
                   .threads = BackendThreads(settings_),
@@ -134,15 +112,17 @@
                          .cancelled = false};
     const result_code fault = Prepare(pending);
     if (fault != result_code::kOk) {
-      Reply(pending, RefuseUnweighed(pending.call, fault));
+      Reply(pending, claims_.Refuse(pending.call.claim, pending.call.request, fault));
       return key;
     }
-    if (!pending.call.claim.empty() && !BeginClaim(pending)) {
+    auto known = claims_.Begin(pending.call.claim, pending.call.request);
+    if (known.has_value()) {
+      Reply(pending, std::move(*known));
       return key;
     }
     // After the ticket: what it did before the drain is still told.
     if (draining_ && !pending.call.before_drain) {
-      EndUnrun(pending, result_code::kRefusedDraining);
+      claims_.EndUnrun(pending.call.claim, result_code::kRefusedDraining);
       Reply(pending, MakeNotRun(pending.call.request, result_code::kRefusedDraining));
       return key;
     }
@@ -202,21 +182,7 @@
     });
   }
 
-  ask_reply_message Ask(const ask_message& question) {
-    const claim_id claim = ClaimOf(question.claim);
-    const claim_report report = claims_.With([&](claim_book& book) {
-      const instant now = boot_clock::Now();
-      return question.revoke != 0 ? book.Revoke(claim, now) : book.Ask(claim, now);
-    });
-    ask_reply_message reply;
-    reply.question = question.question;
-    reply.state = static_cast<std::uint8_t>(report.state);
-    reply.code = static_cast<std::uint16_t>(report.code);
-    if (report.state == claim_state::kCompleted) {
-      static_cast<void>(DecodeMessage(report.answer, reply.answer));
-    }
-    return reply;
-  }
+  ask_reply_message Ask(const ask_message& question) { return claims_.Ask(question); }
 
   void ReportHealth(const backend_health& health) {
     if (!health.reachable || health.slots == 0) {
@@ -295,9 +261,7 @@
     return load;
   }
 
-  std::uint32_t ClaimWindow() {
-    return claims_.With([](claim_book& book) { return book.Window(boot_clock::Now()); });
-  }
+  std::uint32_t ClaimWindow() { return claims_.Window(); }
 
   bool draining() const { return draining_; }
 
@@ -349,56 +313,6 @@
     call.deadline = std::min(call.deadline, boot_clock::Now() + row.deadline);
   }
 
-  // Refuses a call before its ticket is begun. Without a tombstone a second copy
-  // could run later, and its caller was told that it never would; and where an
-  // earlier copy runs already, this refusal says nothing of it.
-  reply_message RefuseUnweighed(const incoming_call& call, result_code fault) {
-    if (call.claim.empty()) {
-      return MakeNotRun(call.request, fault);
-    }
-    const claim_report report = claims_.With([&](claim_book& book) {
-      return book.Refuse(ClaimOf(call.claim), fault, boot_clock::Now());
-    });
-    return AnswerFrom(report, call.request);
-  }
-
-  // False where the call was answered from what is known of its ticket.
-  bool BeginClaim(pending_call& pending) {
-    const claim_report report = claims_.With([&](claim_book& book) {
-      return book.Begin(ClaimOf(pending.call.claim), boot_clock::Now());
-    });
-    if (report.state == claim_state::kNeverSeen) {
-      return true;
-    }
-    Reply(pending, AnswerFrom(report, pending.call.request));
-    return false;
-  }
-
-  static reply_message AnswerFrom(const claim_report& report, request_id request) {
-    switch (report.state) {
-      case claim_state::kCompleted: {
-        reply_message kept;
-        if (DecodeMessage(report.answer, kept).ok()) {
-          return kept;
-        }
-        return MakeUnknown(request, result_code::kTicketAnswerForgotten);
-      }
-      case claim_state::kTombstone:
-        return MakeNotRun(request, report.code);
-      case claim_state::kWaiting:
-      case claim_state::kRunning:
-        return MakeUnknown(request, result_code::kTicketRunning);
-      case claim_state::kAnswerForgotten:
-        return MakeUnknown(request, result_code::kTicketAnswerForgotten);
-      case claim_state::kBrokenOff:
-        return MakeUnknown(request, report.code);
-      case claim_state::kRefused:
-      case claim_state::kNeverSeen:
-        break;
-    }
-    return MakeUnknown(request, report.code);
-  }
-
   void Offer(call_key key, pending_call pending) {
     offered_call offered{
         .key = key, .row = 0, .rank = pending.call.rank, .deadline = pending.call.deadline};
@@ -453,42 +367,29 @@
     return true;
   }
 
-  void EndUnrun(const pending_call& pending, result_code code) {
-    if (!pending.call.claim.empty()) {
-      claims_.With([&](claim_book& book) {
-        book.EndUnrun(ClaimOf(pending.call.claim), code, boot_clock::Now());
-      });
-    }
-  }
-
   void Refuse(const refused_call& refused) {
     pending_call pending;
     if (!TakePending(refused.key, pending)) {
       return;
     }
-    EndUnrun(pending, refused.code);
+    claims_.EndUnrun(pending.call.claim, refused.code);
     Reply(pending, MakeNotRun(pending.call.request, refused.code, refused.retry_after));
   }
 
   // On a worker: hands the call to the backend server and answers.
   void Run(call_key key) {
-    auto running = MakeRunning(key);
-    if (running == nullptr) {
+    bool cancelled = false;
+    pending_call* pending = MakeRunning(key, cancelled);
+    if (pending == nullptr) {
       FinishAdmission(key, run_result::kCancelled);
       return;
     }
-    pending_call* pending = nullptr;
-    {
-      ranked_lock lock(calls_mutex_);
-      pending = &calls_.at(key);
-    }
-    // Node-based map: the address holds until TakePending() below, by this thread.
     reply_message reply = MakeNotRun(pending->call.request, result_code::kCallerGone);
-    if (pending->cancelled) {
-      EndClaim(*pending, reply);
+    if (cancelled) {
+      claims_.EndUnrun(pending->call.claim, result_code::kCallerGone);
       FinishAdmission(key, run_result::kCancelled);
     } else {
-      reply = RunWithinShare(*pending, *running, key);
+      reply = RunWithinShare(*pending, key);
     }
     pending_call ended;
     if (TakePending(key, ended)) {
@@ -496,23 +397,18 @@
     }
   }
 
-  reply_message RunWithinShare(const pending_call& pending, running_request& running,
-                               call_key key) {
+  reply_message RunWithinShare(const pending_call& pending, call_key key) {
     const std::string& row = pending.row->name;
     if (boot_clock::Now() >= pending.call.deadline) {
       // This process slept between admission and here: nobody waits any more.
-      EndUnrun(pending, result_code::kDeadlineExceeded);
-      FinishAdmission(key, run_result::kTimedOut);
-      return MakeNotRun(pending.call.request, result_code::kDeadlineExceeded);
+      return EndBefore(pending, key, result_code::kDeadlineExceeded, run_result::kTimedOut);
     }
     if (!shares_.Begin(row, pending.call.deadline)) {
-      EndUnrun(pending, result_code::kFleetLimitReached);
-      FinishAdmission(key, run_result::kCancelled);
-      return MakeNotRun(pending.call.request, result_code::kFleetLimitReached);
+      return EndBefore(pending, key, result_code::kFleetLimitReached, run_result::kCancelled);
     }
     reply_message reply = MakeNotRun(pending.call.request, result_code::kTicketRevoked);
-    if (HandOver(pending)) {
-      reply = AskBackend(pending, running, key);
+    if (claims_.HandOver(pending.call.claim)) {
+      reply = AskBackend(pending, key);
     } else {
       FinishAdmission(key, run_result::kCancelled);
     }
@@ -520,13 +416,23 @@
     return reply;
   }
 
-  std::shared_ptr<running_request> MakeRunning(call_key key) {
+  // Ends a call that was admitted but not handed over.
+  reply_message EndBefore(const pending_call& pending, call_key key, result_code code,
+                          run_result result) {
+    claims_.EndUnrun(pending.call.claim, code);
+    FinishAdmission(key, result);
+    return MakeNotRun(pending.call.request, code);
+  }
+
+  // The map is node-based: the address holds until this thread takes the call out.
+  pending_call* MakeRunning(call_key key, bool& cancelled) {
     ranked_lock lock(calls_mutex_);
     const auto found = calls_.find(key);
     if (found == calls_.end()) {
       return nullptr;
     }
     pending_call& pending = found->second;
+    cancelled = pending.cancelled;
     pending.running = std::make_shared<running_request>(
         running_request::identity{.key = key,
                                   .id = pending.call.request,
@@ -534,28 +440,26 @@
                                   .deadline = pending.call.deadline,
                                   .row = pending.row->name},
         pending.call.retries);
-    return pending.running;
+    return &pending;
   }
 
-  bool HandOver(const pending_call& pending) {
-    if (pending.call.claim.empty()) {
-      return true;
-    }
-    return claims_.With([&](claim_book& book) {
-      return book.HandOver(ClaimOf(pending.call.claim), boot_clock::Now());
-    });
+  reply_message AskBackend(const pending_call& pending, call_key key) {
+    running_request& running = *pending.running;
+    const std::string handle = records_.Add(pending.running);
+    NoteAdmitted(pending);
+    backend_answer answer = backend_.Send(RequestOf(pending, handle), running.cancel());
+    records_.Remove(handle);
+    FinishAdmission(key, RunResultOf(answer.end));
+    reply_message reply = ReplyFrom(std::move(answer), pending.call.request);
+    reply.retries_left = running.WithRetries(
+        [](const retry_allowance& retries, std::uint32_t) { return retries.left(); });
+    claims_.End(pending.call.claim, reply);
+    return reply;
   }
 
-  reply_message AskBackend(const pending_call& pending, running_request& running, call_key key) {
-    const std::string handle = records_.Add(pending.running);
-    if (IsSampled(pending.call.request)) {
-      const auto kind =
-          pending.call.enters_here ? event_kind::kRequestEntered : event_kind::kCallAdmitted;
-      events_.Add({.kind = kind,
-                   .request = pending.call.request,
-                   .subject = pending.row->name,
-                   .value = pending.call.rank.weight()});
-    }
+  static backend_request RequestOf(const pending_call& pending, const std::string& handle) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(pending.call.deadline -
+                                                                            boot_clock::Now());
     backend_request request{.method = pending.call.method,
                             .target = pending.call.target,
                             .headers = pending.call.headers,
@@ -564,18 +468,9 @@
                             .deadline = pending.call.deadline,
                             .largest_answer = pending.row->largest_answer,
                             .idempotent = pending.row->idempotent};
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(pending.call.deadline -
-                                                                            boot_clock::Now());
     request.headers.push_back({header_names::kContext, handle});
     request.headers.push_back({header_names::kTimeLeft, std::to_string(left.count())});
-    backend_answer answer = backend_.Send(request, running.cancel());
-    records_.Remove(handle);
-    FinishAdmission(key, RunResultOf(answer.end));
-    reply_message reply = ReplyFrom(std::move(answer), pending.call.request);
-    reply.retries_left = running.WithRetries(
-        [](const retry_allowance& retries, std::uint32_t) { return retries.left(); });
-    EndClaim(pending, reply);
-    return reply;
+    return request;
   }
 
   static reply_message ReplyFrom(backend_answer answer, request_id request) {
@@ -605,23 +500,6 @@
     return MakeUnknown(request, result_code::kBackendFailed);
   }
 
-  void EndClaim(const pending_call& pending, const reply_message& reply) {
-    if (pending.call.claim.empty()) {
-      return;
-    }
-    const claim_id claim = ClaimOf(pending.call.claim);
-    claims_.With([&](claim_book& book) {
-      const instant now = boot_clock::Now();
-      if (reply.end == call_end::kCompleted) {
-        book.Complete(claim, EncodeMessage(reply), now);
-      } else if (reply.end == call_end::kNotRun) {
-        book.EndUnrun(claim, static_cast<result_code>(reply.code), now);
-      } else {
-        book.BreakOff(claim, static_cast<result_code>(reply.code), now);
-      }
-    });
-  }
-
   void Reply(const pending_call& pending, reply_message reply) {
     const std::string_view row =
         pending.row == nullptr ? "none" : std::string_view(pending.row->name);
@@ -635,6 +513,18 @@
     pending.on_reply(std::move(reply));
   }
 
+  void NoteAdmitted(const pending_call& pending) {
+    if (!IsSampled(pending.call.request)) {
+      return;
+    }
+    const auto kind =
+        pending.call.enters_here ? event_kind::kRequestEntered : event_kind::kCallAdmitted;
+    events_.Add({.kind = kind,
+                 .request = pending.call.request,
+                 .subject = pending.row->name,
+                 .value = pending.call.rank.weight()});
+  }
+
   void Record(const pending_call& pending, const reply_message& reply, std::string_view row) {
     event_kind kind = event_kind::kCallCompleted;
     if (reply.end == call_end::kUnknown) {
@@ -687,7 +577,7 @@
   std::atomic<bool> draining_ = false;
   std::atomic<call_key> next_key_ = 1;
   section<admission_state> admission_;
-  section<claim_book> claims_;
+  claim_home claims_;
   section<random_source> random_;
   ranked_mutex calls_mutex_{lock_rank::kNodeCalls};
   // Node-based: Run() keeps a reference to its entry while others come and go.
--- a/modules/cuminferry_node/runtime/serving_side.h
+++ b/modules/cuminferry_node/runtime/serving_side.h
@@ -8,10 +8,11 @@
 #include <vector>
 
 #include "cuminferry_node/backend/backend_client.h"
+#include "cuminferry_node/runtime/claim_home.h"
 #include "cuminferry_node/runtime/node_metrics.h"
+#include "cuminferry_node/runtime/own_replies.h"
 #include "cuminferry_node/runtime/running_request.h"
 #include "cuminferry_node/shares/share_side.h"
-#include "cuminferry_policy/claims/claim_book.h"
 #include "cuminferry_policy/cuminferry_policy.h"
 #include "cuminferry_table/cuminferry_table.h"
 #include "cuminferry_wire/cuminferry_wire.h"
@@ -117,9 +118,4 @@
   std::unique_ptr<state> state_;
 };
 
-/** Replies that a node gives itself. */
-reply_message MakeNotRun(request_id request, result_code code,
-                         std::chrono::milliseconds retry_after = std::chrono::milliseconds(0));
-reply_message MakeUnknown(request_id request, result_code code);
-
 }  // namespace cuminferry
