Measure what a node costs in each phase of a trial

Cause: CAPACITY.md had no figures for the call path. Change: the trial reads each node's processor time and private memory at the phases' borders and divides by the calls that it served.

--- a/extras/trial/measures.h
+++ b/extras/trial/measures.h
@@ -7,6 +7,7 @@
 #include "load/load_record.h"
 #include "trial/deployment_plan.h"
 #include "trial/journal_reader.h"
+#include "trial/process_cost.h"
 
 namespace cuminferry::trial {
 
@@ -91,6 +92,8 @@
   std::vector<std::uint64_t> arrived_each_second;
   std::vector<std::uint64_t> well_each_second;
   std::uint64_t unreadable_lines = 0;
+  /** What a node cost in each phase. */
+  std::vector<node_cost> costs;
 
   nlohmann::json ToJson() const;
 };
--- a/extras/trial/measures_report.cpp
+++ b/extras/trial/measures_report.cpp
@@ -65,6 +65,12 @@
         100 * measures.wasted_share, measures.call_amplification, measures.run_amplification,
         static_cast<unsigned long long>(measures.out_of_order),
         static_cast<unsigned long long>(measures.refusals_above_lowest));
+  for (const node_cost& cost : measures.costs) {
+    Print(text,
+          "a node, %s: %.1f%% of a core, %.0f calls/s served, %.0f us a call, largest %.1f MB\n",
+          cost.phase.c_str(), cost.processor_percent, cost.served_per_second, cost.micros_per_call,
+          cost.largest_private_mb);
+  }
   Print(text,
         "load tool: worst lag %.0f ms, arrivals not sent %llu, unreadable journal lines %llu\n",
         measures.worst_lag_ms, static_cast<unsigned long long>(measures.not_sent),
@@ -72,6 +78,18 @@
   return text;
 }
 
+json CostsToJson(std::span<const node_cost> costs) {
+  json list = json::array();
+  for (const node_cost& cost : costs) {
+    list.push_back({{"phase", cost.phase},
+                    {"processor_percent", cost.processor_percent},
+                    {"served_per_second", cost.served_per_second},
+                    {"micros_per_call", cost.micros_per_call},
+                    {"largest_private_mb", cost.largest_private_mb}});
+  }
+  return list;
+}
+
 json trial_measures::ToJson() const {
   json all = json::array();
   for (const row_measure& row : rows) {
@@ -105,6 +123,7 @@
           {"wasted_share", wasted_share},
           {"run_amplification", run_amplification},
           {"call_amplification", call_amplification},
+          {"node_costs", CostsToJson(costs)},
           {"out_of_order", out_of_order},
           {"refusals_above_lowest", refusals_above_lowest},
           {"not_sent", not_sent},
--- a/extras/trial/trial_run.cpp
+++ b/extras/trial/trial_run.cpp
@@ -1,11 +1,10 @@
 #include "trial/trial_run.h"
 
 #include <algorithm>
-#include <cstdlib>
-#include <sstream>
 #include <utility>
 
 #include "load/load_runner.h"
+#include "trial/process_cost.h"
 
 namespace cuminferry::trial {
 namespace {
@@ -36,26 +35,12 @@
   return journal;
 }
 
-// Sums one counter of the text that /metrics answers, over its labels.
-double SumOf(const std::string& metrics, const std::string& counter) {
-  std::istringstream lines(metrics);
-  std::string line;
-  double sum = 0.0;
-  while (std::getline(lines, line)) {
-    const std::size_t value = line.rfind(' ');
-    if (line.rfind(counter, 0) == 0 && value != std::string::npos) {
-      sum += std::strtod(line.c_str() + value, nullptr);
-    }
-  }
-  return sum;
-}
-
 node_counters ReadCounters(deployment& running) {
   node_counters counters;
   for (const running_target& target : running.targets()) {
     const std::string metrics = deployment::Ask(target.admin, "GET", "/metrics");
-    counters.called += SumOf(metrics, "cuminferry_called_total");
-    counters.attempts += SumOf(metrics, "cuminferry_attempts_total");
+    counters.called += SumOfCounter(metrics, "cuminferry_called_total");
+    counters.attempts += SumOfCounter(metrics, "cuminferry_attempts_total");
   }
   return counters;
 }
@@ -73,19 +58,26 @@
   deployment& running = **started;
   const load::load_plan load = LoadFor(plan, options);
   load::load_result result;
+  std::vector<nodes_usage> usage;
   {
     fault_player faults(running, plan);
     load::load_runner runner([&](std::string_view service) { return running.FrontsOf(service); });
     runner.OnPhase([&](std::size_t phase) {
+      usage.push_back(ReadUsage(running));
       if (phase == kSurgePhase) {
         faults.Begin(options.faults, options.surge_length);
       }
     });
     result = runner.Run(load);
   }
+  usage.push_back(ReadUsage(running));
   trial_measures measures =
       Measure(plan, load, result, ReadJournals(running), ReadCounters(running));
   measures.control = options.deployment.control;
+  // The warm-up is left out.
+  for (std::size_t phase = 1; phase + 1 < usage.size(); ++phase) {
+    measures.costs.push_back(CostBetween(load.phases[phase].name, usage[phase], usage[phase + 1]));
+  }
   if (std::count(options.faults.begin(), options.faults.end(), fault_kind::kSlowDeep) > 0) {
     measures.capacity /= kSlowFactor;
   }
