Knock once at a node whose connection went silent, not for ever

Cause, from reading: a link that is given up was opened anew each time, also when the new one never said hello: a node cut off for an hour would have been knocked at every 400 ms by each of its callers. Change: only a link that had said hello is opened anew at once; after that the trickle of retests finds the node. Result: 285 cases pass; process_fault_test with silent connections among them.

--- a/modules/cuminferry_node/peers/peer_links.cpp
+++ b/modules/cuminferry_node/peers/peer_links.cpp
@@ -356,9 +356,10 @@
       }
       peer = found->second.peer;
       Detach(connection, found->second);
-      if (found->second.outgoing) {
+      if (found->second.outgoing && found->second.hello_seen) {
         // Whether the node still lives shows by its hello on a new connection.
-        // Without it the target would wait for a call to be sent there again.
+        // Without it the target would wait for a call to be sent there again. Once:
+        // a node that is cut off for an hour would be knocked at all the time.
         ConnectionTo(peer);
       }
     }
