--- a/tests/support/test_main.cpp
+++ b/tests/support/test_main.cpp
@@ -7,8 +7,9 @@
 
 #include <iostream>
 
-// Runs every registered suite and closes with the counts that CI adds up.
-int main() {
+// Runs every registered suite, or the one test that is named, and closes with the
+// counts that CI adds up.
+int main(int argc, char** argv) {
   CppUnit::TestResult controller;
   CppUnit::TestResultCollector collector;
   CppUnit::BriefTestProgressListener progress;
@@ -16,7 +17,7 @@
   controller.addListener(&progress);
   CppUnit::TestRunner runner;
   runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-  runner.run(controller);
+  runner.run(controller, argc > 1 ? argv[1] : "");
   CppUnit::TextOutputter(&collector, std::cerr).write();
   const int failed = collector.testFailuresTotal();
   std::cout << "cases: " << collector.runTests() - failed << " passed, " << failed << " failed\n";
