Let idle connections sleep until there is something to read

Cause: each idle HTTP connection woke five times a second to see whether the server stops; a thousand of them would have cost several hundredths of a core for nothing. Change: they wait for the connection or for one descriptor that becomes readable when the server stops.

--- a/modules/cuminferry_node/http/http_server.cpp
+++ b/modules/cuminferry_node/http/http_server.cpp
@@ -3,6 +3,7 @@
 #include <httplib.h>
 #include <poll.h>
 #include <strings.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,8 +21,6 @@
 constexpr int kBacklog = 1024;
 constexpr std::size_t kReadBuffer = 4096;
 constexpr std::size_t kAcceptStack = 256 * 1024;
-/** How often a connection that waits for its next request looks whether the server stops. */
-constexpr std::chrono::milliseconds kStopCheck{200};
 
 thread_local int current_descriptor = -1;
 
@@ -91,8 +90,14 @@
   bool cut_off() const { return cut_off_; }
 
   // True once the next request's first bytes are there.
-  bool WaitForRequest(std::chrono::milliseconds longest) const {
-    return begin_ < end_ || Poll(POLLIN, longest);
+  // False where the time ran out first, or `stop` became readable.
+  bool WaitForRequest(std::chrono::milliseconds longest, int stop) const {
+    if (begin_ < end_) {
+      return true;
+    }
+    std::array<pollfd, 2> watched{pollfd{descriptor_, POLLIN, 0}, pollfd{stop, POLLIN, 0}};
+    const int ready = ::poll(watched.data(), watched.size(), static_cast<int>(longest.count()));
+    return ready > 0 && watched[0].revents != 0;
   }
 
  private:
@@ -145,17 +150,26 @@
 
 class library_server : public httplib::Server {
  public:
-  library_server(std::chrono::seconds idle, std::chrono::seconds read) : idle_(idle), read_(read) {}
+  library_server(std::chrono::seconds idle, std::chrono::seconds read)
+      : idle_(idle), read_(read), stop_(::eventfd(0, EFD_CLOEXEC)) {}
+  ~library_server() override { ::close(stop_); }
 
   void WidenBacklog() { ::listen(svr_sock_, kBacklog); }
   endpoint BoundTo() { return LocalEndpoint(svr_sock_); }
-  void StopServing() { stopping_ = true; }
+
+  // Readable from now on and never read: it wakes every connection that waits, and
+  // until then a thousand idle ones cost no processor time.
+  void StopServing() {
+    stopping_ = true;
+    const std::uint64_t one = 1;
+    static_cast<void>(::write(stop_, &one, sizeof(one)));
+  }
 
  private:
   bool process_and_close_socket(socket_t descriptor) override {
     current_descriptor = descriptor;
     polled_stream stream(descriptor, read_);
-    while (!stream.cut_off() && WaitForRequest(stream)) {
+    while (!stream.cut_off() && stream.WaitForRequest(idle_, stop_)) {
       stream.BeginRequest();
       bool closed = false;
       if (!process_request(stream, stopping_, closed, nullptr) || closed) {
@@ -168,20 +182,9 @@
     return true;
   }
 
-  bool WaitForRequest(const polled_stream& stream) const {
-    for (std::chrono::milliseconds waited{0}; waited < idle_; waited += kStopCheck) {
-      if (stream.WaitForRequest(kStopCheck)) {
-        return true;
-      }
-      if (stopping_) {
-        return false;
-      }
-    }
-    return false;
-  }
-
   const std::chrono::milliseconds idle_;
   const std::chrono::milliseconds read_;
+  const int stop_;
   std::atomic<bool> stopping_ = false;
 };
 
