Look rows up by name in one place

Cause: the serving side searched a shard's rows by name with a loop of its own, the twin of table_shard::FindRowNamed. Change: it calls that. Behaviour as before.

--- a/modules/cuminferry_node/runtime/serving_side.cpp
+++ b/modules/cuminferry_node/runtime/serving_side.cpp
@@ -38,8 +38,9 @@
 };
 
 std::uint32_t RowNumber(const table_shard& shard, std::string_view name) {
-  const auto found = std::ranges::find(shard.rows, name, &request_row::name);
-  return static_cast<std::uint32_t>(found - shard.rows.begin());
+  const request_row* found = shard.FindRowNamed(name);
+  return static_cast<std::uint32_t>(found == nullptr ? shard.rows.size()
+                                                     : found - shard.rows.data());
 }
 
 // The number by which admission knows a row that was found in `shard`.
