--- a/extras/trial/deployment.h
+++ b/extras/trial/deployment.h
@@ -9,7 +9,7 @@
 
 #include "trial/child_process.h"
 #include "trial/deployment_plan.h"
-#include "trial/link_fault_control.h"
+#include "link_faults/link_fault_control.h"
 
 namespace cuminferry::trial {
 
--- /dev/null
+++ b/modules/cuminferry_core/text/ascii_text.cpp
@@ -0,0 +1,48 @@
+#include "cuminferry_core/text/ascii_text.h"
+
+#include <algorithm>
+
+namespace cuminferry {
+namespace {
+
+char LowerAscii(char letter) {
+  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+}  // namespace
+
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](char a, char b) { return LowerAscii(a) == LowerAscii(b); });
+}
+
+std::string ToLowerAscii(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(), LowerAscii);
+  return lower;
+}
+
+std::string_view TrimBlanks(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const auto begin = text.find_first_not_of(kBlanks);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
+}
+
+std::vector<std::string_view> SplitText(std::string_view text, char separator, std::size_t most) {
+  std::vector<std::string_view> parts;
+  while (parts.size() + 1 < most) {
+    const auto at = text.find(separator);
+    if (at == std::string_view::npos) {
+      break;
+    }
+    parts.push_back(text.substr(0, at));
+    text.remove_prefix(at + 1);
+  }
+  parts.push_back(text);
+  return parts;
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_fleet/replica/item_replica.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry {
+
+/** One published item, or the note that it was removed. */
+struct published_item {
+  std::string key;
+  std::string value;
+  /** The publisher's counter at the item's last change. */
+  std::uint64_t revision = 0;
+  bool removed = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(key, value, revision, removed);
+  }
+};
+
+/** What changed after some revision, or everything. */
+struct item_update {
+  /** Nothing is left out up to this revision. */
+  std::uint64_t complete_to = 0;
+  /** All items are here: what is absent does not exist at complete_to. */
+  bool whole = false;
+  std::vector<published_item> items;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(complete_to, whole, items);
+  }
+};
+
+/** A node's copy of the platform's published items.
+
+    Each item carries the publisher's revision, and the higher one wins, so
+    copies that met the same changes in any order, from the platform or from
+    other nodes, are equal, and nothing goes back. A node that the platform
+    turns away is brought up to date by any other node from its copy.
+*/
+class item_replica {
+ public:
+  /** Removals remembered for updates to others; past them a whole copy is sent. */
+  static constexpr std::size_t kRemovalsKept = 4096;
+
+  /** Takes an update in; the keys whose item changed or went away. */
+  std::vector<std::string> Apply(const item_update& update);
+
+  /** What a node that is complete to `revision` lacks. */
+  item_update UpdateSince(std::uint64_t revision) const;
+
+  /** nullptr where there is none. */
+  const published_item* Find(std::string_view key) const;
+  /** The items whose keys begin so, in the order of their keys. */
+  std::vector<const published_item*> FindAll(std::string_view prefix) const;
+
+  /** Everything up to this revision is known; 0 before the first whole copy. */
+  std::uint64_t complete_to() const { return complete_to_; }
+
+ private:
+  bool Take(const published_item& item);
+  void RemoveAbsent(const item_update& whole, std::vector<std::string>& changed);
+  void ForgetOldRemovals();
+
+  std::map<std::string, published_item, std::less<>> items_;
+  std::uint64_t complete_to_ = 0;
+  // Removals up to this revision are forgotten.
+  std::uint64_t forgotten_to_ = 0;
+};
+
+}  // namespace cuminferry
--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -6,6 +6,9 @@
     - rank/      how much a call matters against others
     - admission/ which calls one instance runs, queues and refuses
     - targets/   which instance a call goes to
+    - serving/   which requests a backend server's slots run, queue and refuse
+    - placement/ which target gets a request that is known by host and path
+    - entry/     what is refused where it enters, for the sake of services further down
     - retries/   how often a call may be tried again
     - claims/    at most once for non-idempotent calls
     - shares/    each node's part of a fleet-wide limit
@@ -20,8 +23,15 @@
 #include "cuminferry_policy/claims/claim_sender.h"
 #include "cuminferry_policy/claims/claim_ticket.h"
 #include "cuminferry_policy/claims/ticket_text.h"
+#include "cuminferry_policy/entry/entry_admission.h"
+#include "cuminferry_policy/entry/row_causes.h"
+#include "cuminferry_policy/entry/row_origins.h"
+#include "cuminferry_policy/placement/target_picker.h"
 #include "cuminferry_policy/rank/call_rank.h"
+#include "cuminferry_policy/retries/repeat_budget.h"
 #include "cuminferry_policy/retries/retry_allowance.h"
 #include "cuminferry_policy/retries/retry_rule.h"
+#include "cuminferry_policy/serving/admission_level.h"
+#include "cuminferry_policy/serving/slot_gate.h"
 #include "cuminferry_policy/shares/limit_shares.h"
 #include "cuminferry_policy/targets/target_chooser.h"
--- /dev/null
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -0,0 +1,146 @@
+#include "cuminferry_policy/placement/target_picker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminferry {
+namespace {
+
+// Until a target's first report.
+constexpr duration kAssumedServiceTime = std::chrono::milliseconds(20);
+// Time lost by a request that fails: what its retry waits and runs again, as a
+// multiple of the target's own time.
+constexpr double kFailureCost = 20.0;
+// A request to another failure domain: the way there and back.
+constexpr double kOtherDomainMicros = 1'500.0;
+// A cold target takes about twice as long.
+constexpr double kColdFactor = 2.0;
+// How much dearer a target is whose slots are all taken, before any wait. Spreads
+// load over targets of equal speed, and below the point where they slow down.
+constexpr double kFillWeight = 1.0;
+// Targets of nearly equal cost are taken in turn, or all nodes would send to
+// the same one until its next report.
+constexpr double kJitter = 0.2;
+constexpr double kLeastSuccess = 0.05;
+
+}  // namespace
+
+void target_picker::SetTargets(const std::vector<published_target>& targets) {
+  std::map<std::string, target_state, std::less<>> next;
+  for (const published_target& target : targets) {
+    const auto known = targets_.find(target.id);
+    target_state state = known == targets_.end() ? target_state{} : known->second;
+    state.target = target;
+    next.emplace(target.id, std::move(state));
+  }
+  targets_ = std::move(next);
+}
+
+target_picker::target_state* target_picker::Find(std::string_view id) {
+  const auto found = targets_.find(id);
+  return found == targets_.end() ? nullptr : &found->second;
+}
+
+double target_picker::Cost(const target_state& state, std::string_view own_domain,
+                           instant now) const {
+  const bool fresh = now - state.reported_at <= kReportAge && state.reported_at != instant{};
+  const double limit =
+      std::max(1.0, fresh ? state.report.limit : static_cast<double>(state.target.slots));
+  double service = static_cast<double>(
+      (fresh ? state.report.service_time : kAssumedServiceTime).count());
+  if (!fresh && now < state.target.warm_from) {
+    service *= kColdFactor;
+  }
+  const double there = fresh ? static_cast<double>(state.report.running) + state.report.waiting +
+                                   state.sent_since
+                             : state.outstanding;
+  const double fill = std::min(1.0, there / limit);
+  const double wait = std::max(0.0, there + 1.0 - limit) / limit * service;
+  const double success = std::max(kLeastSuccess, fresh ? state.report.success : 1.0);
+  const double network = state.target.failure_domain == own_domain ? 0.0 : kOtherDomainMicros;
+  return network + service * (1.0 + kFillWeight * fill * fill) + wait +
+         (1.0 / success - 1.0) * kFailureCost * service;
+}
+
+std::optional<published_target> target_picker::Pick(const std::set<std::string>& tried,
+                                                    std::string_view own_domain, instant now,
+                                                    random_source& random) {
+  std::vector<target_state*> open;
+  std::vector<target_state*> resting;
+  for (auto& [id, state] : targets_) {
+    if (!tried.contains(id)) {
+      (now < state.rests_until ? resting : open).push_back(&state);
+    }
+  }
+  if (open.empty()) {
+    // Better a target that may be back than none.
+    open = resting;
+  }
+  if (open.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t compared = std::min(open.size(), kCompared);
+  target_state* best = nullptr;
+  double best_cost = 0.0;
+  for (std::size_t i = 0; i < compared; ++i) {
+    if (open.size() > kCompared) {
+      std::swap(open[i], open[i + random.Below(open.size() - i)]);
+    }
+    const double cost =
+        Cost(*open[i], own_domain, now) * (1.0 + kJitter * random.Fraction());
+    if (best == nullptr || cost < best_cost) {
+      best = open[i];
+      best_cost = cost;
+    }
+  }
+  if (best->failures > 0) {
+    // One request at a time finds out whether it is back.
+    best->rests_until = now + kFirstRest;
+  }
+  return best->target;
+}
+
+void target_picker::OnSent(std::string_view id) {
+  if (target_state* state = Find(id)) {
+    ++state->sent_since;
+    ++state->outstanding;
+  }
+}
+
+void target_picker::OnDone(std::string_view id) {
+  target_state* state = Find(id);
+  if (state != nullptr && state->outstanding > 0) {
+    --state->outstanding;
+  }
+}
+
+void target_picker::OnReport(std::string_view id, const target_report& report, instant now) {
+  if (target_state* state = Find(id)) {
+    state->report = report;
+    state->reported_at = now;
+    state->sent_since = 0;
+    state->failures = 0;
+    state->rests_until = instant{};
+  }
+}
+
+void target_picker::OnUnreachable(std::string_view id, instant now) {
+  target_state* state = Find(id);
+  if (state == nullptr) {
+    return;
+  }
+  ++state->failures;
+  if (state->failures >= kFailuresToRest) {
+    const int doublings = static_cast<int>(std::min<std::uint32_t>(state->failures - 1, 3));
+    state->rests_until = now + std::min(kLongestRest, kFirstRest * (1 << doublings));
+  }
+}
+
+void target_picker::OnFull(std::string_view id, instant now) {
+  if (target_state* state = Find(id)) {
+    state->report.running = std::max(state->report.running, state->report.limit);
+    state->reported_at = now;
+  }
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_policy/placement/target_picker.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry {
+
+/** One backend server that a service's requests may go to, as published. */
+struct published_target {
+  /** Of this start of the backend server; a restart has another. */
+  std::string id;
+  endpoint backend;
+  std::string failure_domain;
+  std::uint32_t slots = 1;
+  /** It runs slower than usual until then. */
+  instant warm_from{};
+
+  bool operator==(const published_target&) const = default;
+};
+
+/** What a target's node told with an answer. */
+struct target_report {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t limit = 1;
+  duration service_time{};
+  /** Part of the target's recent answers that were successes, 0 to 1. */
+  double success = 1.0;
+};
+
+/** Picks a target for each request of one service.
+
+    Answers uneven targets under a load near their slots: they differ in speed,
+    some are cold, some fail part of what they get, some can't be reached. Each
+    request goes to the target with the least expected time until a success, as
+    worked out from what targets' nodes tell with every answer and from what was
+    sent since. What a target says of its own health is not used.
+*/
+class target_picker {
+ public:
+  /** Up to this many targets are all compared; of more, this many are drawn. */
+  static constexpr std::size_t kCompared = 6;
+  /** Failures in a row to reach a target after which it rests. */
+  static constexpr std::uint32_t kFailuresToRest = 1;
+  /** The first rest, doubled with each further failure. */
+  static constexpr duration kFirstRest = std::chrono::milliseconds(250);
+  static constexpr duration kLongestRest = std::chrono::seconds(2);
+  /** An older report counts as unknown. */
+  static constexpr duration kReportAge = std::chrono::seconds(2);
+
+  void SetTargets(const std::vector<published_target>& targets);
+
+  /** The target to send to; none where all are in `tried` or rest. */
+  std::optional<published_target> Pick(const std::set<std::string>& tried,
+                                       std::string_view own_domain, instant now,
+                                       random_source& random);
+
+  //============================================================================
+  /** A request was sent to the target. */
+  void OnSent(std::string_view id);
+  /** The request ended, however. */
+  void OnDone(std::string_view id);
+  void OnReport(std::string_view id, const target_report& report, instant now);
+  /** The target's node or the target can't be reached, or a request to it was
+      lost. */
+  void OnUnreachable(std::string_view id, instant now);
+  /** The target's node turned a request away although it had room by what was
+      known here. */
+  void OnFull(std::string_view id, instant now);
+
+  std::size_t size() const { return targets_.size(); }
+  bool Has(std::string_view id) const { return targets_.find(id) != targets_.end(); }
+
+ private:
+  struct target_state {
+    published_target target;
+    target_report report;
+    instant reported_at{};
+    std::uint32_t sent_since = 0;
+    std::uint32_t outstanding = 0;
+    std::uint32_t failures = 0;
+    instant rests_until{};
+  };
+
+  double Cost(const target_state& state, std::string_view own_domain, instant now) const;
+  target_state* Find(std::string_view id);
+
+  std::map<std::string, target_state, std::less<>> targets_;
+};
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_policy/retries/repeat_budget.cpp
@@ -0,0 +1,44 @@
+#include "cuminferry_policy/retries/repeat_budget.h"
+
+#include <algorithm>
+
+namespace cuminferry {
+namespace {
+
+// Of the node's part of the allowance; the rest covers nodes that start anew
+// with a full balance within one window.
+constexpr double kAllowancePart = 0.5;
+
+}  // namespace
+
+repeat_budget::repeat_budget(double ratio, double allowance, duration window)
+    : ratio_(ratio), allowance_(allowance), window_(window), balance_(1.0) {}
+
+void repeat_budget::SetNodes(std::size_t nodes) { nodes_ = std::max<std::size_t>(1, nodes); }
+
+void repeat_budget::Refill(instant now) {
+  const double part = kAllowancePart * allowance_ / static_cast<double>(nodes_);
+  if (refilled_ != instant{}) {
+    const double passed = static_cast<double>((now - refilled_).count()) /
+                          static_cast<double>(window_.count());
+    balance_ += part * passed;
+  }
+  refilled_ = now;
+  balance_ = std::min(balance_, std::max(1.0, part) + 1.0);
+}
+
+void repeat_budget::OnFirstSend(instant now) {
+  Refill(now);
+  balance_ += ratio_ * kEarnedPart;
+}
+
+bool repeat_budget::TakeOne(instant now) {
+  Refill(now);
+  if (balance_ < 1.0) {
+    return false;
+  }
+  balance_ -= 1.0;
+  return true;
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_policy/retries/repeat_budget.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry {
+
+/** One node's part of the bound on requests that reach a second target of a
+    service.
+
+    The bound is the fleet's: a ratio of the requests of the last seconds, and a
+    fixed allowance over all nodes. A node spends the ratio of its own requests
+    and its part of the allowance, so that the sum holds without agreement. Less
+    than the ratio is spent, since the calls of a request that runs again are
+    repeats at the services further down, too.
+*/
+class repeat_budget {
+ public:
+  /** Part of the allowed ratio that first sends earn. */
+  static constexpr double kEarnedPart = 0.5;
+
+  /** @param ratio      repeats allowed for each request
+      @param allowance  repeats allowed besides in one window, over all nodes
+      @param window     over which the bound holds */
+  repeat_budget(double ratio, double allowance, duration window);
+
+  /** How many nodes share the allowance. */
+  void SetNodes(std::size_t nodes);
+
+  void OnFirstSend(instant now);
+  /** Takes one repeat; false where the budget is spent. */
+  bool TakeOne(instant now);
+
+ private:
+  void Refill(instant now);
+
+  double ratio_;
+  double allowance_;
+  duration window_;
+  std::size_t nodes_ = 1;
+  double balance_;
+  instant refilled_{};
+};
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_policy/serving/slot_gate.cpp
@@ -0,0 +1,113 @@
+#include "cuminferry_policy/serving/slot_gate.h"
+
+#include <algorithm>
+
+namespace cuminferry {
+namespace {
+
+// Until the first runs have ended.
+constexpr double kAssumedServiceMicros = 20'000.0;
+// Weight of one run in the mean: the last hundred count, some hundred ms of a
+// small backend server under load.
+constexpr double kServiceWeight = 0.01;
+
+}  // namespace
+
+slot_gate::slot_gate(std::uint32_t slots) : service_micros_(kAssumedServiceMicros) {
+  SetSlots(slots);
+}
+
+void slot_gate::SetSlots(std::uint32_t slots) {
+  limit_ = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(kUsableShare * slots));
+}
+
+duration slot_gate::service_time() const {
+  return duration(static_cast<duration::rep>(service_micros_));
+}
+
+instant slot_gate::LastUsefulStart(const slot_request& request, instant now) const {
+  const duration run(static_cast<duration::rep>(kServiceMargin * service_micros_));
+  const instant deadline = now + request.deadline_left - run;
+  if (request.nested) {
+    return deadline;
+  }
+  const duration prompt(static_cast<duration::rep>(
+      kPromptShare * static_cast<double>(request.objective.count())));
+  const instant in_time = now + std::max(prompt, request.objective_left - run);
+  return std::min(deadline, in_time);
+}
+
+duration slot_gate::ExpectedWait(instant give_up) const {
+  const auto ahead = std::distance(queue_.begin(), queue_.lower_bound({give_up, 0}));
+  const double turns = static_cast<double>(ahead + 1) / limit_;
+  return duration(static_cast<duration::rep>(turns * service_micros_));
+}
+
+slot_verdict slot_gate::Offer(const slot_request& request, instant now) {
+  if (running_ < limit_ && queue_.empty()) {
+    ++running_;
+    return slot_verdict::kStart;
+  }
+  const instant give_up = LastUsefulStart(request, now);
+  if (waiting() >= limit_ * kQueuePerSlot || now + ExpectedWait(give_up) > give_up) {
+    return slot_verdict::kRefuse;
+  }
+  queue_.insert({give_up, request.id});
+  by_id_[request.id] = {.arrived = now, .give_up = give_up};
+  return slot_verdict::kWait;
+}
+
+void slot_gate::Finish(duration ran, instant now) {
+  static_cast<void>(now);
+  running_ -= running_ > 0 ? 1 : 0;
+  service_micros_ += kServiceWeight * (static_cast<double>(ran.count()) - service_micros_);
+}
+
+std::optional<std::uint64_t> slot_gate::StartNext(instant now) {
+  if (running_ >= limit_ || queue_.empty()) {
+    return std::nullopt;
+  }
+  const std::uint64_t id = queue_.begin()->second;
+  longest_wait_ = std::max(longest_wait_, now - by_id_[id].arrived);
+  queue_.erase(queue_.begin());
+  by_id_.erase(id);
+  ++running_;
+  return id;
+}
+
+std::vector<std::uint64_t> slot_gate::TakeExpired(instant now) {
+  std::vector<std::uint64_t> expired;
+  while (!queue_.empty() && queue_.begin()->first < now) {
+    const std::uint64_t id = queue_.begin()->second;
+    longest_wait_ = std::max(longest_wait_, now - by_id_[id].arrived);
+    expired.push_back(id);
+    by_id_.erase(id);
+    queue_.erase(queue_.begin());
+  }
+  return expired;
+}
+
+bool slot_gate::Remove(std::uint64_t id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) {
+    return false;
+  }
+  queue_.erase({found->second.give_up, id});
+  by_id_.erase(found);
+  return true;
+}
+
+duration slot_gate::TakeLongestWait(instant now) {
+  duration longest = longest_wait_;
+  longest_wait_ = duration::zero();
+  for (const auto& [id, waiting] : by_id_) {
+    longest = std::max(longest, now - waiting.arrived);
+  }
+  return longest;
+}
+
+std::optional<instant> slot_gate::next_expiry() const {
+  return queue_.empty() ? std::nullopt : std::optional<instant>(queue_.begin()->first);
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_policy/serving/slot_gate.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry {
+
+/** A request that asks for a slot of the backend server. */
+struct slot_request {
+  /** Unique among those that the gate holds. */
+  std::uint64_t id = 0;
+  /** 0 is refused last. */
+  std::uint32_t priority = 0;
+  /** A call of work that already runs: refusing it wastes that work. */
+  bool nested = false;
+  /** Left until the caller stops waiting. */
+  duration deadline_left{};
+  /** Left until the answer loses part of its worth; negative where it is late. */
+  duration objective_left{};
+  /** Objective of the row. */
+  duration objective{};
+};
+
+enum class slot_verdict : std::uint8_t { kStart, kWait, kRefuse };
+
+/** What a gate tells of its load to those who send to it. */
+struct gate_load {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t limit = 0;
+  /** Mean time in the backend server. */
+  duration service_time{};
+  /** Requests with a rank below this are let in at their entry.
+      @see admission_level */
+  double level = 0.0;
+};
+
+/** Decides which requests the one backend server runs now, which wait and which
+    are refused.
+
+    Answers a load above the backend server's slots: the backend server's own
+    queue is in order of arrival and slows down all that it holds, so the gate
+    keeps it empty and holds the queue here, most urgent first. A request waits
+    only while it can still end in time; one that can't is refused while its
+    caller can still do something else. Sans I/O; the owner guards it.
+*/
+class slot_gate {
+ public:
+  /** Share of the slots in use at most. Backend servers slow down by a third
+      when 95% or more are taken; health checks and new connections take slots
+      besides. */
+  static constexpr double kUsableShare = 0.93;
+  /** A refusal within this share of its objective leaves the caller time to
+      come back and still be in time. */
+  static constexpr double kPromptShare = 1.0 / 8.0;
+  /** Part of a request's remaining time that its own run is expected to take at
+      most; above the mean, as run times vary. */
+  static constexpr double kServiceMargin = 1.5;
+  /** Requests waiting for each slot at most: a longer queue is never served in
+      time, and holds memory. */
+  static constexpr std::uint32_t kQueuePerSlot = 8;
+
+  explicit slot_gate(std::uint32_t slots);
+
+  //============================================================================
+  slot_verdict Offer(const slot_request& request, instant now);
+  /** A running request ended after this long in the backend server. */
+  void Finish(duration ran, instant now);
+  /** The most urgent request that can start now; it counts as running. */
+  std::optional<std::uint64_t> StartNext(instant now);
+  /** Takes out the requests that waited as long as was useful. */
+  std::vector<std::uint64_t> TakeExpired(instant now);
+  /** Takes out a waiting request whose caller left; false where it doesn't wait. */
+  bool Remove(std::uint64_t id);
+
+  void SetSlots(std::uint32_t slots);
+
+  //============================================================================
+  /** Longest wait of a request that started since the last call, or that waits
+      still: what the admission level is steered by. */
+  duration TakeLongestWait(instant now);
+  std::uint32_t running() const { return running_; }
+  std::uint32_t waiting() const { return static_cast<std::uint32_t>(queue_.size()); }
+  std::uint32_t limit() const { return limit_; }
+  duration service_time() const;
+  /** When the next waiting request expires. */
+  std::optional<instant> next_expiry() const;
+
+ private:
+  struct waiting_request {
+    instant arrived;
+    instant give_up;
+  };
+
+  instant LastUsefulStart(const slot_request& request, instant now) const;
+  duration ExpectedWait(instant give_up) const;
+
+  std::uint32_t limit_ = 1;
+  std::uint32_t running_ = 0;
+  double service_micros_;
+  duration longest_wait_{};
+  // In order of the last useful start.
+  std::set<std::pair<instant, std::uint64_t>> queue_;
+  std::unordered_map<std::uint64_t, waiting_request> by_id_;
+};
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/http/http_head.cpp
@@ -0,0 +1,98 @@
+#include "cuminferry_relay/http/http_head.h"
+
+
+#include <algorithm>
+#include <array>
+
+#include <spdlog/fmt/fmt.h>
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry {
+namespace {
+
+// RFC 9110, section 7.6.1, and the fields that frame a body.
+constexpr std::array<std::string_view, 9> kConnectionFields{
+    "connection", "keep-alive",        "proxy-connection", "te",            "trailer",
+    "upgrade",    "transfer-encoding", "content-length",   "proxy-authenticate"};
+
+void AppendFields(const http_head& head, std::string& text) {
+  for (const auto& [name, value] : head.fields) {
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+  }
+  if (head.framing == body_framing::kLength) {
+    text += fmt::format("Content-Length: {}\r\n", head.length);
+  } else if (head.framing == body_framing::kChunked) {
+    text += "Transfer-Encoding: chunked\r\n";
+  }
+}
+
+}  // namespace
+
+bool SameFieldName(std::string_view left, std::string_view right) {
+  return EqualsIgnoringCase(left, right);
+}
+
+std::optional<std::int64_t> ParseDecimal(std::string_view text) {
+  return ParseWhole<std::int64_t>(text);
+}
+
+std::string ToChunk(std::string_view bytes) {
+  return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+const std::string* http_head::Find(std::string_view name) const {
+  for (const auto& [known, value] : fields) {
+    if (SameFieldName(known, name)) {
+      return &value;
+    }
+  }
+  return nullptr;
+}
+
+void http_head::Set(std::string_view name, std::string value) {
+  Remove(name);
+  fields.emplace_back(std::string(name), std::move(value));
+}
+
+void http_head::Remove(std::string_view name) {
+  std::erase_if(fields, [&](const auto& field) { return SameFieldName(field.first, name); });
+}
+
+void http_head::RemoveConnectionFields() {
+  std::vector<std::string> named;
+  for (const auto& [name, value] : fields) {
+    if (SameFieldName(name, "connection")) {
+      for (const std::string_view token : SplitText(value, ',')) {
+        named.emplace_back(TrimBlanks(token));
+      }
+    }
+  }
+  std::erase_if(fields, [&](const auto& field) {
+    const auto same = [&](std::string_view name) { return SameFieldName(field.first, name); };
+    return std::any_of(kConnectionFields.begin(), kConnectionFields.end(), same) ||
+           std::any_of(named.begin(), named.end(), same);
+  });
+}
+
+std::string http_head::ToRequestText() const {
+  std::string text = fmt::format("{} {} HTTP/1.1\r\n", method, target);
+  AppendFields(*this, text);
+  text += "\r\n";
+  return text;
+}
+
+std::string http_head::ToResponseText(bool close) const {
+  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, reason);
+  AppendFields(*this, text);
+  if (close) {
+    text += "Connection: close\r\n";
+  }
+  text += "\r\n";
+  return text;
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/io/tcp_connection.cpp
@@ -0,0 +1,393 @@
+#include "cuminferry_relay/io/tcp_connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <utility>
+
+namespace cuminferry {
+namespace {
+
+// Enough for the largest burst that a link's window lets through at once.
+constexpr std::size_t kReadBuffer = 64 * 1024;
+// Connections that wait to be accepted. A full queue drops the opening packet,
+// and the client tries again only after a second.
+constexpr int kBacklog = 1024;
+
+std::array<char, kReadBuffer>& ReadBuffer() {
+  // One for each thread: a loop hands out what it read before it reads on.
+  thread_local std::array<char, kReadBuffer> buffer;
+  return buffer;
+}
+
+sockaddr_in ToSocketAddress(const endpoint& at) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(at.port);
+  address.sin_addr.s_addr = htonl(at.address);
+  return address;
+}
+
+endpoint FromSocketAddress(const sockaddr_storage& storage) {
+  const auto& address = reinterpret_cast<const sockaddr_in&>(storage);
+  return {.address = ntohl(address.sin_addr.s_addr), .port = ntohs(address.sin_port)};
+}
+
+void SetOption(int socket, int level, int option, int value) {
+  // An option that the kernel refuses leaves the slower detection of its defaults.
+  static_cast<void>(::setsockopt(socket, level, option, &value, sizeof(value)));
+}
+
+// The kernel's keep-alive probes stand for heartbeats: they need no wake-up here.
+void DetectSilence(uv_tcp_t& handle, duration limit) {
+  constexpr int kProbes = 2;
+  uv_os_fd_t socket = -1;
+  if (limit <= duration::zero() ||
+      uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &socket) != 0) {
+    return;
+  }
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+  const int interval = std::max<int>(1, static_cast<int>(millis / 1000 / (kProbes + 1)));
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, interval);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, interval);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(millis));
+}
+
+}  // namespace
+
+struct tcp_connection::state {
+  uv_tcp_t handle{};
+  uv_connect_t connect{};
+  uv_timer_t connect_timer{};
+  uv_shutdown_t shutdown{};
+  // Shared, so that a hook that replaces the hooks or destroys the connection
+  // does not destroy itself while it runs.
+  std::shared_ptr<const hooks> on = std::make_shared<const hooks>();
+  duration silence_limit{};
+  std::size_t unsent = 0;
+  int open_handles = 1;
+  bool connecting = false;
+  bool connected = false;
+  bool reading = false;
+  bool ended = false;
+  bool closing = false;
+  bool has_timer = false;
+  bool reset_on_close = false;
+  // Written before the connection was established.
+  std::string early;
+
+  struct write_request {
+    uv_write_t request{};
+    std::string bytes;
+    state* owner = nullptr;
+  };
+
+  void End(connection_end end) {
+    if (ended || closing) {
+      return;
+    }
+    ended = true;
+    uv_read_stop(Stream());
+    const auto hooks = on;
+    if (hooks->on_end) {
+      hooks->on_end(end);
+    }
+  }
+
+  uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&handle); }
+
+  static void OnHandleClosed(state* self) {
+    if (--self->open_handles == 0) {
+      delete self;
+    }
+  }
+
+  void StopConnectTimer() {
+    if (!has_timer) {
+      return;
+    }
+    has_timer = false;
+    uv_close(reinterpret_cast<uv_handle_t*>(&connect_timer), [](uv_handle_t* timer) {
+      OnHandleClosed(static_cast<state*>(timer->data));
+    });
+  }
+
+  void Close() {
+    if (closing) {
+      return;
+    }
+    closing = true;
+    StopConnectTimer();
+    const auto on_closed = [](uv_handle_t* tcp) {
+      OnHandleClosed(static_cast<state*>(tcp->data));
+    };
+    if (reset_on_close && connected && uv_tcp_close_reset(&handle, on_closed) == 0) {
+      return;
+    }
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle), on_closed);
+  }
+
+  void StartReading() {
+    if (reading || ended || closing) {
+      return;
+    }
+    reading = true;
+    uv_read_start(
+        Stream(),
+        [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
+          buffer->base = ReadBuffer().data();
+          buffer->len = kReadBuffer;
+        },
+        [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
+          auto* self = static_cast<state*>(stream->data);
+          if (count == 0 || self->closing) {
+            return;
+          }
+          if (count < 0) {
+            self->End(count == UV_EOF ? connection_end::kClosed : connection_end::kBroken);
+            return;
+          }
+          const auto hooks = self->on;
+          if (hooks->on_data) {
+            hooks->on_data({buffer->base, static_cast<std::size_t>(count)});
+          }
+        });
+  }
+
+  void OnConnected(int status) {
+    connecting = false;
+    StopConnectTimer();
+    if (closing || ended) {
+      return;
+    }
+    if (status != 0) {
+      End(connection_end::kNotConnected);
+      return;
+    }
+    connected = true;
+    DetectSilence(handle, silence_limit);
+    StartReading();
+    std::string waiting;
+    waiting.swap(early);
+    unsent -= waiting.size();
+    const bool was_high = waiting.size() > kLowWater;
+    if (!waiting.empty()) {
+      Write(waiting);
+    }
+    const auto hooks = on;
+    if (hooks->on_connected) {
+      hooks->on_connected();
+    }
+    // What was written early may have gone out at once: a producer that paused
+    // for it would wait for ever.
+    if (was_high && unsent <= kLowWater && !closing && hooks->on_drained) {
+      hooks->on_drained();
+    }
+  }
+
+  void Write(std::string_view bytes) {
+    if (closing || ended || bytes.empty()) {
+      return;
+    }
+    if (connecting) {
+      early.append(bytes);
+      unsent += bytes.size();
+      return;
+    }
+    if (unsent == 0) {
+      uv_buf_t direct = uv_buf_init(const_cast<char*>(bytes.data()),
+                                    static_cast<unsigned>(bytes.size()));
+      const int taken = uv_try_write(Stream(), &direct, 1);
+      if (taken > 0) {
+        bytes.remove_prefix(static_cast<std::size_t>(taken));
+      }
+    }
+    if (!bytes.empty()) {
+      QueueWrite(bytes);
+    }
+  }
+
+  void QueueWrite(std::string_view bytes) {
+    auto* queued = new write_request;
+    queued->bytes = bytes;
+    queued->owner = this;
+    queued->request.data = queued;
+    unsent += bytes.size();
+    uv_buf_t buffer =
+        uv_buf_init(queued->bytes.data(), static_cast<unsigned>(queued->bytes.size()));
+    const int status = uv_write(
+        &queued->request, Stream(), &buffer, 1, [](uv_write_t* request, int result) {
+          std::unique_ptr<write_request> done(static_cast<write_request*>(request->data));
+          done->owner->OnWritten(done->bytes.size(), result);
+        });
+    if (status != 0) {
+      unsent -= bytes.size();
+      delete queued;
+    }
+  }
+
+  void OnWritten(std::size_t size, int result) {
+    const bool was_high = unsent > kLowWater;
+    unsent -= size;
+    if (closing) {
+      return;
+    }
+    if (result < 0) {
+      End(connection_end::kBroken);
+      return;
+    }
+    const auto hooks = on;
+    if (was_high && unsent <= kLowWater && hooks->on_drained) {
+      hooks->on_drained();
+    }
+  }
+};
+
+std::unique_ptr<tcp_connection> tcp_connection::Connect(event_loop& loop, const endpoint& to,
+                                                        duration connect_limit,
+                                                        duration silence_limit, hooks hooks) {
+  auto* made = new state;
+  std::unique_ptr<tcp_connection> connection(new tcp_connection(made));
+  connection->SetHooks(std::move(hooks));
+  made->silence_limit = silence_limit;
+  uv_tcp_init(loop.raw(), &made->handle);
+  made->handle.data = made;
+  uv_tcp_nodelay(&made->handle, 1);
+  uv_timer_init(loop.raw(), &made->connect_timer);
+  made->connect_timer.data = made;
+  made->open_handles = 2;
+  made->has_timer = true;
+  made->connecting = true;
+  made->connect.data = made;
+  const sockaddr_in address = ToSocketAddress(to);
+  const int status =
+      uv_tcp_connect(&made->connect, &made->handle, reinterpret_cast<const sockaddr*>(&address),
+                     [](uv_connect_t* request, int result) {
+                       static_cast<state*>(request->data)->OnConnected(result);
+                     });
+  // A failure that shows at once is reported like a later one, from the loop.
+  const std::uint64_t limit =
+      status != 0 ? 0
+                  : static_cast<std::uint64_t>(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(connect_limit)
+                            .count());
+  uv_timer_start(
+      &made->connect_timer,
+      [](uv_timer_t* timer) {
+        static_cast<state*>(timer->data)->End(connection_end::kNotConnected);
+      },
+      limit, 0);
+  return connection;
+}
+
+tcp_connection::~tcp_connection() { state_->Close(); }
+
+void tcp_connection::SetHooks(hooks hooks) {
+  state_->on = std::make_shared<const tcp_connection::hooks>(std::move(hooks));
+}
+void tcp_connection::Write(std::string_view bytes) { state_->Write(bytes); }
+
+void tcp_connection::FinishWriting() {
+  if (state_->closing || state_->ended) {
+    return;
+  }
+  uv_shutdown(&state_->shutdown, state_->Stream(), [](uv_shutdown_t*, int) {});
+}
+
+void tcp_connection::PauseReading() {
+  if (state_->reading && !state_->closing) {
+    state_->reading = false;
+    uv_read_stop(state_->Stream());
+  }
+}
+
+void tcp_connection::ResumeReading() {
+  if (!state_->connecting) {
+    state_->StartReading();
+  }
+}
+
+void tcp_connection::ResetOnClose() { state_->reset_on_close = true; }
+std::size_t tcp_connection::unsent() const { return state_->unsent; }
+bool tcp_connection::connected() const { return state_->connected && !state_->ended; }
+
+endpoint tcp_connection::peer() const {
+  sockaddr_storage storage{};
+  int size = sizeof(storage);
+  if (uv_tcp_getpeername(&state_->handle, reinterpret_cast<sockaddr*>(&storage), &size) != 0) {
+    return {};
+  }
+  return FromSocketAddress(storage);
+}
+
+//==============================================================================
+struct tcp_listener::state {
+  uv_tcp_t handle{};
+  event_loop* loop = nullptr;
+  duration silence_limit{};
+  accept_hook on_accept;
+
+  void Accept() {
+    auto* made = new tcp_connection::state;
+    std::unique_ptr<tcp_connection> connection(new tcp_connection(made));
+    uv_tcp_init(loop->raw(), &made->handle);
+    made->handle.data = made;
+    if (uv_accept(reinterpret_cast<uv_stream_t*>(&handle), made->Stream()) != 0) {
+      return;
+    }
+    made->connected = true;
+    uv_tcp_nodelay(&made->handle, 1);
+    DetectSilence(made->handle, silence_limit);
+    on_accept(std::move(connection));
+    if (!made->closing) {
+      made->StartReading();
+    }
+  }
+};
+
+absl::StatusOr<std::unique_ptr<tcp_listener>> tcp_listener::Listen(event_loop& loop,
+                                                                   const endpoint& at,
+                                                                   duration silence_limit,
+                                                                   accept_hook on_accept) {
+  auto* made = new state;
+  std::unique_ptr<tcp_listener> listener(new tcp_listener(made));
+  made->loop = &loop;
+  made->silence_limit = silence_limit;
+  made->on_accept = std::move(on_accept);
+  uv_tcp_init(loop.raw(), &made->handle);
+  made->handle.data = made;
+  const sockaddr_in address = ToSocketAddress(at);
+  int status = uv_tcp_bind(&made->handle, reinterpret_cast<const sockaddr*>(&address), 0);
+  if (status == 0) {
+    status = uv_listen(reinterpret_cast<uv_stream_t*>(&made->handle), kBacklog,
+                       [](uv_stream_t* stream, int result) {
+                         if (result == 0) {
+                           static_cast<state*>(stream->data)->Accept();
+                         }
+                       });
+  }
+  if (status != 0) {
+    return MakeStatus(result_code::kAddressInUse, at.ToString() + ": " + uv_strerror(status));
+  }
+  return listener;
+}
+
+tcp_listener::~tcp_listener() {
+  uv_close(reinterpret_cast<uv_handle_t*>(&state_->handle),
+           [](uv_handle_t* handle) { delete static_cast<state*>(handle->data); });
+}
+
+endpoint tcp_listener::at() const {
+  sockaddr_storage storage{};
+  int size = sizeof(storage);
+  uv_tcp_getsockname(&state_->handle, reinterpret_cast<sockaddr*>(&storage), &size);
+  return FromSocketAddress(storage);
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/decision_log.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_relay/io/event_loop.h"
+
+namespace cuminferry {
+
+/** Structured lines on standard output, one JSON object each.
+
+    Never blocks the caller: lines are gathered and handed to a writer thread a
+    few times a second, through a bounded queue whose oldest entries give way
+    when standard output stands still. Lines over the rate are counted and the
+    count is told in a line of its own.
+*/
+class decision_log {
+ public:
+  /** Lines a second at most; requests, not changes of state, give way. */
+  static constexpr double kLinesPerSecond = 400.0;
+  static constexpr duration kFlushPeriod = std::chrono::milliseconds(200);
+  /** Batches that wait for the writer; 64 are about 13 s. */
+  static constexpr std::size_t kQueuedBatches = 64;
+
+  decision_log(event_loop& loop, std::string instance);
+  ~decision_log();
+  decision_log(const decision_log&) = delete;
+  decision_log& operator=(const decision_log&) = delete;
+
+  /** A decision on one request. */
+  void OnRequest(std::string_view event, nlohmann::ordered_json detail);
+  /** A change of what this process does or believes; never left out. */
+  void OnChange(std::string_view event, nlohmann::ordered_json detail);
+  /** Hands over what was gathered. */
+  void Flush();
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/item_exchange.cpp
@@ -0,0 +1,170 @@
+#include "cuminferry_relay/path/item_exchange.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+#include <utility>
+
+#include "cuminferry_relay/path/outbound_call.h"
+#include "cuminferry_wire/messages/bounded_input_archive.h"
+
+namespace cuminferry {
+namespace {
+
+constexpr int kOk = 200;
+constexpr duration kAnswerLimit = std::chrono::milliseconds(1000);
+// A node that has news lets its own watch deliver them first.
+constexpr std::uint32_t kPeriodsBehind = 2;
+constexpr std::size_t kLargestUpdate = 64 * 1024 * 1024;
+
+std::string Encode(const item_update& update) {
+  std::ostringstream stream;
+  cereal::BinaryOutputArchive archive(stream);
+  archive(update);
+  return std::move(stream).str();
+}
+
+std::optional<item_update> Decode(std::string_view bytes) {
+  item_update update;
+  bounded_input_archive archive({bytes.data(), bytes.size()});
+  try {
+    archive(update);
+  } catch (const std::exception&) {
+    // cereal has no other way to say that the input is short.
+    return std::nullopt;
+  }
+  return update;
+}
+
+}  // namespace
+
+struct item_exchange::state {
+  relay_board& board;
+  update_hook on_update;
+  loop_timer ask_timer;
+  loop_timer limit_timer;
+  bool platform_heard = false;
+  std::uint32_t periods_behind = 0;
+  endpoint asked;
+  std::string answer;
+  bool answer_ok = false;
+  std::unique_ptr<client_exchange> asking;
+  std::unique_ptr<client_exchange> finished;
+  std::map<endpoint, std::unique_ptr<http_client>> seed_clients;
+
+  state(relay_board& board, update_hook on_update)
+      : board(board),
+        on_update(std::move(on_update)),
+        ask_timer(board.loop),
+        limit_timer(board.loop) {
+    ask_timer.StartPeriodic(kAskPeriod, [this] { OnPeriod(); });
+  }
+
+  void OnPeriod() {
+    const bool behind = board.heard_revision > board.items.complete_to();
+    periods_behind = behind ? periods_behind + 1 : 0;
+    const bool wants = !platform_heard || periods_behind >= kPeriodsBehind;
+    if (wants && !asking) {
+      Ask();
+    }
+  }
+
+  // Another node, drawn anew each time: one that is cut off itself has no news.
+  http_client* Choose() {
+    const std::vector<endpoint>& peers = board.peers();
+    if (!peers.empty()) {
+      asked = peers[board.random.Below(peers.size())];
+      return &board.ClientFor(asked);
+    }
+    const std::vector<endpoint>& seeds = board.settings.seeds;
+    if (seeds.empty()) {
+      return nullptr;
+    }
+    asked = seeds[board.random.Below(seeds.size())];
+    std::unique_ptr<http_client>& client = seed_clients[asked];
+    if (!client) {
+      client = std::make_unique<http_client>(
+          board.loop, asked,
+          http_client::options{.connect_limit = kAnswerLimit,
+                               .silence_limit = std::chrono::seconds(3),
+                               .idle_limit = std::chrono::seconds(10)});
+    }
+    return client.get();
+  }
+
+  void Ask() {
+    http_client* client = Choose();
+    if (client == nullptr) {
+      return;
+    }
+    http_head request;
+    request.method = "GET";
+    request.target = fmt::format("{}?after={}", kItemsPath, board.items.complete_to());
+    request.Set("Host", asked.ToString());
+    answer.clear();
+    answer_ok = false;
+    asking = client->Send(request, std::chrono::seconds(30),
+                          {.on_head = [this](const http_head& head) { answer_ok = head.status == kOk; },
+                           .on_body =
+                               [this](std::string_view bytes) {
+                                 if (answer.size() + bytes.size() <= kLargestUpdate) {
+                                   answer.append(bytes);
+                                 }
+                               },
+                           .on_end = [this] { OnAnswer(); },
+                           .on_failed = [this](exchange_failure) { Done(); },
+                           .on_drained = {},
+                           .is_answer = {}});
+    asking->FinishBody();
+    limit_timer.StartOnce(kAnswerLimit, [this] {
+      asking->Cancel();
+      Done();
+    });
+  }
+
+  void Done() {
+    limit_timer.Stop();
+    finished = std::move(asking);
+  }
+
+  void OnAnswer() {
+    Done();
+    if (!answer_ok) {
+      return;
+    }
+    const auto update = Decode(answer);
+    if (!update) {
+      board.log.OnChange("items.damaged", {{"peer", asked.ToString()}, {"bytes", answer.size()}});
+      return;
+    }
+    if (update->complete_to > board.items.complete_to()) {
+      board.log.OnChange("items.from_peer", {{"peer", asked.ToString()},
+                                             {"from", board.items.complete_to()},
+                                             {"to", update->complete_to},
+                                             {"items", update->items.size()}});
+      on_update(*update);
+    }
+  }
+};
+
+item_exchange::item_exchange(relay_board& board, update_hook on_update)
+    : state_(std::make_unique<state>(board, std::move(on_update))) {}
+
+item_exchange::~item_exchange() = default;
+
+void item_exchange::SetPlatformHeard(bool heard) { state_->platform_heard = heard; }
+
+void item_exchange::OnRequest(server_exchange& peer) const {
+  const std::string& target = peer.request().target;
+  const auto mark = target.find("after=");
+  const auto after = mark == std::string::npos
+                         ? std::optional<std::int64_t>(0)
+                         : ParseDecimal(std::string_view(target).substr(mark + 6));
+  http_head head = MakeAnswer(kOk, "OK");
+  peer.Answer(std::move(head),
+              Encode(state_->board.items.UpdateSince(static_cast<std::uint64_t>(after.value_or(0)))));
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/peer_headers.cpp
@@ -0,0 +1,110 @@
+#include "cuminferry_relay/path/peer_headers.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+namespace cuminferry {
+namespace {
+
+constexpr double kMilli = 1000.0;
+
+constexpr std::array<std::pair<relay_outcome, std::string_view>, 7> kOutcomes{{
+    {relay_outcome::kFull, "full"},
+    {relay_outcome::kLeaving, "leaving"},
+    {relay_outcome::kDown, "down"},
+    {relay_outcome::kTurnedAway, "turned-away"},
+    {relay_outcome::kLost, "lost"},
+    {relay_outcome::kDamaged, "damaged"},
+    {relay_outcome::kTimedOut, "timed-out"},
+}};
+
+// Reads whole numbers separated by commas; false where one is something else.
+bool ParseNumbers(std::string_view text, std::span<std::int64_t> into) {
+  const std::vector<std::string_view> parts = SplitText(text, ',');
+  if (parts.size() < into.size()) {
+    return false;
+  }
+  for (std::size_t i = 0; i < into.size(); ++i) {
+    const auto number = ParseWhole<std::int64_t>(parts[i]);
+    if (!number) {
+      return false;
+    }
+    into[i] = *number;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string call_header::ToText() const {
+  return fmt::format("{},{},{},{},{},{}", priority, static_cast<int>(repeat), nested ? 1 : 0,
+                     objective.count(), objective_left.count(), row);
+}
+
+std::optional<call_header> call_header::Parse(std::string_view text) {
+  std::array<std::int64_t, 5> numbers{};
+  if (!ParseNumbers(text, numbers) || numbers[0] < 0 || numbers[1] < 0 ||
+      numbers[1] > static_cast<int>(repeat_rule::kUpload)) {
+    return std::nullopt;
+  }
+  const std::vector<std::string_view> parts = SplitText(text, ',', 6);
+  if (parts.size() != 6) {
+    return std::nullopt;
+  }
+  return call_header{.row = std::string(parts[5]),
+                     .priority = static_cast<std::uint32_t>(numbers[0]),
+                     .repeat = static_cast<repeat_rule>(numbers[1]),
+                     .nested = numbers[2] != 0,
+                     .objective = duration(numbers[3]),
+                     .objective_left = duration(numbers[4])};
+}
+
+std::string load_header::ToText() const {
+  return fmt::format("{},{},{},{},{},{},{},{}", report.running, report.waiting, report.limit,
+                     report.service_time.count(), static_cast<int>(report.success * kMilli),
+                     static_cast<int>(level * kMilli), from_clients ? 1 : 0, items_revision);
+}
+
+std::optional<load_header> load_header::Parse(std::string_view text) {
+  std::array<std::int64_t, 8> numbers{};
+  if (!ParseNumbers(text, numbers)) {
+    return std::nullopt;
+  }
+  return load_header{
+      .report = {.running = static_cast<std::uint32_t>(numbers[0]),
+                 .waiting = static_cast<std::uint32_t>(numbers[1]),
+                 .limit = static_cast<std::uint32_t>(std::max<std::int64_t>(1, numbers[2])),
+                 .service_time = duration(numbers[3]),
+                 .success = static_cast<double>(numbers[4]) / kMilli},
+      .level = static_cast<double>(numbers[5]) / kMilli,
+      .from_clients = numbers[6] != 0,
+      .items_revision = static_cast<std::uint64_t>(numbers[7])};
+}
+
+std::string_view ToText(relay_outcome outcome) {
+  const auto* found = std::find_if(kOutcomes.begin(), kOutcomes.end(),
+                                   [outcome](const auto& known) { return known.first == outcome; });
+  return found->second;
+}
+
+std::optional<relay_outcome> ParseOutcome(std::string_view text) {
+  const auto* found = std::find_if(kOutcomes.begin(), kOutcomes.end(),
+                                   [text](const auto& known) { return known.second == text; });
+  return found == kOutcomes.end() ? std::nullopt : std::optional<relay_outcome>(found->first);
+}
+
+bool SurelyNotRun(relay_outcome outcome) {
+  return outcome == relay_outcome::kFull || outcome == relay_outcome::kLeaving ||
+         outcome == relay_outcome::kDown || outcome == relay_outcome::kTurnedAway;
+}
+
+bool ReachedBackend(relay_outcome outcome) {
+  return outcome != relay_outcome::kFull && outcome != relay_outcome::kLeaving &&
+         outcome != relay_outcome::kDown;
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cuminferry_policy/cuminferry_policy.h"
+#include "cuminferry_table/cuminferry_table.h"
+
+namespace cuminferry {
+
+/** Fields that nodes add for each other and remove again. */
+inline constexpr std::string_view kCallField = "Relay-Call";
+inline constexpr std::string_view kLoadField = "Relay-Load";
+inline constexpr std::string_view kOutcomeField = "Relay-Outcome";
+/** Path under which a node gives its copy of the published items. */
+inline constexpr std::string_view kItemsPath = "/relay/items";
+
+/** What the entry tells the target's node of a request. */
+struct call_header {
+  std::string row;
+  std::uint32_t priority = 0;
+  repeat_rule repeat = repeat_rule::kOnce;
+  /** Clients don't send this row: it belongs to work that already runs. */
+  bool nested = false;
+  duration objective{};
+  duration objective_left{};
+
+  std::string ToText() const;
+  static std::optional<call_header> Parse(std::string_view text);
+};
+
+/** What a target's node tells with each answer. */
+struct load_header {
+  target_report report;
+  /** @see admission_level */
+  double level = 0.0;
+  bool from_clients = false;
+  /** The node's copy of the published items is complete to this revision. */
+  std::uint64_t items_revision = 0;
+
+  std::string ToText() const;
+  static std::optional<load_header> Parse(std::string_view text);
+};
+
+/** Why a target's node has no answer of its backend server. */
+enum class relay_outcome : std::uint8_t {
+  /** The gate has no room within the time left. */
+  kFull,
+  /** The backend server or its node is leaving. */
+  kLeaving,
+  /** No connection to the backend server. */
+  kDown,
+  /** The backend server turned the request away, unrun. */
+  kTurnedAway,
+  /** The connection was lost; the request may have run. */
+  kLost,
+  /** What came back is no answer; the request may have run. */
+  kDamaged,
+  /** No answer by the deadline; the request may have run. */
+  kTimedOut,
+};
+
+std::string_view ToText(relay_outcome outcome);
+std::optional<relay_outcome> ParseOutcome(std::string_view text);
+/** The request has not run and will not. */
+bool SurelyNotRun(relay_outcome outcome);
+/** The request came as far as the backend server. */
+bool ReachedBackend(relay_outcome outcome);
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -0,0 +1,101 @@
+#include "cuminferry_relay/path/relay_board.h"
+
+#include <utility>
+
+namespace cuminferry {
+namespace {
+
+// Nodes answer a connection attempt within a round trip; one that doesn't is cut
+// off, and the request can still go elsewhere in time.
+constexpr duration kPeerConnectLimit = std::chrono::milliseconds(300);
+// Keep-alive probes count in seconds: three are the least with two probes.
+constexpr duration kPeerSilenceLimit = std::chrono::seconds(3);
+// Nodes keep idle connections for as long as they live.
+constexpr duration kPeerIdleLimit = std::chrono::seconds(60);
+
+}  // namespace
+
+relay_board::relay_board(event_loop& loop, relay_settings chosen)
+    : loop(loop),
+      settings(std::move(chosen)),
+      random(random_source::FromMachine()),
+      log(loop, settings.instance) {}
+
+void relay_board::SetTable(std::shared_ptr<const route_table> table) { table_ = std::move(table); }
+
+void relay_board::SetInstances(const std::vector<service_instance>& instances) {
+  const instant now = loop.Now();
+  std::map<std::string, std::vector<published_target>> by_service;
+  std::set<endpoint> peers;
+  gone_.merge(serving_);
+  gone_.merge(leaving_);
+  serving_.clear();
+  leaving_.clear();
+  std::uint64_t own_revision = 0;
+  for (const service_instance& found : instances) {
+    gone_.erase(found.id);
+    const endpoint peer = PeerBeside(found.backend);
+    if (peer != settings.peer) {
+      peers.insert(peer);
+    }
+    if (found.backend == settings.backend && found.revision >= own_revision) {
+      own_revision = found.revision;
+      own_slots_ = found.slots;
+    }
+    std::vector<published_target>& targets = by_service[found.service];
+    if (found.leaving) {
+      leaving_.insert(found.id);
+      continue;
+    }
+    serving_.insert(found.id);
+    targets.push_back({.id = found.id,
+                       .backend = found.backend,
+                       .failure_domain = found.failure_domain,
+                       .slots = found.slots,
+                       .warm_from = now + found.cold_for});
+  }
+  for (auto& [service, picker] : pickers_) {
+    by_service.try_emplace(service);
+  }
+  for (const auto& [service, targets] : by_service) {
+    pickers_[service].SetTargets(targets);
+  }
+  peers_.assign(peers.begin(), peers.end());
+  std::erase_if(clients_, [&](const auto& item) { return !peers.contains(item.first) &&
+                                                         item.first != settings.peer; });
+  for (auto& [service, budget] : budgets_) {
+    budget.SetNodes(peers_.size() + 1);
+  }
+}
+
+target_picker& relay_board::PickerOf(const std::string& service) { return pickers_[service]; }
+
+repeat_budget& relay_board::BudgetOf(const std::string& service) {
+  auto found = budgets_.find(service);
+  if (found == budgets_.end()) {
+    found = budgets_
+                .emplace(service, repeat_budget(settings.repeat_ratio, settings.repeat_allowance,
+                                                settings.repeat_window))
+                .first;
+    found->second.SetNodes(peers_.size() + 1);
+  }
+  return found->second;
+}
+
+endpoint relay_board::PeerBeside(const endpoint& backend) const {
+  return {.address = backend.address, .port = settings.peer.port};
+}
+
+http_client& relay_board::ClientFor(const endpoint& peer) {
+  std::unique_ptr<http_client>& client = clients_[peer];
+  if (!client) {
+    client = std::make_unique<http_client>(
+        loop, peer,
+        http_client::options{.connect_limit = kPeerConnectLimit,
+                             .silence_limit = kPeerSilenceLimit,
+                             .idle_limit = kPeerIdleLimit});
+  }
+  return *client;
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "cuminferry_fleet/cuminferry_fleet.h"
+#include "cuminferry_relay/http/http_client.h"
+#include "cuminferry_relay/path/decision_log.h"
+#include "cuminferry_relay/path/peer_headers.h"
+#include "cuminferry_relay/path/relay_metrics.h"
+#include "cuminferry_relay/path/relay_settings.h"
+
+namespace cuminferry {
+
+/** What the parts of a relay node know in common: each part reads and writes
+    its sections, and none calls another. All on one loop's thread. */
+class relay_board {
+ public:
+  relay_board(event_loop& loop, relay_settings settings);
+  relay_board(const relay_board&) = delete;
+  relay_board& operator=(const relay_board&) = delete;
+
+  //============================================================================
+  // What is published.
+
+  void SetTable(std::shared_ptr<const route_table> table);
+  /** nullptr before the first version is known. */
+  const std::shared_ptr<const route_table>& table() const { return table_; }
+  /** Targets and the own backend server, from the instances that are listed. */
+  void SetInstances(const std::vector<service_instance>& instances);
+  /** Services that have instances. */
+  std::size_t service_count() const { return pickers_.size(); }
+  /** Whether an instance may get requests; unknown ones may not. */
+  bool IsServing(std::string_view instance_id) const { return serving_.contains(instance_id); }
+  /** Whether an instance was said to leave or is no longer listed. */
+  bool IsLeaving(std::string_view instance_id) const {
+    return leaving_.contains(instance_id) || gone_.contains(instance_id);
+  }
+  std::uint32_t own_slots() const { return own_slots_; }
+  /** Other nodes, by the addresses that they serve each other at. */
+  const std::vector<endpoint>& peers() const { return peers_; }
+
+  //============================================================================
+  target_picker& PickerOf(const std::string& service);
+  repeat_budget& BudgetOf(const std::string& service);
+  /** The node beside a backend server. */
+  endpoint PeerBeside(const endpoint& backend) const;
+  http_client& ClientFor(const endpoint& peer);
+
+  event_loop& loop;
+  const relay_settings settings;
+  random_source random;
+  decision_log log;
+  relay_metrics metrics;
+
+  item_replica items;
+  /** The highest revision that any answer has told, and who told it. */
+  std::uint64_t heard_revision = 0;
+  endpoint heard_from;
+
+  entry_admission admission;
+  row_causes causes;
+  row_origins origins;
+
+  bool draining = false;
+
+ private:
+  std::shared_ptr<const route_table> table_;
+  std::map<std::string, target_picker> pickers_;
+  std::map<std::string, repeat_budget> budgets_;
+  std::map<endpoint, std::unique_ptr<http_client>> clients_;
+  std::vector<endpoint> peers_;
+  std::set<std::string, std::less<>> serving_;
+  std::set<std::string, std::less<>> leaving_;
+  std::set<std::string, std::less<>> gone_;
+  std::uint32_t own_slots_ = 0;
+};
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -0,0 +1,121 @@
+#include "cuminferry_relay/path/relay_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+
+namespace cuminferry {
+namespace {
+
+// Seconds; from a local answer to the longest deadline in use.
+const prometheus::Histogram::BucketBoundaries kBuckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
+                                                       0.4,   0.8,  1.5,   3.0,  6.0};
+
+double Seconds(duration span) { return static_cast<double>(span.count()) / 1e6; }
+
+using family_of_counters = prometheus::Family<prometheus::Counter>;
+
+family_of_counters& MakeCounters(prometheus::Registry& registry, const char* name,
+                                 const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>& MakeHistograms(prometheus::Registry& registry,
+                                                          const char* name, const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+}  // namespace
+
+struct relay_metrics::state {
+  // The registry's own look-up hashes all labels; these are found by key.
+  struct row_counters {
+    prometheus::Counter* ends;
+    prometheus::Histogram* times;
+  };
+  struct served_counters {
+    prometheus::Counter* ends;
+    prometheus::Histogram* waits;
+    prometheus::Histogram* runs;
+  };
+
+  prometheus::Registry registry;
+  family_of_counters& requests{MakeCounters(
+      registry, "cuminferry_requests_total", "Requests that entered here, by row and outcome.")};
+  prometheus::Family<prometheus::Histogram>& request_times{
+      MakeHistograms(registry, "cuminferry_request_duration_seconds",
+                     "From a request's head to its last answer byte.")};
+  family_of_counters& served{MakeCounters(registry, "cuminferry_served_total",
+                                          "Requests for the own backend server.")};
+  prometheus::Family<prometheus::Histogram>& waits{MakeHistograms(
+      registry, "cuminferry_gate_wait_seconds", "Wait for a slot of the backend server.")};
+  prometheus::Family<prometheus::Histogram>& runs{MakeHistograms(
+      registry, "cuminferry_backend_duration_seconds", "Time in the backend server.")};
+  family_of_counters& repeats{MakeCounters(
+      registry, "cuminferry_repeats_total", "Requests sent to a further target, by service.")};
+  std::map<std::string, prometheus::Gauge*, std::less<>> gauges;
+  std::map<std::string, row_counters, std::less<>> by_row;
+  std::map<std::string, served_counters, std::less<>> by_served_row;
+};
+
+relay_metrics::relay_metrics() : state_(std::make_unique<state>()) {}
+relay_metrics::~relay_metrics() = default;
+
+void relay_metrics::OnRequestEnd(std::string_view row, std::string_view outcome, duration took) {
+  const std::string key = std::string(row) + "\n" + std::string(outcome);
+  auto found = state_->by_row.find(key);
+  if (found == state_->by_row.end()) {
+    const prometheus::Labels labels{{"row", std::string(row)}, {"outcome", std::string(outcome)}};
+    found = state_->by_row
+                .emplace(key, state::row_counters{
+                                  .ends = &state_->requests.Add(labels),
+                                  .times = &state_->request_times.Add(labels, kBuckets)})
+                .first;
+  }
+  found->second.ends->Increment();
+  found->second.times->Observe(Seconds(took));
+}
+
+void relay_metrics::OnServed(std::string_view row, std::string_view outcome, duration waited,
+                             duration ran) {
+  const std::string key = std::string(row) + "\n" + std::string(outcome);
+  auto found = state_->by_served_row.find(key);
+  if (found == state_->by_served_row.end()) {
+    const prometheus::Labels labels{{"row", std::string(row)}, {"outcome", std::string(outcome)}};
+    found =
+        state_->by_served_row
+            .emplace(key, state::served_counters{.ends = &state_->served.Add(labels),
+                                                 .waits = &state_->waits.Add(labels, kBuckets),
+                                                 .runs = &state_->runs.Add(labels, kBuckets)})
+            .first;
+  }
+  found->second.ends->Increment();
+  found->second.waits->Observe(Seconds(waited));
+  found->second.runs->Observe(Seconds(ran));
+}
+
+void relay_metrics::OnRepeat(std::string_view service) {
+  state_->repeats.Add({{"service", std::string(service)}}).Increment();
+}
+
+void relay_metrics::SetGauge(std::string_view name, double value) {
+  prometheus::Gauge*& gauge = state_->gauges[std::string(name)];
+  if (gauge == nullptr) {
+    gauge = &prometheus::BuildGauge()
+                 .Name(std::string(name))
+                 .Help("State at the time of reading.")
+                 .Register(state_->registry)
+                 .Add({});
+  }
+  gauge->Set(value);
+}
+
+std::string relay_metrics::ToText() const {
+  return prometheus::TextSerializer().Serialize(state_->registry.Collect());
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry {
+
+/** Counters and histograms of a relay node, in Prometheus' text format. */
+class relay_metrics {
+ public:
+  relay_metrics();
+  ~relay_metrics();
+
+  /** A request that entered here ended. */
+  void OnRequestEnd(std::string_view row, std::string_view outcome, duration took);
+  /** A request of the own backend server ended, or was turned away. */
+  void OnServed(std::string_view row, std::string_view outcome, duration waited, duration ran);
+  /** A request was sent to another target. */
+  void OnRepeat(std::string_view service);
+
+  /** Sets a value that is read now. */
+  void SetGauge(std::string_view name, double value);
+
+  std::string ToText() const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -0,0 +1,266 @@
+#include "cuminferry_relay/path/relay_node.h"
+
+#include <unordered_map>
+#include <utility>
+
+#include "cuminferry_relay/http/http_server.h"
+#include "cuminferry_relay/path/item_exchange.h"
+#include "cuminferry_relay/path/outbound_call.h"
+#include "cuminferry_relay/path/serving_side.h"
+
+namespace cuminferry {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+// Silent connections of clients and peers are noticed within this.
+constexpr duration kSilenceLimit = std::chrono::seconds(3);
+constexpr duration kListPeriod = std::chrono::milliseconds(250);
+// The platform asks once a second whether a node is ready and takes it out after
+// two misses: until then clients still send here.
+constexpr duration kNoticeTime = std::chrono::milliseconds(2'300);
+constexpr duration kDrainPeriod = std::chrono::milliseconds(50);
+// Left of the grace for what remains after the last answer.
+constexpr duration kGraceMargin = std::chrono::milliseconds(300);
+
+// What other nodes may send is bounded by what clients may send to them.
+constexpr std::size_t kLargestPeerHead = 80 * 1024;
+constexpr std::uint64_t kLargestPeerBody = std::uint64_t{1} << 40;
+constexpr duration kPeerIdleTime = std::chrono::seconds(90);
+
+}  // namespace
+
+struct relay_node::state {
+  relay_board board;
+  table_reader read_table;
+  instance_reader read_instances;
+  instance_list instances;
+  serving_side serving;
+  item_exchange exchange;
+  loop_timer list_timer;
+  loop_timer drain_timer;
+  std::unordered_map<outbound_call*, std::shared_ptr<outbound_call>> calls;
+  std::unique_ptr<http_server> outbound;
+  std::unique_ptr<http_server> peer;
+  std::unique_ptr<http_server> ready;
+  std::unique_ptr<http_server> metrics;
+  bool platform_heard = false;
+  instant drain_began{};
+  std::function<void()> on_drained;
+
+  state(event_loop& loop, relay_settings settings, table_reader read_table,
+        instance_reader read_instances)
+      : board(loop, std::move(settings)),
+        read_table(std::move(read_table)),
+        read_instances(std::move(read_instances)),
+        serving(board),
+        exchange(board, [this](const item_update& update) { TakeItems(update); }),
+        list_timer(loop),
+        drain_timer(loop) {}
+
+  absl::Status Listen() {
+    const relay_settings& at = board.settings;
+    const http_limits peer_limits{.largest_head = kLargestPeerHead,
+                                  .largest_body = kLargestPeerBody,
+                                  .head_time = kSilenceLimit,
+                                  .idle_time = kPeerIdleTime};
+    const auto listen = [&](std::unique_ptr<http_server>& into, const endpoint& address,
+                            const http_limits& limits, http_server::request_hook hook) {
+      auto server = http_server::Listen(board.loop, {.at = address,
+                                                     .limits = limits,
+                                                     .silence_limit = kSilenceLimit,
+                                                     .on_request = std::move(hook)});
+      if (server.ok()) {
+        into = std::move(*server);
+      }
+      return server.status();
+    };
+    absl::Status status =
+        listen(peer, at.peer, peer_limits, [this](auto request) { OnPeerRequest(request); });
+    status.Update(listen(metrics, at.metrics, {}, [this](auto request) { OnMetrics(*request); }));
+    status.Update(listen(ready, at.ready, {}, [this](auto request) { OnReadyQuestion(*request); }));
+    status.Update(listen(outbound, at.outbound, {}, [this](auto request) { OnOutbound(request); }));
+    list_timer.StartPeriodic(kListPeriod, [this] {
+      if (instances.Expire(board.loop.Now())) {
+        ApplyInstances();
+      }
+    });
+    return status;
+  }
+
+  //============================================================================
+  void OnOutbound(std::shared_ptr<server_exchange> request) {
+    auto call = outbound_call::Make(board, std::move(request),
+                                    [this](outbound_call* ended) { calls.erase(ended); });
+    calls.emplace(call.get(), call);
+    call->Run();
+  }
+
+  void OnPeerRequest(std::shared_ptr<server_exchange> request) {
+    if (request->request().target.starts_with(kItemsPath)) {
+      exchange.OnRequest(*request);
+    } else {
+      serving.OnRequest(std::move(request));
+    }
+  }
+
+  bool IsReady() const { return board.table() != nullptr && !board.draining; }
+
+  void OnReadyQuestion(server_exchange& request) const {
+    if (!request.request().target.starts_with(board.settings.ready_path)) {
+      request.Answer(MakeAnswer(kNotFound, "Not Found"), "");
+    } else if (IsReady()) {
+      request.Answer(MakeAnswer(kOk, "OK"), "ready\n");
+    } else {
+      request.Answer(MakeAnswer(kUnavailable, "Service Unavailable"), "not ready\n");
+    }
+  }
+
+  void OnMetrics(server_exchange& request) {
+    board.metrics.SetGauge("cuminferry_open_requests", static_cast<double>(calls.size()));
+    board.metrics.SetGauge("cuminferry_serving_requests",
+                           static_cast<double>(serving.in_progress()));
+    board.metrics.SetGauge("cuminferry_items_revision",
+                           static_cast<double>(board.items.complete_to()));
+    board.metrics.SetGauge("cuminferry_platform_heard", platform_heard ? 1.0 : 0.0);
+    http_head head = MakeAnswer(kOk, "OK");
+    head.Set("Content-Type", "text/plain; version=0.0.4");
+    request.Answer(std::move(head), board.metrics.ToText());
+  }
+
+  //============================================================================
+  void TakeItems(const item_update& update) {
+    const std::vector<std::string> changed = board.items.Apply(update);
+    if (changed.empty()) {
+      return;
+    }
+    ApplyTable();
+    if (instances.Update(read_instances(board.items), board.loop.Now())) {
+      ApplyInstances();
+    }
+  }
+
+  void ApplyTable() {
+    const auto table = read_table(board.items);
+    if (!table.ok()) {
+      board.log.OnChange("table.refused", {{"error", std::string(table.status().message())}});
+      return;
+    }
+    const auto& known = board.table();
+    // Never back: clients that saw an edit in force would see it undone.
+    if (!*table || (known && (*table)->version() <= known->version())) {
+      return;
+    }
+    board.log.OnChange("table.in_force", {{"from", known ? known->version() : 0},
+                                          {"to", (*table)->version()},
+                                          {"rows", (*table)->routes().size()},
+                                          {"items_revision", board.items.complete_to()}});
+    board.SetTable(*table);
+    const client_limits& limits = (*table)->limits();
+    outbound->SetLimits({.largest_head = limits.head_bytes,
+                         .largest_body = limits.body_bytes,
+                         .head_time = limits.head_time,
+                         .idle_time = limits.idle_time});
+    serving.OnBoardChanged();
+  }
+
+  void ApplyInstances() {
+    const std::vector<service_instance> all = instances.All();
+    board.SetInstances(all);
+    std::size_t leaving = 0;
+    for (const service_instance& instance : all) {
+      leaving += instance.leaving ? 1 : 0;
+    }
+    board.log.OnChange("instances.changed", {{"listed", all.size()},
+                                             {"leaving", leaving},
+                                             {"own_slots", board.own_slots()},
+                                             {"items_revision", board.items.complete_to()}});
+    serving.OnBoardChanged();
+  }
+
+  //============================================================================
+  void OnDrainPeriod() {
+    const duration passed = board.loop.Now() - drain_began;
+    const bool idle = calls.empty() && serving.in_progress() == 0 &&
+                      outbound->open_requests() == 0 && peer->open_requests() == 0;
+    const bool noticed = passed >= kNoticeTime;
+    if ((noticed && idle) || passed >= board.settings.grace - kGraceMargin) {
+      drain_timer.Stop();
+      board.log.OnChange("process.stopped", {{"open_requests", calls.size()},
+                                             {"serving", serving.in_progress()},
+                                             {"after_us", passed.count()}});
+      board.log.Flush();
+      on_drained();
+    }
+  }
+};
+
+//==============================================================================
+relay_node::builder& relay_node::builder::WithSettings(relay_settings settings) {
+  settings_ = std::move(settings);
+  return *this;
+}
+
+relay_node::builder& relay_node::builder::WithTableReader(table_reader reader) {
+  read_table_ = std::move(reader);
+  return *this;
+}
+
+relay_node::builder& relay_node::builder::WithInstanceReader(instance_reader reader) {
+  read_instances_ = std::move(reader);
+  return *this;
+}
+
+absl::StatusOr<std::unique_ptr<relay_node>> relay_node::builder::Start() {
+  auto made = std::make_unique<state>(loop_, std::move(settings_), std::move(read_table_),
+                                      std::move(read_instances_));
+  const absl::Status listening = made->Listen();
+  if (!listening.ok()) {
+    return listening;
+  }
+  made->board.log.OnChange("process.started",
+                           {{"service", made->board.settings.service},
+                            {"failure_domain", made->board.settings.failure_domain},
+                            {"outbound", made->board.settings.outbound.ToString()},
+                            {"peer", made->board.settings.peer.ToString()}});
+  return std::unique_ptr<relay_node>(new relay_node(std::move(made)));
+}
+
+relay_node::relay_node(std::unique_ptr<state> state) : state_(std::move(state)) {}
+relay_node::~relay_node() = default;
+
+void relay_node::OnItems(const item_update& update) { state_->TakeItems(update); }
+
+void relay_node::OnPlatform(bool heard) {
+  state_->exchange.SetPlatformHeard(heard);
+  if (heard == state_->platform_heard) {
+    return;
+  }
+  state_->platform_heard = heard;
+  if (heard) {
+    state_->instances.OnPlatformReturned(state_->board.loop.Now());
+  }
+  state_->board.log.OnChange(heard ? "platform.regained" : "platform.lost",
+                             {{"items_revision", state_->board.items.complete_to()}});
+}
+
+std::uint64_t relay_node::items_revision() const { return state_->board.items.complete_to(); }
+
+void relay_node::Drain(std::function<void()> on_drained) {
+  if (state_->board.draining) {
+    return;
+  }
+  state_->board.draining = true;
+  state_->drain_began = state_->board.loop.Now();
+  state_->on_drained = std::move(on_drained);
+  state_->board.log.OnChange("process.draining", {{"open_requests", state_->calls.size()},
+                                                  {"serving", state_->serving.in_progress()}});
+  state_->outbound->Drain();
+  state_->drain_timer.StartPeriodic(kDrainPeriod, [this] { state_->OnDrainPeriod(); });
+}
+
+decision_log& relay_node::log() { return state_->board.log; }
+
+}  // namespace cuminferry
--- a/extras/trial/link_fault_control.cpp
+++ b/tests/link_faults/link_fault_control.cpp
@@ -1,4 +1,4 @@
-#include "trial/link_fault_control.h"
+#include "link_faults/link_fault_control.h"
 
 #include <fcntl.h>
 #include <sys/mman.h>
--- a/extras/trial/link_fault_control.h
+++ b/tests/link_faults/link_fault_control.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
-#include "trial/link_fault_table.h"
+#include "link_faults/link_fault_table.h"
 
 namespace cuminferry::trial {
 
--- a/extras/trial/link_faults.cpp
+++ b/tests/link_faults/link_faults.cpp
@@ -15,7 +15,7 @@
 #include <cerrno>
 #include <cstdlib>
 
-#include "trial/link_fault_table.h"
+#include "link_faults/link_fault_table.h"
 
 namespace {
 
