--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -11,8 +11,13 @@
 // Time lost by a request that fails: what its retry waits and runs again, as a
 // multiple of the target's own time.
 constexpr double kFailureCost = 20.0;
-// A request to another failure domain: the way there and back.
-constexpr double kOtherDomainMicros = 1'500.0;
+// A request to another failure domain: the way there and back, and a part of the
+// target's own time. What crosses between failure domains is paid for, and an
+// answer within its objective is worth no more for being earlier.
+constexpr double kOtherDomainMicros = 3'000.0;
+constexpr double kOtherDomainPart = 0.4;
+// A target whose node stops gets requests only where there is no other.
+constexpr double kStoppingMicros = 2'000'000.0;
 // A cold target takes about twice as long.
 constexpr double kColdFactor = 2.0;
 // How much dearer a target is whose slots are all taken, before any wait. Spreads
@@ -57,8 +62,11 @@
   const double fill = std::min(1.0, there / limit);
   const double wait = std::max(0.0, there + 1.0 - limit) / limit * service;
   const double success = std::max(kLeastSuccess, fresh ? state.report.success : 1.0);
-  const double network = state.target.failure_domain == own_domain ? 0.0 : kOtherDomainMicros;
-  return network + service * (1.0 + kFillWeight * fill * fill) + wait +
+  const double network = state.target.failure_domain == own_domain
+                             ? 0.0
+                             : kOtherDomainMicros + kOtherDomainPart * service;
+  const double stopping = fresh && state.report.stopping ? kStoppingMicros : 0.0;
+  return stopping + network + service * (1.0 + kFillWeight * fill * fill) + wait +
          (1.0 / success - 1.0) * kFailureCost * service;
 }
 
--- a/modules/cuminferry_policy/retries/repeat_budget.cpp
+++ b/modules/cuminferry_policy/retries/repeat_budget.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 repeat_budget::repeat_budget(double ratio, double allowance, duration window)
-    : ratio_(ratio), allowance_(allowance), window_(window), balance_(1.0) {}
+    : ratio_(ratio), allowance_(allowance), window_(window), balance_(1.0 + kKeptForWhole) {}
 
 void repeat_budget::SetNodes(std::size_t nodes) { nodes_ = std::max<std::size_t>(1, nodes); }
 
@@ -24,7 +24,7 @@
     balance_ += part * passed;
   }
   refilled_ = now;
-  balance_ = std::min(balance_, std::max(1.0, part) + 1.0);
+  balance_ = std::min(balance_, std::max(1.0, part) + 1.0 + kKeptForWhole);
 }
 
 void repeat_budget::OnFirstSend(instant now) {
@@ -32,9 +32,9 @@
   balance_ += ratio_ * kEarnedPart;
 }
 
-bool repeat_budget::TakeOne(instant now) {
+bool repeat_budget::TakeOne(bool nested, instant now) {
   Refill(now);
-  if (balance_ < 1.0) {
+  if (balance_ < (nested ? 1.0 + kKeptForWhole : 1.0)) {
     return false;
   }
   balance_ -= 1.0;
--- a/modules/cuminferry_policy/retries/repeat_budget.h
+++ b/modules/cuminferry_policy/retries/repeat_budget.h
@@ -27,8 +27,15 @@
   void SetNodes(std::size_t nodes);
 
   void OnFirstSend(instant now);
-  /** Takes one repeat; false where the budget is spent. */
-  bool TakeOne(instant now);
+  /** Takes one repeat; false where the budget is spent.
+      @param nested  the request is one of several that its parent needs, and any
+                     of them may fail: where repeats are short they go to
+                     requests that are whole with this answer, so a part of the
+                     balance is kept for those */
+  bool TakeOne(bool nested, instant now);
+
+  /** Kept for requests that are not nested. */
+  static constexpr double kKeptForWhole = 1.0;
 
  private:
   void Refill(instant now);
--- a/modules/cuminferry_policy/serving/slot_gate.cpp
+++ b/modules/cuminferry_policy/serving/slot_gate.cpp
@@ -1,12 +1,14 @@
 #include "cuminferry_policy/serving/slot_gate.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cuminferry {
 namespace {
 
 // Until the first runs have ended.
 constexpr double kAssumedServiceMicros = 20'000.0;
+constexpr std::uint64_t kLastId = std::numeric_limits<std::uint64_t>::max();
 // Weight of one run in the mean: the last hundred count, some hundred ms of a
 // small backend server under load.
 constexpr double kServiceWeight = 0.01;
@@ -38,7 +40,7 @@
 }
 
 duration slot_gate::ExpectedWait(instant give_up) const {
-  const auto ahead = std::distance(queue_.begin(), queue_.lower_bound({give_up, 0}));
+  const auto ahead = std::distance(queue_.begin(), queue_.upper_bound({give_up, kLastId}));
   const double turns = static_cast<double>(ahead + 1) / limit_;
   return duration(static_cast<duration::rep>(turns * service_micros_));
 }
--- a/modules/cuminferry_relay/path/decision_log.cpp
+++ b/modules/cuminferry_relay/path/decision_log.cpp
@@ -9,6 +9,12 @@
 #include <utility>
 
 namespace cuminferry {
+namespace {
+
+// A pipe takes this much at once; a longer write may be cut by its reader.
+constexpr std::size_t kLargestBatch = 16 * 1024;
+
+}  // namespace
 
 struct decision_log::state {
   event_loop& loop;
@@ -51,6 +57,14 @@
     line.update(detail);
     gathered += line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
     gathered += '\n';
+    if (gathered.size() >= kLargestBatch) {
+      HandOver();
+    }
+  }
+
+  void HandOver() {
+    logger->info(spdlog::string_view_t(gathered));
+    gathered.clear();
   }
 };
 
@@ -86,8 +100,7 @@
     state_->left_out = 0;
   }
   if (!state_->gathered.empty()) {
-    state_->logger->info(spdlog::string_view_t(state_->gathered));
-    state_->gathered.clear();
+    state_->HandOver();
   }
 }
 
--- a/modules/cuminferry_relay/path/decision_log.h
+++ b/modules/cuminferry_relay/path/decision_log.h
@@ -22,8 +22,8 @@
   /** Lines a second at most; requests, not changes of state, give way. */
   static constexpr double kLinesPerSecond = 400.0;
   static constexpr duration kFlushPeriod = std::chrono::milliseconds(200);
-  /** Batches that wait for the writer; 64 are about 13 s. */
-  static constexpr std::size_t kQueuedBatches = 64;
+  /** Batches that wait for the writer: 2 MB at most. */
+  static constexpr std::size_t kQueuedBatches = 128;
 
   decision_log(event_loop& loop, std::string instance);
   ~decision_log();
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -370,7 +370,7 @@
     if (!ReachedBackend(why)) {
       return true;
     }
-    if (reached >= route->attempts || !board.BudgetOf(service).TakeOne(now)) {
+    if (reached >= route->attempts || !board.BudgetOf(service).TakeOne(nested, now)) {
       return false;
     }
     board.metrics.OnRepeat(service);
--- a/modules/cuminferry_relay/path/peer_headers.cpp
+++ b/modules/cuminferry_relay/path/peer_headers.cpp
@@ -64,13 +64,14 @@
 }
 
 std::string load_header::ToText() const {
-  return fmt::format("{},{},{},{},{},{},{},{}", report.running, report.waiting, report.limit,
+  return fmt::format("{},{},{},{},{},{},{},{},{}", report.running, report.waiting, report.limit,
                      report.service_time.count(), static_cast<int>(report.success * kMilli),
-                     static_cast<int>(level * kMilli), from_clients ? 1 : 0, items_revision);
+                     static_cast<int>(level * kMilli), from_clients ? 1 : 0, items_revision,
+                     report.stopping ? 1 : 0);
 }
 
 std::optional<load_header> load_header::Parse(std::string_view text) {
-  std::array<std::int64_t, 8> numbers{};
+  std::array<std::int64_t, 9> numbers{};
   if (!ParseNumbers(text, numbers)) {
     return std::nullopt;
   }
@@ -79,7 +80,8 @@
                  .waiting = static_cast<std::uint32_t>(numbers[1]),
                  .limit = static_cast<std::uint32_t>(std::max<std::int64_t>(1, numbers[2])),
                  .service_time = duration(numbers[3]),
-                 .success = static_cast<double>(numbers[4]) / kMilli},
+                 .success = static_cast<double>(numbers[4]) / kMilli,
+                 .stopping = numbers[8] != 0},
       .level = static_cast<double>(numbers[5]) / kMilli,
       .from_clients = numbers[6] != 0,
       .items_revision = static_cast<std::uint64_t>(numbers[7])};
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -1,5 +1,6 @@
 #include "cuminferry_relay/path/relay_board.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cuminferry {
@@ -32,6 +33,7 @@
   serving_.clear();
   leaving_.clear();
   std::uint64_t own_revision = 0;
+  std::uint32_t slots_of_service = 0;
   for (const service_instance& found : instances) {
     gone_.erase(found.id);
     const endpoint peer = PeerBeside(found.backend);
@@ -42,6 +44,9 @@
       own_revision = found.revision;
       own_slots_ = found.slots;
     }
+    if (found.service == settings.service) {
+      slots_of_service = std::max(slots_of_service, found.slots);
+    }
     std::vector<published_target>& targets = by_service[found.service];
     if (found.leaving) {
       leaving_.insert(found.id);
@@ -54,6 +59,10 @@
                        .slots = found.slots,
                        .warm_from = now + found.cold_for});
   }
+  if (own_slots_ == 0) {
+    // Not listed, or no longer: it is taken to be like the others of its service.
+    own_slots_ = slots_of_service;
+  }
   for (auto& [service, picker] : pickers_) {
     by_service.try_emplace(service);
   }
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -64,7 +64,10 @@
   row_causes causes;
   row_origins origins;
 
+  /** SIGTERM came: the process ends within its grace. */
   bool draining = false;
+  /** Near the end of the drain: nothing more is taken for the own backend server. */
+  bool stopping = false;
 
  private:
   std::shared_ptr<const route_table> table_;
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -186,6 +186,8 @@
     const bool idle = calls.empty() && serving.in_progress() == 0 &&
                       outbound->open_requests() == 0 && peer->open_requests() == 0;
     const bool noticed = passed >= kNoticeTime;
+    // Until then the backend server may be the only one of its service.
+    board.stopping = noticed;
     if ((noticed && idle) || passed >= board.settings.grace - kGraceMargin) {
       drain_timer.Stop();
       board.log.OnChange("process.stopped", {{"open_requests", calls.size()},
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -29,6 +29,10 @@
 constexpr duration kDownTime = std::chrono::milliseconds(200);
 // The backend server's own answer at the deadline is waited for this long.
 constexpr duration kDeadlineSlack = std::chrono::milliseconds(50);
+// Until the own backend server is listed.
+constexpr std::uint32_t kAssumedSlots = 32;
+// Above all priorities, until a table says how many there are.
+constexpr double kNoLimit = 1'000.0;
 constexpr duration kExpiryPeriod = std::chrono::milliseconds(10);
 // Weight of one answer in the part of answers that were successes.
 constexpr double kSuccessWeight = 0.04;
@@ -38,8 +42,8 @@
 struct serving_side::state {
   relay_board& board;
   http_client backend;
-  slot_gate gate{1};
-  admission_level level{1.0};
+  slot_gate gate{kAssumedSlots};
+  admission_level level{kNoLimit};
   loop_timer level_timer;
   loop_timer expiry_timer;
   std::unordered_map<std::uint64_t, std::shared_ptr<call>> calls;
@@ -126,7 +130,8 @@
     level.SetTop(board.table()->largest_priority() + 1.0);
   }
   const duration wait = gate.TakeLongestWait(board.loop.Now());
-  level.Step(wait);
+  const double taken = static_cast<double>(gate.running()) / gate.limit();
+  level.Step(wait, taken, gate.service_time());
   if (level.open() != was_open) {
     was_open = level.open();
     board.log.OnChange(was_open ? "level.opened" : "level.lowered",
@@ -184,7 +189,8 @@
                      .waiting = gate.waiting(),
                      .limit = gate.limit(),
                      .service_time = gate.service_time(),
-                     .success = success},
+                     .success = success,
+                     .stopping = board.draining},
           .level = LevelOf(row),
           .from_clients = board.origins.ComesFromClients(row, board.service_count()),
           .items_revision = board.items.complete_to()};
@@ -208,7 +214,7 @@
     board.origins.OnArrival(about_.row, *caller);
   }
   const std::string* expected = request.Find(names.expected_instance);
-  if (board.draining || (expected != nullptr && board.IsLeaving(*expected))) {
+  if (board.stopping || (expected != nullptr && board.IsLeaving(*expected))) {
     TurnAway(relay_outcome::kLeaving);
     return;
   }
@@ -502,6 +508,7 @@
   const std::uint32_t slots = state_->board.own_slots();
   if (slots > 0) {
     state_->gate.SetSlots(slots);
+    state_->StartWaiting();
   }
 }
 
--- /dev/null
+++ b/tests/relay/admission_level_test.cpp
@@ -0,0 +1,74 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "cuminferry_policy/cuminferry_policy.h"
+
+namespace cuminferry::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration kService = milliseconds(20);
+constexpr double kTop = 3.0;
+
+}  // namespace
+
+class admission_level_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(admission_level_test);
+  CPPUNIT_TEST(Step_NoWait_StaysOpen);
+  CPPUNIT_TEST(Step_LongWaits_FallsByABoundedStep);
+  CPPUNIT_TEST(Step_LoadGone_OpensWithinASecond);
+  CPPUNIT_TEST(Step_FullSlotsWithoutWait_RisesSlowly);
+  CPPUNIT_TEST(SetTop_BeforeAnyTable_OpensToTheTablesTop);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Step_NoWait_StaysOpen() {
+    admission_level level(kTop);
+    level.Step(duration::zero(), 0.9, kService);
+    CPPUNIT_ASSERT(level.open());
+  }
+
+  void Step_LongWaits_FallsByABoundedStep() {
+    admission_level level(kTop);
+    level.Step(milliseconds(900), 1.0, kService);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kTop - admission_level::kFallPerStep, level.level(), 1e-9);
+  }
+
+  // A second of cut links drives the level down; then the load is a quarter of the slots. With
+  // the slow rise alone, maps were refused for seven seconds beside idle slots.
+  void Step_LoadGone_OpensWithinASecond() {
+    admission_level level(kTop);
+    for (int step = 0; step < 17; ++step) {
+      level.Step(milliseconds(400), 1.0, kService);
+    }
+    CPPUNIT_ASSERT(level.level() < 1.4);
+    for (int step = 0; step < 10; ++step) {
+      level.Step(duration::zero(), 0.2, kService);
+    }
+    CPPUNIT_ASSERT(level.open());
+  }
+
+  void Step_FullSlotsWithoutWait_RisesSlowly() {
+    admission_level level(kTop);
+    for (int step = 0; step < 10; ++step) {
+      level.Step(milliseconds(400), 1.0, kService);
+    }
+    const double low = level.level();
+    level.Step(duration::zero(), 0.95, kService);
+    CPPUNIT_ASSERT(level.level() - low <= admission_level::kRisePerStep + 1e-9);
+  }
+
+  // A node that starts knows no table yet. A level of its own making, told to others with the
+  // first answers, would turn farmers away beside an idle backend server.
+  void SetTop_BeforeAnyTable_OpensToTheTablesTop() {
+    admission_level level(1000.0);
+    level.Step(duration::zero(), 0.0, kService);
+    level.SetTop(kTop);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kTop, level.level(), 1e-9);
+    CPPUNIT_ASSERT(level.open());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_level_test);
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/relay/item_replica_test.cpp
@@ -0,0 +1,140 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+#include "cuminferry_fleet/cuminferry_fleet.h"
+#include "support/property.h"
+
+namespace cuminferry::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr instant kStart = FromMicros(1'000'000);
+
+published_item Item(std::string key, std::uint64_t revision) {
+  return {.key = std::move(key), .value = std::to_string(revision), .revision = revision};
+}
+
+published_item Removal(std::string key, std::uint64_t revision) {
+  return {.key = std::move(key), .value = {}, .revision = revision, .removed = true};
+}
+
+service_instance Instance(std::string id) {
+  return {.id = std::move(id), .service = "maps", .backend = {}, .failure_domain = "a"};
+}
+
+std::map<std::string, std::uint64_t> Content(const item_replica& replica) {
+  std::map<std::string, std::uint64_t> content;
+  for (const published_item* item : replica.FindAll("")) {
+    content[item->key] = item->revision;
+  }
+  return content;
+}
+
+}  // namespace
+
+class item_replica_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(item_replica_test);
+  CPPUNIT_TEST(Apply_OlderChangeAfterNewer_ChangesNothing);
+  CPPUNIT_TEST(Apply_WholeCopyWithoutAnItem_RemovesIt);
+  CPPUNIT_TEST(Apply_OldWholeCopyOfAnotherNode_BringsNothingBack);
+  CPPUNIT_TEST(UpdateSince_AnyMixOfSources_ReplicasAreEqual);
+  CPPUNIT_TEST(Update_MissingAfterThePlatformsReturn_IsKeptForAWhile);
+  CPPUNIT_TEST(Update_MissingWhileThePlatformIsCalm_IsGoneAtOnce);
+  CPPUNIT_TEST(Update_ListedAgainInTime_NeverWentAway);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Apply_OlderChangeAfterNewer_ChangesNothing() {
+    item_replica replica;
+    replica.Apply({.complete_to = 9, .whole = true, .items = {Item("k", 9)}});
+    CPPUNIT_ASSERT(replica.Apply({.complete_to = 5, .whole = false, .items = {Item("k", 5)}}).empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, replica.Find("k")->revision);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, replica.complete_to());
+  }
+
+  void Apply_WholeCopyWithoutAnItem_RemovesIt() {
+    item_replica replica;
+    replica.Apply({.complete_to = 9, .whole = true, .items = {Item("a", 3), Item("b", 9)}});
+    const auto changed =
+        replica.Apply({.complete_to = 12, .whole = true, .items = {Item("b", 9)}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changed.size());
+    CPPUNIT_ASSERT(replica.Find("a") == nullptr);
+  }
+
+  // A node that was cut off comes back and is asked before it has caught up. A backend server
+  // that left meanwhile would get requests again, and one at a reused address a stranger's.
+  void Apply_OldWholeCopyOfAnotherNode_BringsNothingBack() {
+    item_replica replica;
+    replica.Apply({.complete_to = 9, .whole = true, .items = {Item("left", 3), Item("b", 9)}});
+    replica.Apply({.complete_to = 12, .whole = true, .items = {Item("b", 9)}});
+    replica.Apply({.complete_to = 10, .whole = true, .items = {Item("left", 3), Item("b", 9)}});
+    CPPUNIT_ASSERT(replica.Find("left") == nullptr);
+  }
+
+  // Three nodes hear the platform in turns, with gaps, and otherwise each other, in any order.
+  // Once each has heard the last revision from anyone, all must hold what the platform holds.
+  void UpdateSince_AnyMixOfSources_ReplicasAreEqual() {
+    CheckProperty("replicas of any history are equal", [](std::uint64_t seed) {
+      random_source random(seed);
+      item_replica store;
+      std::vector<item_replica> nodes(3);
+      std::uint64_t revision = 0;
+      for (int step = 0; step < 200; ++step) {
+        const std::string key = "k" + std::to_string(random.Below(6));
+        ++revision;
+        const bool removal = store.Find(key) != nullptr && random.Below(3) == 0;
+        store.Apply({.complete_to = revision,
+                     .whole = false,
+                     .items = {removal ? Removal(key, revision) : Item(key, revision)}});
+        item_replica& node = nodes[random.Below(nodes.size())];
+        const item_replica& source =
+            random.Below(3) == 0 ? store : nodes[random.Below(nodes.size())];
+        item_update update = source.UpdateSince(random.Below(4) == 0 ? 0 : node.complete_to());
+        if (update.complete_to >= node.complete_to()) {
+          node.Apply(update);
+        }
+      }
+      for (item_replica& node : nodes) {
+        node.Apply(store.UpdateSince(node.complete_to()));
+        RC_ASSERT(Content(node) == Content(store));
+      }
+    });
+  }
+
+  // The platform's service was down for five seconds, and all entries lapsed with it. Taken at
+  // its word, its first list after that has no backend server for anybody.
+  void Update_MissingAfterThePlatformsReturn_IsKeptForAWhile() {
+    instance_list list;
+    list.Update({Instance("x"), Instance("y")}, kStart);
+    list.OnPlatformReturned(kStart + seconds(10));
+    list.Update({Instance("y")}, kStart + seconds(10));
+    CPPUNIT_ASSERT(list.Find("x") != nullptr);
+    CPPUNIT_ASSERT(list.Expire(kStart + seconds(10) + instance_list::kRelistTime));
+    CPPUNIT_ASSERT(list.Find("x") == nullptr);
+    CPPUNIT_ASSERT(list.Find("y") != nullptr);
+  }
+
+  void Update_MissingWhileThePlatformIsCalm_IsGoneAtOnce() {
+    instance_list list;
+    list.Update({Instance("x")}, kStart);
+    CPPUNIT_ASSERT(list.Update({}, kStart + seconds(10)));
+    CPPUNIT_ASSERT(list.Find("x") == nullptr);
+  }
+
+  void Update_ListedAgainInTime_NeverWentAway() {
+    instance_list list;
+    list.Update({Instance("x")}, kStart);
+    list.OnPlatformReturned(kStart);
+    list.Update({}, kStart + milliseconds(10));
+    list.Update({Instance("x")}, kStart + seconds(1));
+    CPPUNIT_ASSERT(!list.Expire(kStart + seconds(5)));
+    CPPUNIT_ASSERT(list.Find("x") != nullptr);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(item_replica_test);
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/relay/relay_failure_test.cpp
@@ -0,0 +1,210 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "relay/relay_fleet.h"
+
+namespace cuminferry::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+}  // namespace
+
+class relay_failure_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(relay_failure_test);
+  CPPUNIT_TEST(Answer_OfAnEarlierRequest_IsDropped);
+  CPPUNIT_TEST(Answer_CutShort_LooksCutToTheClient);
+  CPPUNIT_TEST(Answer_Unsigned_IsNotPassedOnAsSuccess);
+  CPPUNIT_TEST(Answer_BeforeTheBodyIsIn_IsPassedOnAtOnce);
+  CPPUNIT_TEST(Once_ConnectionLost_IsNotSentAgain);
+  CPPUNIT_TEST(Safe_ConnectionLost_GoesToAnotherTarget);
+  CPPUNIT_TEST(Once_TurnedAwayUnrun_IsRefusedWithAReturnTime);
+  CPPUNIT_TEST(Once_OtherInstanceAtTheAddress_IsNeverRun);
+  CPPUNIT_TEST(Target_Unreachable_RequestGoesElsewhere);
+  CPPUNIT_TEST(Timeout_TargetSilent_IsAnsweredInTime);
+  CPPUNIT_TEST(Client_LeavesSafeRequest_TargetIsToldSoon);
+  CPPUNIT_TEST(Client_LeavesFiledPermit_TargetFinishes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A backend server sends a second answer late, where the next one is due. The farmer who asks
+  // next would see a stranger's reading.
+  void Answer_OfAnEarlierRequest_IsDropped() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    fleet.target(0).on_request = [](scripted_target::conversation& now) {
+      if (now.number == 2) {
+        http_head stale = now.request;
+        stale.Set("Id", "old");
+        now.connection.Write(scripted_target::Answer(stale, "stranger's"));
+      }
+      now.connection.Write(scripted_target::Answer(now.request, "own"));
+    };
+    const auto first = fleet.Send(0, relay_fleet::Get("/safe/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return first->Has("own"); }));
+    const auto second = fleet.Send(0, relay_fleet::Get("/safe/x", "2"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return second->Has("own"); }));
+    CPPUNIT_ASSERT(!second->Has("stranger's"));
+  }
+
+  void Answer_CutShort_LooksCutToTheClient() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    std::unique_ptr<loop_timer> cut;
+    fleet.target(0).on_request = [&](scripted_target::conversation& now) {
+      now.connection.Write("HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\n\r\nhalf of");
+      now.connection.ResetOnClose();
+    };
+    const auto result = fleet.Send(0, relay_fleet::Get("/safe/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("half"); }));
+    // The node's deadline ends the answer that never ends itself.
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->ended; }));
+    CPPUNIT_ASSERT(result->reset);
+  }
+
+  void Answer_Unsigned_IsNotPassedOnAsSuccess() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    fleet.target(0).on_request = [](scripted_target::conversation& now) {
+      now.connection.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nbad");
+    };
+    const auto result = fleet.Send(0, relay_fleet::Post("/once/x", "1", "b"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(502, result->status());
+    CPPUNIT_ASSERT(!result->Has("bad\r\n"));
+    CPPUNIT_ASSERT(!result->Has("Retry-After"));
+  }
+
+  // A backend server rejects a long upload from its head alone. The cooperative's client goes on
+  // sending; it must get the answer and not a reset.
+  void Answer_BeforeTheBodyIsIn_IsPassedOnAtOnce() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    fleet.target(0).on_head = [](scripted_target::conversation& now) {
+      now.connection.Write(
+          "HTTP/1.1 413 Too Large\r\nId: 1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n");
+    };
+    const auto result = std::make_shared<client_result>();
+    const auto client = fleet.Connect(0, result);
+    const std::string whole = relay_fleet::Post("/once/x", "1", std::string(500'000, 'b'));
+    client->Write(std::string_view(whole).substr(0, 100'000));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(413, result->status());
+    CPPUNIT_ASSERT(result->Has("Connection: close"));
+    client->Write(std::string_view(whole).substr(100'000));
+    fleet.RunFor(milliseconds(50));
+    CPPUNIT_ASSERT(!result->reset);
+  }
+
+  // The connection breaks while a permit is being filed. Sent again it could be filed twice; said
+  // to be refused it could be filed once more by the farmer.
+  void Once_ConnectionLost_IsNotSentAgain() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    for (int node = 0; node < 2; ++node) {
+      fleet.target(node).on_request = [](scripted_target::conversation& now) {
+        now.connection.Write("garbage that is no answer\r\n\r\n");
+      };
+    }
+    const auto result = fleet.Send(0, relay_fleet::Post("/once/x", "1", "permit"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(502, result->status());
+    CPPUNIT_ASSERT(!result->Has("Retry-After"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.TotalRequests());
+  }
+
+  void Safe_ConnectionLost_GoesToAnotherTarget() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    fleet.target(0).on_request = [](scripted_target::conversation& now) {
+      now.connection.Write("garbage that is no answer\r\n\r\n");
+    };
+    const auto result = fleet.Send(0, relay_fleet::Get("/safe/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(200, result->status());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.target(1).ids.size());
+  }
+
+  void Once_TurnedAwayUnrun_IsRefusedWithAReturnTime() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    fleet.target(0).on_request = [](scripted_target::conversation& now) {
+      now.connection.Write(
+          "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    };
+    const auto result = fleet.Send(0, relay_fleet::Post("/once/x", "1", "permit"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(503, result->status());
+    CPPUNIT_ASSERT(result->Has("Retry-After"));
+  }
+
+  void Once_OtherInstanceAtTheAddress_IsNeverRun() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    fleet.target(0).on_request = [](scripted_target::conversation& now) {
+      now.connection.Write("HTTP/1.1 421 Other\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
+    };
+    const auto result = fleet.Send(0, relay_fleet::Post("/once/x", "1", "permit"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(503, result->status());
+  }
+
+  void Target_Unreachable_RequestGoesElsewhere() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    fleet.StopNode(0);
+    for (int i = 0; i < 5; ++i) {
+      const auto result =
+          fleet.Send(1, relay_fleet::Post("/once/x", std::to_string(i), "permit"));
+      CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+      CPPUNIT_ASSERT_EQUAL(200, result->status());
+    }
+  }
+
+  void Timeout_TargetSilent_IsAnsweredInTime() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    fleet.target(0).on_request = [](scripted_target::conversation&) {};
+    const instant began = fleet.loop().Now();
+    const auto result = fleet.Send(0, relay_fleet::Post("/short/x", "1", "permit"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(504, result->status());
+    CPPUNIT_ASSERT(fleet.loop().Now() - began < milliseconds(450));
+  }
+
+  // Farmers close the page. The backend server would go on working for nobody.
+  void Client_LeavesSafeRequest_TargetIsToldSoon() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    for (int node = 0; node < 2; ++node) {
+      fleet.target(node).on_request = [](scripted_target::conversation&) {};
+    }
+    const auto result = std::make_shared<client_result>();
+    auto client = fleet.Connect(0, result);
+    client->Write(relay_fleet::Get("/safe/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return fleet.TotalRequests() == 1; }));
+    client.reset();
+    CPPUNIT_ASSERT(fleet.RunUntil(
+        [&] {
+          return fleet.target(0).closed_while_running + fleet.target(1).closed_while_running == 1;
+        },
+        milliseconds(500)));
+  }
+
+  void Client_LeavesFiledPermit_TargetFinishes() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    fleet.target(0).on_request = [](scripted_target::conversation&) {};
+    const auto result = std::make_shared<client_result>();
+    auto client = fleet.Connect(0, result);
+    client->Write(relay_fleet::Post("/once/x", "1", "permit"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return fleet.TotalRequests() == 1; }));
+    client.reset();
+    fleet.RunFor(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(0, fleet.target(0).closed_while_running);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(relay_failure_test);
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/relay/relay_fleet.cpp
@@ -0,0 +1,313 @@
+#include "relay/relay_fleet.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cuminferry::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint16_t kOutboundPort = 18304;
+constexpr std::uint16_t kReadyPort = 18302;
+constexpr std::uint16_t kPeerPort = 17620;
+constexpr std::uint16_t kMetricsPort = 17621;
+constexpr std::uint16_t kBackendPort = 18301;
+constexpr std::uint16_t kNoPlatformPort = 1;
+constexpr std::size_t kLargestHead = 64 * 1024;
+constexpr duration kPoll = milliseconds(2);
+
+// Each fleet has loopback addresses of its own: connections of an earlier test
+// that linger in the kernel don't meet it.
+int NextBlock() {
+  static int last = 0;
+  return ++last;
+}
+
+constexpr std::uint32_t kLoopback = 0x7F3D0000;  // 127.61.0.0
+
+}  // namespace
+
+//==============================================================================
+struct scripted_target::session {
+  std::unique_ptr<tcp_connection> connection;
+  std::unique_ptr<message_reader> reader;
+  http_head head;
+  std::string body;
+  bool running = false;
+};
+
+struct scripted_target::state {
+  std::unique_ptr<tcp_listener> listener;
+  std::vector<std::unique_ptr<session>> sessions;
+};
+
+scripted_target::scripted_target(event_loop& loop, const endpoint& at)
+    : state_(std::make_unique<state>()) {
+  auto listener = tcp_listener::Listen(
+      loop, at, seconds(3), [this](std::unique_ptr<tcp_connection> connection) {
+        auto made = std::make_unique<session>();
+        session* const self = made.get();
+        made->connection = std::move(connection);
+        made->reader = std::make_unique<message_reader>(
+            message_reader::kind::kRequests, kLargestHead,
+            message_reader::hooks{
+                .on_head =
+                    [this, self](http_head head) {
+                      self->head = std::move(head);
+                      self->body.clear();
+                      self->running = true;
+                      const std::string* id = self->head.Find("Id");
+                      ids.push_back(id == nullptr ? "" : *id);
+                      heads.push_back(self->head);
+                      if (on_head) {
+                        conversation now{*self->connection, self->head, "",
+                                         static_cast<int>(ids.size())};
+                        on_head(now);
+                      }
+                    },
+                .on_body = [self](std::string_view bytes) { self->body += bytes; },
+                .on_message_end =
+                    [this, self] {
+                      conversation now{*self->connection, self->head, self->body,
+                                       static_cast<int>(ids.size())};
+                      if (on_request) {
+                        on_request(now);
+                      } else {
+                        self->connection->Write(Answer(self->head));
+                        self->running = false;
+                      }
+                    }});
+        self->connection->SetHooks({.on_data =
+                                        [self](std::string_view bytes) {
+                                          while (!bytes.empty()) {
+                                            const auto taken = self->reader->Read(bytes);
+                                            if (!taken.ok()) {
+                                              return;
+                                            }
+                                            bytes.remove_prefix(*taken);
+                                          }
+                                        },
+                                    .on_end =
+                                        [this, self](connection_end) {
+                                          --open_connections;
+                                          closed_while_running += self->running ? 1 : 0;
+                                        },
+                                    .on_drained = {},
+                                    .on_connected = {}});
+        ++open_connections;
+        state_->sessions.push_back(std::move(made));
+      });
+  if (listener.ok()) {
+    state_->listener = std::move(*listener);
+  }
+}
+
+scripted_target::~scripted_target() = default;
+
+std::string scripted_target::Answer(const http_head& request, std::string_view body) {
+  http_head answer;
+  answer.status = 200;
+  answer.reason = "OK";
+  answer.Set("Id", *request.Find("Id"));
+  answer.Set("Signature", "signed");
+  answer.framing = body_framing::kLength;
+  answer.length = body.size();
+  return answer.ToResponseText(false) + std::string(body);
+}
+
+//==============================================================================
+int client_result::status() const {
+  constexpr std::size_t kStatusAt = 9;
+  return bytes.size() < kStatusAt + 3 ? 0 : std::stoi(bytes.substr(kStatusAt, 3));
+}
+
+relay_fleet::relay_fleet(int nodes) : block_(NextBlock()) {
+  for (int node = 0; node < nodes; ++node) {
+    targets_.push_back(std::make_unique<scripted_target>(loop_, At(node, kBackendPort)));
+  }
+  for (int node = 0; node < nodes; ++node) {
+    auto started =
+        relay_node::builder(loop_)
+            .WithSettings(SettingsOf(node))
+            .WithTableReader([](const item_replica& items)
+                                 -> absl::StatusOr<std::shared_ptr<const route_table>> {
+              const published_item* item = items.Find("table");
+              if (item == nullptr) {
+                return std::shared_ptr<const route_table>();
+              }
+              return route_table::Make(*ParseWhole<std::uint64_t>(item->value), Routes(),
+                                       {{.name = kService}}, {});
+            })
+            .WithInstanceReader([this](const item_replica& items) {
+              std::vector<service_instance> listed;
+              for (const service_instance& instance : Instances()) {
+                if (items.Find("instance/" + instance.id) != nullptr) {
+                  listed.push_back(instance);
+                }
+              }
+              return listed;
+            })
+            .Start();
+    if (!started.ok()) {
+      throw std::runtime_error(std::string(started.status().message()));
+    }
+    nodes_.push_back(std::move(*started));
+  }
+}
+
+relay_fleet::~relay_fleet() {
+  clients_.clear();
+  nodes_.clear();
+  targets_.clear();
+  // Closed handles end in the loop's next turns.
+  RunFor(milliseconds(1));
+}
+
+endpoint relay_fleet::At(int node, std::uint16_t port) const {
+  const auto block = static_cast<std::uint32_t>(block_);
+  return {.address = kLoopback + (block << 8) + static_cast<std::uint32_t>(node) + 1,
+          .port = port};
+}
+
+relay_settings relay_fleet::SettingsOf(int node) const {
+  relay_settings settings;
+  settings.instance = "node-" + std::to_string(node);
+  settings.service = kService;
+  settings.failure_domain = "domain-" + std::to_string(node);
+  settings.outbound = At(node, kOutboundPort);
+  settings.ready = At(node, kReadyPort);
+  settings.ready_path = "/ready";
+  settings.peer = At(node, kPeerPort);
+  settings.metrics = At(node, kMetricsPort);
+  settings.metrics_path = "/metrics";
+  settings.backend = At(node, kBackendPort);
+  settings.platform = At(node, kNoPlatformPort);
+  settings.repeat_allowance = 1000;
+  settings.headers = {.request_id = "Id",
+                      .deadline = "Deadline",
+                      .expected_instance = "Instance",
+                      .caller_service = "Caller",
+                      .not_executed = "Not-Run",
+                      .signature = "Signature"};
+  return settings;
+}
+
+std::vector<service_instance> relay_fleet::Instances() const {
+  std::vector<service_instance> all;
+  for (std::size_t node = 0; node < targets_.size(); ++node) {
+    all.push_back({.id = "i-" + std::to_string(node),
+                   .service = kService,
+                   .backend = At(static_cast<int>(node), kBackendPort),
+                   .failure_domain = "domain-" + std::to_string(node),
+                   .slots = 20});
+  }
+  return all;
+}
+
+std::vector<http_route> relay_fleet::Routes() {
+  const auto route = [](std::string name, repeat_rule repeat, duration timeout) {
+    return http_route{.name = name,
+                      .host = "h",
+                      .prefix = "/" + name + "/",
+                      .repeat = repeat,
+                      .attempts = 2,
+                      .timeout = timeout,
+                      .objective = seconds(1),
+                      .services = {{.service = kService, .weight = 1.0}}};
+  };
+  return {route("safe", repeat_rule::kIdempotent, seconds(5)),
+          route("once", repeat_rule::kOnce, seconds(5)),
+          route("short", repeat_rule::kOnce, milliseconds(200))};
+}
+
+void relay_fleet::PublishTo(int node, std::uint64_t version) {
+  item_update update{.complete_to = version, .whole = true, .items = {}};
+  update.items.push_back(
+      {.key = "table", .value = std::to_string(version), .revision = version});
+  for (const service_instance& instance : Instances()) {
+    update.items.push_back({.key = "instance/" + instance.id, .value = "", .revision = 1});
+  }
+  this->node(node).OnItems(update);
+  this->node(node).OnPlatform(true);
+}
+
+void relay_fleet::PublishToAll(std::uint64_t version) {
+  for (std::size_t node = 0; node < nodes_.size(); ++node) {
+    PublishTo(static_cast<int>(node), version);
+  }
+}
+
+std::unique_ptr<tcp_connection> relay_fleet::Connect(int node,
+                                                     const std::shared_ptr<client_result>& into) {
+  return tcp_connection::Connect(
+      loop_, At(node, kOutboundPort), seconds(1), seconds(3),
+      {.on_data = [into](std::string_view bytes) { into->bytes += bytes; },
+       .on_end =
+           [into](connection_end end) {
+             into->ended = true;
+             into->reset = end != connection_end::kClosed;
+           },
+       .on_drained = {},
+       .on_connected = {}});
+}
+
+std::shared_ptr<client_result> relay_fleet::Send(int node, std::string text) {
+  auto result = std::make_shared<client_result>();
+  clients_.push_back(Connect(node, result));
+  clients_.back()->Write(text);
+  return result;
+}
+
+std::string relay_fleet::Get(std::string_view path, std::string_view id) {
+  http_head head;
+  head.method = "GET";
+  head.target = path;
+  head.Set("Host", "h");
+  head.Set("Id", std::string(id));
+  head.Set("Deadline", "4000");
+  return head.ToRequestText();
+}
+
+std::string relay_fleet::Post(std::string_view path, std::string_view id, std::string_view body) {
+  http_head head;
+  head.method = "POST";
+  head.target = path;
+  head.Set("Host", "h");
+  head.Set("Id", std::string(id));
+  head.Set("Deadline", "4000");
+  head.framing = body_framing::kLength;
+  head.length = body.size();
+  return head.ToRequestText() + std::string(body);
+}
+
+bool relay_fleet::RunUntil(const std::function<bool()>& condition, duration limit) {
+  const instant end = loop_.Now() + limit;
+  bool held = false;
+  loop_timer poll(loop_);
+  poll.StartPeriodic(kPoll, [&] {
+    held = condition();
+    if (held || loop_.Now() >= end) {
+      loop_.Stop();
+    }
+  });
+  loop_.Run();
+  return held;
+}
+
+void relay_fleet::RunFor(duration span) {
+  const instant end = loop_.Now() + span;
+  RunUntil([&] { return loop_.Now() >= end; }, span + seconds(1));
+}
+
+std::uint64_t relay_fleet::TotalRequests() const {
+  std::uint64_t total = 0;
+  for (const auto& target : targets_) {
+    total += target->ids.size();
+  }
+  return total;
+}
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/relay/relay_path_test.cpp
@@ -0,0 +1,164 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "relay/relay_fleet.h"
+
+namespace cuminferry::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+}  // namespace
+
+class relay_path_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(relay_path_test);
+  CPPUNIT_TEST(Request_BeforeAnyTable_IsRefusedWithAReturnTime);
+  CPPUNIT_TEST(Request_Known_IsAnsweredWithItsTargetsBytes);
+  CPPUNIT_TEST(Request_NoRow_Is404);
+  CPPUNIT_TEST(Request_ForgedCaller_TargetSeesTheTrueOne);
+  CPPUNIT_TEST(Request_Passed_CarriesLessTimeThanItCame);
+  CPPUNIT_TEST(Upload_LargeBody_ArrivesWhole);
+  CPPUNIT_TEST(Answer_LargeAndSlowReader_ArrivesWhole);
+  CPPUNIT_TEST(Requests_Pipelined_AreAnsweredInOrder);
+  CPPUNIT_TEST(Table_OlderVersion_IsNotTakenBack);
+  CPPUNIT_TEST(Table_PlatformSilent_ComesFromAnotherNode);
+  CPPUNIT_TEST(Drain_OnlyTarget_ServesUntilItStops);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Request_BeforeAnyTable_IsRefusedWithAReturnTime() {
+    relay_fleet fleet(1);
+    const auto result = fleet.Send(0, relay_fleet::Get("/safe/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(503, result->status());
+    CPPUNIT_ASSERT(result->Has("Retry-After: 0."));
+  }
+
+  void Request_Known_IsAnsweredWithItsTargetsBytes() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    const auto result = fleet.Send(0, relay_fleet::Get("/safe/x", "7"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("ok"); }));
+    CPPUNIT_ASSERT_EQUAL(200, result->status());
+    CPPUNIT_ASSERT(result->Has("Id: 7\r\n"));
+    CPPUNIT_ASSERT(result->Has("Signature: signed\r\n"));
+    CPPUNIT_ASSERT(!result->Has("Relay-"));
+  }
+
+  void Request_NoRow_Is404() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    const auto result = fleet.Send(0, relay_fleet::Get("/none/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(404, result->status());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.TotalRequests());
+  }
+
+  void Request_ForgedCaller_TargetSeesTheTrueOne() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    const auto result = fleet.Send(
+        0, "GET /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nCaller: forged\r\nRelay-Call: 9,9,9\r\n\r\n");
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(200, result->status());
+    const http_head& seen = fleet.target(0).heads.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::string(relay_fleet::kService), *seen.Find("Caller"));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-0"), *seen.Find("Instance"));
+    CPPUNIT_ASSERT(seen.Find("Relay-Call") == nullptr);
+  }
+
+  // The client will wait four seconds, the operator two tenths of one for this row.
+  void Request_Passed_CarriesLessTimeThanItCame() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    const auto result = fleet.Send(0, relay_fleet::Get("/short/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    const auto left = ParseDecimal(*fleet.target(0).heads.at(0).Find("Deadline"));
+    CPPUNIT_ASSERT(left.value() <= 200);
+    CPPUNIT_ASSERT(left.value() > 100);
+  }
+
+  // A season's probe log is written before the connection to the target's node stands. The
+  // producer was told to pause and never to go on, and the upload ended at its deadline.
+  void Upload_LargeBody_ArrivesWhole() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    std::size_t arrived = 0;
+    fleet.target(0).on_request = [&](scripted_target::conversation& now) {
+      arrived = now.body.size();
+      now.connection.Write(scripted_target::Answer(now.request));
+    };
+    const std::string body(3'000'000, 'b');
+    const auto result = fleet.Send(0, relay_fleet::Post("/once/x", "1", body));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(200, result->status());
+    CPPUNIT_ASSERT_EQUAL(body.size(), arrived);
+  }
+
+  void Answer_LargeAndSlowReader_ArrivesWhole() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    const std::string body(8'000'000, 'a');
+    fleet.target(0).on_request = [&](scripted_target::conversation& now) {
+      now.connection.Write(scripted_target::Answer(now.request, body));
+    };
+    const auto result = std::make_shared<client_result>();
+    const auto client = fleet.Connect(0, result);
+    client->Write(relay_fleet::Get("/safe/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    client->PauseReading();
+    fleet.RunFor(milliseconds(100));
+    client->ResumeReading();
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->bytes.size() > body.size(); }));
+  }
+
+  void Requests_Pipelined_AreAnsweredInOrder() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    const auto result =
+        fleet.Send(0, relay_fleet::Get("/safe/x", "first") + relay_fleet::Get("/safe/y", "second"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("Id: second"); }));
+    CPPUNIT_ASSERT(result->bytes.find("Id: first") < result->bytes.find("Id: second"));
+  }
+
+  // A node hears an edit, then an older copy from a node that was cut off. A client would see a
+  // row that was dropped served again.
+  void Table_OlderVersion_IsNotTakenBack() {
+    relay_fleet fleet(1);
+    fleet.PublishTo(0, 5);
+    fleet.PublishTo(0, 3);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, fleet.node(0).items_revision());
+    const auto result = fleet.Send(0, relay_fleet::Get("/safe/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() == 200; }));
+  }
+
+  // The platform turns one node away and serves the other. Its clients must be served by the
+  // edit that everybody else has, within two seconds.
+  void Table_PlatformSilent_ComesFromAnotherNode() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    fleet.node(0).OnPlatform(false);
+    fleet.PublishTo(1, 9);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return fleet.node(0).items_revision() == 9; }, seconds(2)));
+  }
+
+  // Both nodes of a service are told to stop while their backend servers go on. Until the
+  // platform sends clients elsewhere, requests must not be refused.
+  void Drain_OnlyTarget_ServesUntilItStops() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    bool drained = false;
+    fleet.node(0).Drain([&] { drained = true; });
+    for (int i = 0; i < 3; ++i) {
+      const auto result = fleet.Send(0, relay_fleet::Get("/safe/x", std::to_string(i)));
+      CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+      CPPUNIT_ASSERT_EQUAL(200, result->status());
+      CPPUNIT_ASSERT(result->Has("Connection: close"));
+    }
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return drained; }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(relay_path_test);
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/relay/row_learning_test.cpp
@@ -0,0 +1,132 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+
+#include "cuminferry_policy/cuminferry_policy.h"
+
+namespace cuminferry::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr instant kStart = FromMicros(1'000'000);
+
+}  // namespace
+
+class row_learning_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(row_learning_test);
+  CPPUNIT_TEST(CallsPerRun_TwoRowsSideBySide_AreToldApart);
+  CPPUNIT_TEST(CallsPerRun_NothingRuns_LearnsNothing);
+  CPPUNIT_TEST(ComesFromClients_CallersOfOneService_IsNot);
+  CPPUNIT_TEST(ComesFromClients_CallersOfAllServices_Is);
+  CPPUNIT_TEST(ComesFromClients_FewSeen_IsNot);
+  CPPUNIT_TEST(Admits_NoLevelKnown_LetsAllIn);
+  CPPUNIT_TEST(Admits_LevelWithinPriority_LetsAPartIn);
+  CPPUNIT_TEST(Admits_LevelBelowPriority_KeepsALittle);
+  CPPUNIT_TEST(Admits_LevelUnconfirmed_Recovers);
+  CPPUNIT_TEST(ReturnAfter_MoreRefused_LaterAndSpread);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Uploads and lookups run side by side on one backend server, and only lookups call further.
+  // Taken for the cause, uploads would be refused for the sake of a service they never use.
+  void CallsPerRun_TwoRowsSideBySide_AreToldApart() {
+    row_causes causes;
+    random_source random(3);
+    std::deque<std::string> running;
+    for (int step = 0; step < 4'000; ++step) {
+      const std::string row = random.Below(3) == 0 ? "upload" : "lookup";
+      causes.OnRunStart(row);
+      running.push_back(row);
+      if (row == "lookup") {
+        for (int call = 0; call < 4; ++call) {
+          causes.OnCall("feed");
+        }
+      }
+      if (running.size() > random.Below(4)) {
+        causes.OnRunEnd(running.front());
+        running.pop_front();
+      }
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, causes.CallsPerRun("lookup", "feed"), 0.8);
+    CPPUNIT_ASSERT(causes.CallsPerRun("upload", "feed") < 1.0);
+  }
+
+  void CallsPerRun_NothingRuns_LearnsNothing() {
+    row_causes causes;
+    causes.OnCall("feed");
+    causes.OnRunStart("lookup");
+    causes.OnRunEnd("lookup");
+    CPPUNIT_ASSERT(causes.CalledBy("lookup").empty());
+  }
+
+  void ComesFromClients_CallersOfOneService_IsNot() {
+    row_origins origins;
+    for (int i = 0; i < 100; ++i) {
+      origins.OnArrival("ledger", "maps");
+    }
+    CPPUNIT_ASSERT(!origins.ComesFromClients("ledger", 4));
+  }
+
+  void ComesFromClients_CallersOfAllServices_Is() {
+    row_origins origins;
+    for (int i = 0; i < 100; ++i) {
+      origins.OnArrival("read", "service-" + std::to_string(i % 4));
+    }
+    CPPUNIT_ASSERT(origins.ComesFromClients("read", 4));
+  }
+
+  void ComesFromClients_FewSeen_IsNot() {
+    row_origins origins;
+    for (int i = 0; i < 4; ++i) {
+      origins.OnArrival("read", "service-" + std::to_string(i));
+    }
+    CPPUNIT_ASSERT(!origins.ComesFromClients("read", 4));
+  }
+
+  void Admits_NoLevelKnown_LetsAllIn() {
+    const entry_admission admission;
+    CPPUNIT_ASSERT(admission.Admits("map", 2, 0.99, kStart));
+  }
+
+  void Admits_LevelWithinPriority_LetsAPartIn() {
+    entry_admission admission;
+    admission.OnLevel("map", "x", 2.4, true, kStart);
+    CPPUNIT_ASSERT(admission.Admits("map", 2, 0.39, kStart));
+    CPPUNIT_ASSERT(!admission.Admits("map", 2, 0.41, kStart));
+    admission.OnLevel("permit", "x", 2.4, true, kStart);
+    CPPUNIT_ASSERT(admission.Admits("permit", 0, 0.99, kStart));
+  }
+
+  void Admits_LevelBelowPriority_KeepsALittle() {
+    entry_admission admission;
+    admission.OnLevel("map", "x", 0.2, true, kStart);
+    CPPUNIT_ASSERT(admission.Admits("map", 2, entry_admission::kLeastShare - 0.01, kStart));
+    CPPUNIT_ASSERT(!admission.Admits("map", 2, entry_admission::kLeastShare + 0.01, kStart));
+  }
+
+  // A row is refused, and so no answer tells that there is room again.
+  void Admits_LevelUnconfirmed_Recovers() {
+    entry_admission admission;
+    admission.OnLevel("map", "x", 1.0, true, kStart);
+    CPPUNIT_ASSERT(!admission.Admits("map", 2, 0.5, kStart + milliseconds(400)));
+    CPPUNIT_ASSERT(admission.Admits("map", 2, 0.5, kStart + seconds(3)));
+  }
+
+  void ReturnAfter_MoreRefused_LaterAndSpread() {
+    entry_admission admission;
+    admission.OnLevel("map", "x", 2.9, true, kStart);
+    const duration mild = admission.ReturnAfter("map", 2, 0.5, kStart);
+    const duration mild_later = admission.ReturnAfter("map", 2, 0.9, kStart);
+    admission.OnLevel("map", "x", 2.0, true, kStart);
+    const duration severe = admission.ReturnAfter("map", 2, 0.5, kStart);
+    CPPUNIT_ASSERT(mild < mild_later);
+    CPPUNIT_ASSERT(mild < severe);
+    CPPUNIT_ASSERT(severe <= entry_admission::kLongestReturn);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(row_learning_test);
+
+}  // namespace cuminferry::testing
