Find silent peers by their first word, and test the adapter against a stand-in store

Change: a target's node announces an answer that takes over 50 ms by an interim response; a node that hears neither within 180 ms places later requests elsewhere, and the request itself too where it may be repeated. The adapter has tests with a stand-in of the store (pages, history gone, turned away, silent).

Ruled out: heartbeats on each link, which cost wake-ups when nothing happens.

--- a/modules/cuminferry_relay/http/http_client.cpp
+++ b/modules/cuminferry_relay/http/http_client.cpp
@@ -255,6 +255,13 @@
                                     self->OnHead(std::move(head));
                                   }
                                 },
+                            .on_interim =
+                                [weak] {
+                                  const auto self = weak.lock();
+                                  if (self && !self->done && self->on.on_interim) {
+                                    self->on.on_interim();
+                                  }
+                                },
                             .on_body =
                                 [weak](std::string_view bytes) {
                                   const auto self = weak.lock();
--- a/modules/cuminferry_relay/http/http_client.h
+++ b/modules/cuminferry_relay/http/http_client.h
@@ -29,6 +29,8 @@
  public:
   struct hooks {
     std::function<void(http_head)> on_head;
+    /** The server has the request and works on it. */
+    std::function<void()> on_interim;
     std::function<void(std::string_view)> on_body;
     std::function<void()> on_end;
     std::function<void(exchange_failure)> on_failed;
--- a/modules/cuminferry_relay/http/http_server.cpp
+++ b/modules/cuminferry_relay/http/http_server.cpp
@@ -113,6 +113,7 @@
     }
   }
 
+  void SendInterim() { connection_->Write("HTTP/1.1 102 Processing\r\n\r\n"); }
   void SendHead(const exchange& from, http_head response);
   void SendBody(std::string_view bytes);
   void Finish();
@@ -219,6 +220,11 @@
   void ResumeBody() override {
     With([](session& at) { at.ResumeBody(); });
   }
+  void SendInterim() override {
+    if (!head_sent_) {
+      With([](session& at) { at.SendInterim(); });
+    }
+  }
   void SendHead(http_head response) override {
     if (!head_sent_) {
       head_sent_ = true;
--- a/modules/cuminferry_relay/http/http_server.h
+++ b/modules/cuminferry_relay/http/http_server.h
@@ -46,6 +46,8 @@
   //============================================================================
   virtual void PauseBody() = 0;
   virtual void ResumeBody() = 0;
+  /** Tells the client, before the answer, that its request is being processed. */
+  virtual void SendInterim() = 0;
   virtual void SendHead(http_head response) = 0;
   virtual void SendBody(std::string_view bytes) = 0;
   virtual void Finish() = 0;
--- a/modules/cuminferry_relay/http/message_reader.cpp
+++ b/modules/cuminferry_relay/http/message_reader.cpp
@@ -89,7 +89,10 @@
 
   int OnHeadersComplete() {
     if (reads == kind::kResponses && parser.status_code < kFirstFinalStatus) {
-      return kReadOn;  // An interim response: the final one follows.
+      if (on.on_interim) {
+        on.on_interim();
+      }
+      return kReadOn;
     }
     head_done = true;
     if (reads == kind::kRequests) {
--- a/modules/cuminferry_relay/path/item_exchange.cpp
+++ b/modules/cuminferry_relay/path/item_exchange.cpp
@@ -107,6 +107,7 @@
     answer_ok = false;
     asking = client->Send(request, std::chrono::seconds(30),
                           {.on_head = [this](const http_head& head) { answer_ok = head.status == kOk; },
+                           .on_interim = {},
                            .on_body =
                                [this](std::string_view bytes) {
                                  if (answer.size() + bytes.size() <= kLargestUpdate) {
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -24,6 +24,9 @@
 constexpr duration kLeastTry = std::chrono::milliseconds(5);
 // For refusals whose cause says nothing of when there will be room.
 constexpr duration kPlainReturn = std::chrono::milliseconds(400);
+// A target's node answers or announces its answer within 50 ms and the way. One
+// that has not after this is cut off, frozen or its connection silent.
+constexpr duration kSilentAfter = std::chrono::milliseconds(180);
 constexpr duration kPeerIdle = std::chrono::seconds(30);
 
 std::string SecondsText(duration span) {
@@ -53,6 +56,7 @@
   instant started;
   instant deadline;
   loop_timer timer;
+  loop_timer silence_timer;
   bool nested = false;
 
   // The request's body as far as it came, while it may have to be sent again.
@@ -82,7 +86,8 @@
         client(std::move(client)),
         on_end(std::move(on_end)),
         started(board.loop.Now()),
-        timer(board.loop) {}
+        timer(board.loop),
+        silence_timer(board.loop) {}
 
   //============================================================================
   void Begin() {
@@ -223,6 +228,7 @@
                               [with](http_head head) {
                                 with([&](state& at) { at.OnAnswerHead(std::move(head)); });
                               },
+                          .on_interim = [with] { with([](state& at) { at.silence_timer.Stop(); }); },
                           .on_body =
                               [with](std::string_view bytes) {
                                 with([&](state& at) { at.OnAnswerBody(bytes); });
@@ -239,6 +245,33 @@
     if (body_ended) {
       upstream->FinishBody();
     }
+    silence_timer.StartOnce(kSilentAfter, [this] { OnSilence(); });
+  }
+
+  // Neither an answer nor its announcement: later requests go elsewhere at once,
+  // and this one too where it may be repeated.
+  void OnSilence() {
+    if (ended || committed || !upstream) {
+      return;
+    }
+    board.PickerOf(service).OnUnreachable(target_id, board.loop.Now());
+    if (detached || route->repeat != repeat_rule::kIdempotent) {
+      LogTry(relay_outcome::kTimedOut);
+      return;
+    }
+    const instant now = board.loop.Now();
+    ++reached;
+    if (!MayPlaceAgain(relay_outcome::kLost, now)) {
+      --reached;
+      LogTry(relay_outcome::kTimedOut);
+      return;
+    }
+    may_have_run = true;
+    LogTry(relay_outcome::kLost);
+    board.PickerOf(service).OnDone(target_id);
+    upstream->Cancel();
+    finished_upstream = std::move(upstream);
+    Place();
   }
 
   http_head RequestFor(const published_target& target, instant now) const {
@@ -261,6 +294,7 @@
   }
 
   void OnAnswerHead(http_head head) {
+    silence_timer.Stop();
     const instant now = board.loop.Now();
     TakeLoad(head, now);
     if (const std::string* field = head.Find(kOutcomeField)) {
@@ -317,6 +351,7 @@
   }
 
   void OnUpstreamFailed(exchange_failure failure) {
+    silence_timer.Stop();
     target_picker& picker = board.PickerOf(service);
     picker.OnDone(target_id);
     picker.OnUnreachable(target_id, board.loop.Now());
@@ -448,6 +483,7 @@
     }
     ended = true;
     timer.Stop();
+    silence_timer.Stop();
     client->SetHooks({});
     if (upstream) {
       upstream->Cancel();
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -23,7 +23,7 @@
 constexpr duration kNoticeTime = std::chrono::milliseconds(2'300);
 constexpr duration kDrainPeriod = std::chrono::milliseconds(50);
 // Left of the grace for what remains after the last answer.
-constexpr duration kGraceMargin = std::chrono::milliseconds(300);
+constexpr duration kGraceMargin = std::chrono::milliseconds(700);
 
 // What other nodes may send is bounded by what clients may send to them.
 constexpr std::size_t kLargestPeerHead = 80 * 1024;
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -34,6 +34,9 @@
 // Above all priorities, until a table says how many there are.
 constexpr double kNoLimit = 1'000.0;
 constexpr duration kExpiryPeriod = std::chrono::milliseconds(10);
+// An answer that takes longer is announced: the calling node tells a long run from
+// a connection or a node that went silent.
+constexpr duration kAnnounceAfter = std::chrono::milliseconds(50);
 // Weight of one answer in the part of answers that were successes.
 constexpr double kSuccessWeight = 0.04;
 
@@ -82,7 +85,8 @@
         peer_(std::move(peer)),
         about_(std::move(about)),
         arrived_(side.board.loop.Now()),
-        deadline_timer_(side.board.loop) {}
+        deadline_timer_(side.board.loop),
+        announce_timer_(side.board.loop) {}
 
   void Begin();
   void Start();
@@ -112,6 +116,7 @@
   instant started_{};
   instant deadline_{};
   loop_timer deadline_timer_;
+  loop_timer announce_timer_;
   // What came of the body while the request waited.
   std::string early_body_;
   bool body_ended_ = false;
@@ -222,6 +227,7 @@
     TurnAway(relay_outcome::kDown);
     return;
   }
+  announce_timer_.StartOnce(kAnnounceAfter, [this] { peer_->SendInterim(); });
   const slot_verdict verdict = side_.gate.Offer({.id = id_,
                                                  .priority = about_.priority,
                                                  .nested = about_.nested,
@@ -299,6 +305,7 @@
       RequestForBackend(), once ? kIdleForOnce : kBackendSilenceLimit * 20,
       {.on_head =
            [with](http_head head) { with([&](call& self) { self.OnAnswerHead(std::move(head)); }); },
+       .on_interim = {},
        .on_body =
            [with](std::string_view bytes) {
              with([&](call& self) { self.OnAnswerBody(bytes); });
@@ -358,6 +365,7 @@
   head.Remove(kOutcomeField);
   head.Set(kLoadField, side_.Load(about_.row).ToText());
   committed_ = true;
+  announce_timer_.Stop();
   peer_->SendHead(std::move(head));
 }
 
@@ -462,6 +470,7 @@
   }
   ended_ = true;
   deadline_timer_.Stop();
+  announce_timer_.Stop();
   peer_->SetHooks({});
   relay_board& board = side_.board;
   const instant now = board.loop.Now();
--- /dev/null
+++ b/tests/platform/published_records_test.cpp
@@ -0,0 +1,115 @@
+#include "platform/published_records.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cuminferry::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kTable[] = R"({"version":"0000000c","base_version":"00000005","resources":[
+  {"type":"routes","metadata":{"name":"r-1"},"spec":{"host":"jepu9.example","prefix":"/puka111/",
+   "kind":"unsafe","timeout_ms":800,"slo_ms":1500,"priority":0,"service":"wuno96b","attempts":2}},
+  {"type":"routes","metadata":{"name":"r-2"},"spec":{"host":"hulo84.example","prefix":"/leny950/",
+   "kind":"safe","timeout_ms":5000,"slo_ms":1200,"priority":2,"attempts":3,"later":true,
+   "weighted_backends":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}]}},
+  {"type":"services","metadata":{"name":"huvo11a"},"spec":{"health_path":"/healthz","max_conns":1198}},
+  {"type":"services","metadata":{"name":"wuno96b"},"spec":{"health_path":"/healthz","max_conns":250}},
+  {"type":"limits","metadata":{},"spec":{"header_bytes":8192,"body_bytes":1000,"header_ms":3000,
+   "idle_ms":15000}}]})";
+
+item_replica Replica(const std::string& key, const std::string& value) {
+  item_replica items;
+  items.Apply({.complete_to = 5,
+               .whole = true,
+               .items = {{.key = key, .value = value, .revision = 4}}});
+  return items;
+}
+
+}  // namespace
+
+class published_records_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(published_records_test);
+  CPPUNIT_TEST(ReadTable_None_IsNone);
+  CPPUNIT_TEST(ReadTable_Whole_HasRowsServicesAndLimits);
+  CPPUNIT_TEST(ReadTable_CutShort_IsRefusedWithANumber);
+  CPPUNIT_TEST(ReadTable_NoVersion_IsRefused);
+  CPPUNIT_TEST(ReadTable_UnknownService_IsRefused);
+  CPPUNIT_TEST(ReadInstances_Entry_IsTranslated);
+  CPPUNIT_TEST(ReadInstances_DamagedEntry_IsLeftOut);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadTable_None_IsNone() {
+    const auto table = platform::ReadTable(item_replica());
+    CPPUNIT_ASSERT(table.ok());
+    CPPUNIT_ASSERT(*table == nullptr);
+  }
+
+  void ReadTable_Whole_HasRowsServicesAndLimits() {
+    const auto table = platform::ReadTable(Replica("op/config", kTable));
+    CPPUNIT_ASSERT(table.ok());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, (*table)->version());
+    const http_route* permit = (*table)->Find("jepu9.example", "/puka111/2f");
+    CPPUNIT_ASSERT(permit->repeat == repeat_rule::kOnce);
+    CPPUNIT_ASSERT(permit->timeout == milliseconds(800));
+    CPPUNIT_ASSERT(permit->objective == milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(2U, permit->attempts);
+    const http_route* map = (*table)->Find("hulo84.example", "/leny950/2f");
+    CPPUNIT_ASSERT(map->repeat == repeat_rule::kIdempotent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, map->services.size());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(90.0, map->services[0].weight, 1e-9);
+    CPPUNIT_ASSERT_EQUAL(2U, (*table)->largest_priority());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8192}, (*table)->limits().head_bytes);
+  }
+
+  // An edit reaches a node cut short. Read as far as it goes it would drop rows that clients use.
+  void ReadTable_CutShort_IsRefusedWithANumber() {
+    const std::string cut = std::string(kTable).substr(0, 400);
+    const auto table = platform::ReadTable(Replica("op/config", cut));
+    CPPUNIT_ASSERT(!table.ok());
+    CPPUNIT_ASSERT(table.status().message().find("602") != absl::string_view::npos);
+  }
+
+  void ReadTable_NoVersion_IsRefused() {
+    CPPUNIT_ASSERT(!platform::ReadTable(Replica("op/config", R"({"resources":[]})")).ok());
+    CPPUNIT_ASSERT(
+        !platform::ReadTable(Replica("op/config", R"({"version":"xyz","resources":[]})")).ok());
+  }
+
+  void ReadTable_UnknownService_IsRefused() {
+    std::string table = kTable;
+    const std::string known = R"("name":"wuno96b")";
+    table.replace(table.find(known), known.size(), R"("name":"other")");
+    CPPUNIT_ASSERT(!platform::ReadTable(Replica("op/config", table)).ok());
+  }
+
+  void ReadInstances_Entry_IsTranslated() {
+    const auto instances = platform::ReadInstances(
+        Replica("servers/i-7f3a91c2",
+                R"({"service":"huvo11a","addr":"10.128.0.9:8080","zone":"halle-nord","version":"v1",
+                    "capacity":183,"state":"draining","warmup_left_ms":2500,"sequence":4})"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, instances.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("i-7f3a91c2"), instances[0].id);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.128.0.9:8080"), instances[0].backend.ToString());
+    CPPUNIT_ASSERT_EQUAL(183U, instances[0].slots);
+    CPPUNIT_ASSERT(instances[0].leaving);
+    CPPUNIT_ASSERT(instances[0].cold_for == milliseconds(2500));
+  }
+
+  void ReadInstances_DamagedEntry_IsLeftOut() {
+    item_replica items = Replica("servers/bad", R"({"service":)");
+    items.Apply({.complete_to = 6,
+                 .whole = false,
+                 .items = {{.key = "servers/good",
+                            .value = R"({"service":"a","addr":"10.0.0.1:80","capacity":3})",
+                            .revision = 6}}});
+    const auto instances = platform::ReadInstances(items);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, instances.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("good"), instances[0].id);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(published_records_test);
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/platform/store_stand_in.cpp
@@ -0,0 +1,137 @@
+#include "platform/store_stand_in.h"
+
+#include <absl/strings/escaping.h>
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace cuminferry::testing {
+namespace {
+
+using nlohmann::json;
+
+std::string Parameter(const std::string& target, const std::string& name) {
+  const auto at = target.find(name + "=");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const auto begin = at + name.size() + 1;
+  return target.substr(begin, target.find('&', begin) - begin);
+}
+
+void Answer(server_exchange& request, int status, const json& body) {
+  http_head head;
+  head.status = status;
+  head.reason = "Status";
+  head.Set("Content-Type", "application/json");
+  request.Answer(std::move(head), body.dump());
+}
+
+}  // namespace
+
+store_stand_in::store_stand_in(event_loop& loop, const endpoint& at) {
+  auto server = http_server::Listen(
+      loop, {.at = at,
+             .limits = {},
+             .silence_limit = std::chrono::seconds(3),
+             .on_request = [this](auto request) { OnRequest(std::move(request)); }});
+  if (!server.ok()) {
+    throw std::runtime_error(std::string(server.status().message()));
+  }
+  server_ = std::move(*server);
+}
+
+store_stand_in::~store_stand_in() = default;
+
+endpoint store_stand_in::at() const { return server_->at(); }
+
+void store_stand_in::Put(const std::string& key, const std::string& value) {
+  items_[key] = {.key = key, .value = value, .revision = ++revision_};
+  history_.push_back(items_[key]);
+  WakeWatches();
+}
+
+void store_stand_in::Remove(const std::string& key) {
+  items_.erase(key);
+  history_.push_back({.key = key, .value = "", .revision = ++revision_, .removed = true});
+  WakeWatches();
+}
+
+void store_stand_in::Compact() {
+  forgotten_to_ = revision_;
+  history_.clear();
+}
+
+void store_stand_in::OnRequest(std::shared_ptr<server_exchange> request) {
+  ++calls;
+  if (silent) {
+    waiting_.emplace_back(std::move(request), ~std::uint64_t{0});
+    return;
+  }
+  if (broken_status != 0) {
+    Answer(*request, broken_status, json::object());
+    return;
+  }
+  const std::string target = request->request().target;
+  if (target.starts_with("/cuminferry/kv-range")) {
+    ++ranges;
+    AnswerRange(*request, Parameter(target, "after"));
+    return;
+  }
+  const std::uint64_t after = std::stoull(Parameter(target, "after"));
+  if (after < forgotten_to_) {
+    constexpr int kGone = 410;
+    Answer(*request, kGone, json::object());
+  } else if (!AnswerWatch(*request, after)) {
+    waiting_.emplace_back(std::move(request), after);
+  }
+}
+
+void store_stand_in::AnswerRange(server_exchange& request, const std::string& after) {
+  json found = {{"items", json::array()}, {"has_more", false}, {"current_rev", revision_}};
+  for (auto at = items_.upper_bound(after); at != items_.end(); ++at) {
+    if (found["items"].size() == page) {
+      found["has_more"] = true;
+      break;
+    }
+    found["items"].push_back({{"key", at->first},
+                              {"value", absl::Base64Escape(at->second.value)},
+                              {"revision", at->second.revision},
+                              {"create_revision", at->second.revision},
+                              {"lease", 0}});
+  }
+  Answer(request, 200, found);
+}
+
+bool store_stand_in::AnswerWatch(server_exchange& request, std::uint64_t after) {
+  json found = {{"events", json::array()}, {"current_rev", revision_}};
+  for (const change& change : history_) {
+    if (change.revision <= after) {
+      continue;
+    }
+    if (change.removed) {
+      found["events"].push_back(
+          {{"key", change.key}, {"revision", change.revision}, {"deleted", true}});
+    } else {
+      found["events"].push_back({{"key", change.key},
+                                 {"value", absl::Base64Escape(change.value)},
+                                 {"revision", change.revision},
+                                 {"create_revision", change.revision},
+                                 {"lease", 0}});
+    }
+  }
+  if (found["events"].empty()) {
+    return false;
+  }
+  Answer(request, 200, found);
+  return true;
+}
+
+void store_stand_in::WakeWatches() {
+  std::erase_if(waiting_, [this](auto& waiting) {
+    return waiting.first->client_gone() ||
+           (waiting.second <= revision_ && AnswerWatch(*waiting.first, waiting.second));
+  });
+}
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/platform/store_stand_in.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cuminferry_relay/cuminferry_relay.h"
+#include "cuminferry_relay/http/http_server.h"
+
+namespace cuminferry::testing {
+
+/** A small stand-in of the platform's store: range, pages, watches and its ways
+    of failing. */
+class store_stand_in {
+ public:
+  store_stand_in(event_loop& loop, const endpoint& at);
+  ~store_stand_in();
+  store_stand_in(const store_stand_in&) = delete;
+  store_stand_in& operator=(const store_stand_in&) = delete;
+
+  //============================================================================
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  /** Forgets its history: watches from before get 410. */
+  void Compact();
+
+  /** Answers everything with this status; 0 serves. */
+  int broken_status = 0;
+  /** Takes requests and never answers. */
+  bool silent = false;
+  /** Items in one page of a range. */
+  std::size_t page = 500;
+
+  int calls = 0;
+  int ranges = 0;
+  endpoint at() const;
+
+ private:
+  struct change {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    bool removed = false;
+  };
+
+  void OnRequest(std::shared_ptr<server_exchange> request);
+  void AnswerRange(server_exchange& request, const std::string& after);
+  bool AnswerWatch(server_exchange& request, std::uint64_t after);
+  void WakeWatches();
+
+  std::unique_ptr<http_server> server_;
+  std::map<std::string, change> items_;
+  std::vector<change> history_;
+  std::uint64_t revision_ = 10;
+  std::uint64_t forgotten_to_ = 0;
+  std::vector<std::pair<std::shared_ptr<server_exchange>, std::uint64_t>> waiting_;
+};
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/platform/store_watcher_test.cpp
@@ -0,0 +1,129 @@
+#include "platform/store_watcher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "platform/store_stand_in.h"
+
+namespace cuminferry::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A watcher, the store that it watches and the copy that it keeps. */
+struct watched_store {
+  event_loop loop;
+  store_stand_in store{loop, {.address = 0x7F000001, .port = 0}};
+  decision_log log{loop, "test"};
+  item_replica items;
+  std::vector<bool> heard;
+  platform::store_watcher watcher{
+      loop, store.at(), log,
+      {.on_update = [this](const item_update& update) { items.Apply(update); },
+       .on_heard = [this](bool now) { heard.push_back(now); }}};
+
+  bool RunUntil(const std::function<bool()>& condition, duration limit = seconds(5)) {
+    const instant end = loop.Now() + limit;
+    bool held = false;
+    loop_timer poll(loop);
+    poll.StartPeriodic(milliseconds(2), [&] {
+      held = condition();
+      if (held || loop.Now() >= end) {
+        loop.Stop();
+      }
+    });
+    loop.Run();
+    return held;
+  }
+};
+
+}  // namespace
+
+class store_watcher_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(store_watcher_test);
+  CPPUNIT_TEST(Start_SeveralPages_CopiesAll);
+  CPPUNIT_TEST(Watch_ItemsChange_FollowsThem);
+  CPPUNIT_TEST(Watch_SeriesOfChanges_CostsFewCalls);
+  CPPUNIT_TEST(Watch_HistoryGone_ReadsAllAnew);
+  CPPUNIT_TEST(Store_TurnsAway_IsToldAndAskedAgain);
+  CPPUNIT_TEST(Store_SilentAtStart_IsToldAndAskedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Start_SeveralPages_CopiesAll() {
+    watched_store at;
+    at.store.page = 3;
+    for (int i = 0; i < 10; ++i) {
+      at.store.Put("k" + std::to_string(i), std::string("\0binary", 7));
+    }
+    at.watcher.Start();
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.items.FindAll("k").size() == 10; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("\0binary", 7), at.items.Find("k7")->value);
+    CPPUNIT_ASSERT_EQUAL(4, at.store.ranges);
+  }
+
+  void Watch_ItemsChange_FollowsThem() {
+    watched_store at;
+    at.store.Put("a", "1");
+    at.watcher.Start();
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.items.Find("a") != nullptr; }));
+    at.store.Put("a", "2");
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.items.Find("a")->value == "2"; }));
+    at.store.Remove("a");
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.items.Find("a") == nullptr; }));
+    CPPUNIT_ASSERT_EQUAL(1, at.store.ranges);
+  }
+
+  void Watch_SeriesOfChanges_CostsFewCalls() {
+    watched_store at;
+    at.watcher.Start();
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.store.calls == 2; }));
+    loop_timer writer(at.loop);
+    int written = 0;
+    writer.StartPeriodic(milliseconds(20), [&] { at.store.Put("k", std::to_string(++written)); });
+    CPPUNIT_ASSERT(at.RunUntil([&] { return written == 50; }));
+    // 50 changes in a second, fetched every quarter of one.
+    CPPUNIT_ASSERT(at.store.calls <= 8);
+  }
+
+  // The store forgets its history while a node looks away. Watching on from where it was would
+  // miss the edits in between for good.
+  void Watch_HistoryGone_ReadsAllAnew() {
+    watched_store at;
+    at.store.Put("a", "1");
+    at.watcher.Start();
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.items.Find("a") != nullptr; }));
+    at.store.Put("b", "1");
+    at.store.Remove("a");
+    at.store.Compact();
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.items.Find("a") == nullptr; }));
+    CPPUNIT_ASSERT(at.items.Find("b") != nullptr);
+  }
+
+  void Store_TurnsAway_IsToldAndAskedAgain() {
+    watched_store at;
+    at.store.broken_status = 429;
+    at.watcher.Start();
+    CPPUNIT_ASSERT(at.RunUntil([&] { return !at.heard.empty(); }));
+    CPPUNIT_ASSERT(!at.heard.back());
+    at.store.broken_status = 0;
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.heard.back(); }));
+    CPPUNIT_ASSERT(at.items.complete_to() > 0);
+  }
+
+  // The store accepts connections and says nothing. A node that waits for it alone never learns
+  // the table, and never asks the others for it.
+  void Store_SilentAtStart_IsToldAndAskedAgain() {
+    watched_store at;
+    at.store.silent = true;
+    at.watcher.Start();
+    CPPUNIT_ASSERT(at.RunUntil([&] { return !at.heard.empty(); }, seconds(3)));
+    CPPUNIT_ASSERT(!at.heard.back());
+    at.store.silent = false;
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.heard.back(); }, seconds(5)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_watcher_test);
+
+}  // namespace cuminferry::testing
--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(Once_OtherInstanceAtTheAddress_IsNeverRun);
   CPPUNIT_TEST(Target_Unreachable_RequestGoesElsewhere);
   CPPUNIT_TEST(Timeout_TargetSilent_IsAnsweredInTime);
+  CPPUNIT_TEST(Safe_PeerSilent_GoesElsewhereSoon);
+  CPPUNIT_TEST(Safe_LongRun_IsNotTakenForSilence);
   CPPUNIT_TEST(Client_LeavesSafeRequest_TargetIsToldSoon);
   CPPUNIT_TEST(Client_LeavesFiledPermit_TargetFinishes);
   CPPUNIT_TEST_SUITE_END();
@@ -172,6 +174,47 @@
     CPPUNIT_ASSERT(fleet.loop().Now() - began < milliseconds(450));
   }
 
+  // Connections to another instance go silent for good, and nothing says so. Every reading that is
+  // placed there would wait until its client gives up.
+  void Safe_PeerSilent_GoesElsewhereSoon() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    fleet.StopNode(1);
+    // It accepts and never says anything.
+    std::vector<std::unique_ptr<tcp_connection>> accepted;
+    auto silent = tcp_listener::Listen(
+        fleet.loop(), fleet.PeerAddress(1), seconds(60),
+        [&](std::unique_ptr<tcp_connection> connection) { accepted.push_back(std::move(connection)); });
+    CPPUNIT_ASSERT(silent.ok());
+    for (int i = 0; i < 8; ++i) {
+      const instant began = fleet.loop().Now();
+      const auto result = fleet.Send(0, relay_fleet::Get("/safe/x", std::to_string(i)));
+      CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+      CPPUNIT_ASSERT_EQUAL(200, result->status());
+      CPPUNIT_ASSERT(fleet.loop().Now() - began < milliseconds(400));
+    }
+    CPPUNIT_ASSERT(accepted.size() <= 2);
+  }
+
+  void Safe_LongRun_IsNotTakenForSilence() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    std::unique_ptr<loop_timer> later;
+    for (int node = 0; node < 2; ++node) {
+      fleet.target(node).on_request = [&](scripted_target::conversation& now) {
+        later = std::make_unique<loop_timer>(fleet.loop());
+        later->StartOnce(milliseconds(400), [&now_connection = now.connection,
+                                             answer = scripted_target::Answer(now.request)] {
+          now_connection.Write(answer);
+        });
+      };
+    }
+    const auto result = fleet.Send(0, relay_fleet::Get("/safe/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    CPPUNIT_ASSERT_EQUAL(200, result->status());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.TotalRequests());
+  }
+
   // Farmers close the page. The backend server would go on working for nobody.
   void Client_LeavesSafeRequest_TargetIsToldSoon() {
     relay_fleet fleet(2);
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -172,6 +172,8 @@
           .port = port};
 }
 
+endpoint relay_fleet::PeerAddress(int node) const { return At(node, kPeerPort); }
+
 relay_settings relay_fleet::SettingsOf(int node) const {
   relay_settings settings;
   settings.instance = "node-" + std::to_string(node);
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -92,6 +92,8 @@
 
   scripted_target& target(int node) { return *targets_[static_cast<std::size_t>(node)]; }
   relay_node& node(int node) { return *nodes_[static_cast<std::size_t>(node)]; }
+  /** Where a node listens for other nodes. */
+  endpoint PeerAddress(int node) const;
   void StopNode(int node) { nodes_[static_cast<std::size_t>(node)].reset(); }
   std::uint64_t TotalRequests() const;
   event_loop& loop() { return loop_; }
