Spread the first reads of nodes that start at one moment over 1.2 s

Ruled out: a smaller budget for each node; a node that starts alone needs its first reads at once.

Change: the first read is drawn from 1.2 s.

--- a/extras/ctl/commands/explain_command.cpp
+++ b/extras/ctl/commands/explain_command.cpp
@@ -51,8 +51,8 @@
   if (begin == std::string::npos || text.find(id) == std::string::npos) {
     return std::nullopt;
   }
-  json line = json::parse(text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(), nullptr,
-                          false);
+  json line =
+      json::parse(text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(), nullptr, false);
   if (!line.is_object()) {
     return std::nullopt;
   }
@@ -101,8 +101,9 @@
 // What a reason means, in words an operator uses.
 std::string MeaningOf(const std::string& why) {
   static const std::map<std::string, std::string> kMeanings = {
-      {"level", "a service further down has no room; less important rows are refused at their "
-                "entry before they cost it anything"},
+      {"level",
+       "a service further down has no room; less important rows are refused at their "
+       "entry before they cost it anything"},
       {"full", "no slot of the backend server would have been free in time"},
       {"leaving", "the backend server or its node was leaving"},
       {"down", "no connection to the target's node or to its backend server"},
--- a/extras/trial/deployment.h
+++ b/extras/trial/deployment.h
@@ -7,9 +7,9 @@
 #include <string_view>
 #include <vector>
 
+#include "link_faults/link_fault_control.h"
 #include "trial/child_process.h"
 #include "trial/deployment_plan.h"
-#include "link_faults/link_fault_control.h"
 
 namespace cuminferry::trial {
 
--- a/modules/cuminferry_fleet/platform/platform_reader.cpp
+++ b/modules/cuminferry_fleet/platform/platform_reader.cpp
@@ -13,7 +13,9 @@
 using std::chrono::milliseconds;
 
 constexpr double kMicrosPerSecond = 1e6;
-constexpr milliseconds kStartSpread{200};
+// Nodes of a domain that start at one moment begin to read within this. Reads beyond
+// the platform's rate would be refused and asked again.
+constexpr milliseconds kStartSpread{1'200};
 constexpr milliseconds kShortestPeriod{200};
 constexpr milliseconds kFirstBackOff{250};
 constexpr milliseconds kShortestLongestBackOff{1'000};
@@ -59,7 +61,7 @@
  public:
   state(options chosen, instant now, random_source& random)
       : options_(std::move(chosen)), tokens_(options_.content_burst), refilled_at_(now) {
-    not_before_ = now + Jittered(kStartSpread / 2, random);
+    not_before_ = now + Scaled(kStartSpread, random.Fraction());
     own_list_.Restart(now, random);
     other_list_.Restart(now, random);
   }
@@ -73,7 +75,7 @@
 
   void OnWakeUp(instant now, random_source& random) {
     index_.last.reset();
-    not_before_ = now + Jittered(kStartSpread / 2, random);
+    not_before_ = now + Scaled(kStartSpread, random.Fraction());
     under_way_.reset();
   }
 
--- a/modules/cuminferry_policy/entry/entry_admission.cpp
+++ b/modules/cuminferry_policy/entry/entry_admission.cpp
@@ -20,9 +20,8 @@
   }
   row_state& state = at->second;
   state.from_clients = state.from_clients || from_clients;
-  std::erase_if(state.by_target, [now](const auto& heard) {
-    return now - heard.second.at > kForgetTarget;
-  });
+  std::erase_if(state.by_target,
+                [now](const auto& heard) { return now - heard.second.at > kForgetTarget; });
   state.by_target[std::string(target)] = {.level = level, .at = now};
 }
 
--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -51,14 +51,14 @@
   const bool fresh = now - state.reported_at <= kReportAge && state.reported_at != instant{};
   const double limit =
       std::max(1.0, fresh ? state.report.limit : static_cast<double>(state.target.slots));
-  double service = static_cast<double>(
-      (fresh ? state.report.service_time : kAssumedServiceTime).count());
+  double service =
+      static_cast<double>((fresh ? state.report.service_time : kAssumedServiceTime).count());
   if (!fresh && now < state.target.warm_from) {
     service *= kColdFactor;
   }
-  const double there = fresh ? static_cast<double>(state.report.running) + state.report.waiting +
-                                   state.sent_since
-                             : state.outstanding;
+  const double there =
+      fresh ? static_cast<double>(state.report.running) + state.report.waiting + state.sent_since
+            : state.outstanding;
   const double fill = std::min(1.0, there / limit);
   const double wait = std::max(0.0, there + 1.0 - limit) / limit * service;
   const double success = std::max(kLeastSuccess, fresh ? state.report.success : 1.0);
@@ -94,8 +94,7 @@
     if (open.size() > kCompared) {
       std::swap(open[i], open[i + random.Below(open.size() - i)]);
     }
-    const double cost =
-        Cost(*open[i], own_domain, now) * (1.0 + kJitter * random.Fraction());
+    const double cost = Cost(*open[i], own_domain, now) * (1.0 + kJitter * random.Fraction());
     if (best == nullptr || cost < best_cost) {
       best = open[i];
       best_cost = cost;
--- a/modules/cuminferry_policy/retries/repeat_budget.cpp
+++ b/modules/cuminferry_policy/retries/repeat_budget.cpp
@@ -19,8 +19,8 @@
 void repeat_budget::Refill(instant now) {
   const double part = kAllowancePart * allowance_ / static_cast<double>(nodes_);
   if (refilled_ != instant{}) {
-    const double passed = static_cast<double>((now - refilled_).count()) /
-                          static_cast<double>(window_.count());
+    const double passed =
+        static_cast<double>((now - refilled_).count()) / static_cast<double>(window_.count());
     balance_ += part * passed;
   }
   refilled_ = now;
--- a/modules/cuminferry_policy/serving/slot_gate.cpp
+++ b/modules/cuminferry_policy/serving/slot_gate.cpp
@@ -33,8 +33,8 @@
   if (request.nested) {
     return deadline;
   }
-  const duration prompt(static_cast<duration::rep>(
-      kPromptShare * static_cast<double>(request.objective.count())));
+  const duration prompt(
+      static_cast<duration::rep>(kPromptShare * static_cast<double>(request.objective.count())));
   const instant in_time = now + std::max(prompt, request.objective_left - run);
   return std::min(deadline, in_time);
 }
--- a/modules/cuminferry_relay/http/http_client.cpp
+++ b/modules/cuminferry_relay/http/http_client.cpp
@@ -87,7 +87,8 @@
   }
 
   void Drop(const tcp_connection* key) {
-    std::erase_if(idle, [key](const idle_connection& kept) { return kept.connection.get() == key; });
+    std::erase_if(idle,
+                  [key](const idle_connection& kept) { return kept.connection.get() == key; });
   }
 };
 
--- a/modules/cuminferry_relay/http/http_head.cpp
+++ b/modules/cuminferry_relay/http/http_head.cpp
@@ -1,11 +1,10 @@
 #include "cuminferry_relay/http/http_head.h"
 
+#include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
 #include <array>
 
-#include <spdlog/fmt/fmt.h>
-
 #include "cuminferry_core/cuminferry_core.h"
 
 namespace cuminferry {
@@ -13,8 +12,8 @@
 
 // RFC 9110, section 7.6.1, and the fields that frame a body.
 constexpr std::array<std::string_view, 9> kConnectionFields{
-    "connection", "keep-alive",        "proxy-connection", "te",            "trailer",
-    "upgrade",    "transfer-encoding", "content-length",   "proxy-authenticate"};
+    "connection",        "keep-alive",     "proxy-connection",  "te", "trailer", "upgrade",
+    "transfer-encoding", "content-length", "proxy-authenticate"};
 
 void AppendFields(const http_head& head, std::string& text) {
   for (const auto& [name, value] : head.fields) {
--- a/modules/cuminferry_relay/http/http_server.cpp
+++ b/modules/cuminferry_relay/http/http_server.cpp
@@ -84,10 +84,9 @@
          .on_connected = {}});
     reader_ = std::make_unique<message_reader>(
         message_reader::kind::kRequests, limits_.largest_head,
-        message_reader::hooks{
-            .on_head = [this](http_head head) { OnHead(std::move(head)); },
-            .on_body = [this](std::string_view bytes) { OnBody(bytes); },
-            .on_message_end = [this] { OnRequestEnd(); }});
+        message_reader::hooks{.on_head = [this](http_head head) { OnHead(std::move(head)); },
+                              .on_body = [this](std::string_view bytes) { OnBody(bytes); },
+                              .on_message_end = [this] { OnRequestEnd(); }});
     AwaitRequest();
   }
 
--- a/modules/cuminferry_relay/io/tcp_connection.cpp
+++ b/modules/cuminferry_relay/io/tcp_connection.cpp
@@ -113,9 +113,8 @@
       return;
     }
     has_timer = false;
-    uv_close(reinterpret_cast<uv_handle_t*>(&connect_timer), [](uv_handle_t* timer) {
-      OnHandleClosed(static_cast<state*>(timer->data));
-    });
+    uv_close(reinterpret_cast<uv_handle_t*>(&connect_timer),
+             [](uv_handle_t* timer) { OnHandleClosed(static_cast<state*>(timer->data)); });
   }
 
   void Close() {
@@ -124,9 +123,7 @@
     }
     closing = true;
     StopConnectTimer();
-    const auto on_closed = [](uv_handle_t* tcp) {
-      OnHandleClosed(static_cast<state*>(tcp->data));
-    };
+    const auto on_closed = [](uv_handle_t* tcp) { OnHandleClosed(static_cast<state*>(tcp->data)); };
     if (reset_on_close && connected && uv_tcp_close_reset(&handle, on_closed) == 0) {
       return;
     }
@@ -201,8 +198,8 @@
       return;
     }
     if (unsent == 0) {
-      uv_buf_t direct = uv_buf_init(const_cast<char*>(bytes.data()),
-                                    static_cast<unsigned>(bytes.size()));
+      uv_buf_t direct =
+          uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
       const int taken = uv_try_write(Stream(), &direct, 1);
       if (taken > 0) {
         bytes.remove_prefix(static_cast<std::size_t>(taken));
@@ -221,8 +218,8 @@
     unsent += bytes.size();
     uv_buf_t buffer =
         uv_buf_init(queued->bytes.data(), static_cast<unsigned>(queued->bytes.size()));
-    const int status = uv_write(
-        &queued->request, Stream(), &buffer, 1, [](uv_write_t* request, int result) {
+    const int status =
+        uv_write(&queued->request, Stream(), &buffer, 1, [](uv_write_t* request, int result) {
           std::unique_ptr<write_request> done(static_cast<write_request*>(request->data));
           done->owner->OnWritten(done->bytes.size(), result);
         });
@@ -273,10 +270,10 @@
                      });
   // A failure that shows at once is reported like a later one, from the loop.
   const std::uint64_t limit =
-      status != 0 ? 0
-                  : static_cast<std::uint64_t>(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(connect_limit)
-                            .count());
+      status != 0
+          ? 0
+          : static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(connect_limit).count());
   uv_timer_start(
       &made->connect_timer,
       [](uv_timer_t* timer) {
--- a/modules/cuminferry_relay/path/item_exchange.cpp
+++ b/modules/cuminferry_relay/path/item_exchange.cpp
@@ -105,19 +105,20 @@
     request.Set("Host", asked.ToString());
     answer.clear();
     answer_ok = false;
-    asking = client->Send(request, std::chrono::seconds(30),
-                          {.on_head = [this](const http_head& head) { answer_ok = head.status == kOk; },
-                           .on_interim = {},
-                           .on_body =
-                               [this](std::string_view bytes) {
-                                 if (answer.size() + bytes.size() <= kLargestUpdate) {
-                                   answer.append(bytes);
-                                 }
-                               },
-                           .on_end = [this] { OnAnswer(); },
-                           .on_failed = [this](exchange_failure) { Done(); },
-                           .on_drained = {},
-                           .is_answer = {}});
+    asking =
+        client->Send(request, std::chrono::seconds(30),
+                     {.on_head = [this](const http_head& head) { answer_ok = head.status == kOk; },
+                      .on_interim = {},
+                      .on_body =
+                          [this](std::string_view bytes) {
+                            if (answer.size() + bytes.size() <= kLargestUpdate) {
+                              answer.append(bytes);
+                            }
+                          },
+                      .on_end = [this] { OnAnswer(); },
+                      .on_failed = [this](exchange_failure) { Done(); },
+                      .on_drained = {},
+                      .is_answer = {}});
     asking->FinishBody();
     limit_timer.StartOnce(kAnswerLimit, [this] {
       asking->Cancel();
@@ -164,8 +165,9 @@
                          ? std::optional<std::int64_t>(0)
                          : ParseDecimal(std::string_view(target).substr(mark + 6));
   http_head head = MakeAnswer(kOk, "OK");
-  peer.Answer(std::move(head),
-              Encode(state_->board.items.UpdateSince(static_cast<std::uint64_t>(after.value_or(0)))));
+  peer.Answer(
+      std::move(head),
+      Encode(state_->board.items.UpdateSince(static_cast<std::uint64_t>(after.value_or(0)))));
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -130,7 +130,8 @@
     duration left = route->timeout;
     if (const std::string* field = request.Find(board.settings.headers.deadline)) {
       if (const auto millis = ParseDecimal(*field)) {
-        left = std::min<duration>(left, std::chrono::milliseconds(std::max<std::int64_t>(0, *millis)));
+        left =
+            std::min<duration>(left, std::chrono::milliseconds(std::max<std::int64_t>(0, *millis)));
       }
     }
     deadline = started + left;
@@ -222,25 +223,25 @@
         action(*call->state_);
       }
     };
-    upstream = board.ClientFor(board.PeerBeside(target->backend))
-                   .Send(RequestFor(*target, now), kPeerIdle,
-                         {.on_head =
-                              [with](http_head head) {
-                                with([&](state& at) { at.OnAnswerHead(std::move(head)); });
-                              },
-                          .on_interim = [with] { with([](state& at) { at.silence_timer.Stop(); }); },
-                          .on_body =
-                              [with](std::string_view bytes) {
-                                with([&](state& at) { at.OnAnswerBody(bytes); });
-                              },
-                          .on_end = [with] { with([](state& at) { at.OnAnswerEnd(); }); },
-                          .on_failed =
-                              [with](exchange_failure failure) {
-                                with([&](state& at) { at.OnUpstreamFailed(failure); });
-                              },
-                          .on_drained =
-                              [with] { with([](state& at) { at.client->ResumeBody(); }); },
-                          .is_answer = {}});
+    upstream =
+        board.ClientFor(board.PeerBeside(target->backend))
+            .Send(RequestFor(*target, now), kPeerIdle,
+                  {.on_head =
+                       [with](http_head head) {
+                         with([&](state& at) { at.OnAnswerHead(std::move(head)); });
+                       },
+                   .on_interim = [with] { with([](state& at) { at.silence_timer.Stop(); }); },
+                   .on_body =
+                       [with](std::string_view bytes) {
+                         with([&](state& at) { at.OnAnswerBody(bytes); });
+                       },
+                   .on_end = [with] { with([](state& at) { at.OnAnswerEnd(); }); },
+                   .on_failed =
+                       [with](exchange_failure failure) {
+                         with([&](state& at) { at.OnUpstreamFailed(failure); });
+                       },
+                   .on_drained = [with] { with([](state& at) { at.client->ResumeBody(); }); },
+                   .is_answer = {}});
     upstream->SendBody(replay);
     if (body_ended) {
       upstream->FinishBody();
@@ -442,8 +443,8 @@
     }
     // What can't be repeated is left to finish: the client may ask what became
     // of it. It can't finish without the rest of its body.
-    const bool leave_running = route != nullptr && upstream && body_ended &&
-                               route->repeat != repeat_rule::kIdempotent;
+    const bool leave_running =
+        route != nullptr && upstream && body_ended && route->repeat != repeat_rule::kIdempotent;
     if (leave_running) {
       detached = true;
       upstream->ResumeAnswer();
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -70,8 +70,9 @@
     pickers_[service].SetTargets(targets);
   }
   peers_.assign(peers.begin(), peers.end());
-  std::erase_if(clients_, [&](const auto& item) { return !peers.contains(item.first) &&
-                                                         item.first != settings.peer; });
+  std::erase_if(clients_, [&](const auto& item) {
+    return !peers.contains(item.first) && item.first != settings.peer;
+  });
   for (auto& [service, budget] : budgets_) {
     budget.SetNodes(peers_.size() + 1);
   }
@@ -98,11 +99,10 @@
 http_client& relay_board::ClientFor(const endpoint& peer) {
   std::unique_ptr<http_client>& client = clients_[peer];
   if (!client) {
-    client = std::make_unique<http_client>(
-        loop, peer,
-        http_client::options{.connect_limit = kPeerConnectLimit,
-                             .silence_limit = kPeerSilenceLimit,
-                             .idle_limit = kPeerIdleLimit});
+    client = std::make_unique<http_client>(loop, peer,
+                                           http_client::options{.connect_limit = kPeerConnectLimit,
+                                                                .silence_limit = kPeerSilenceLimit,
+                                                                .idle_limit = kPeerIdleLimit});
   }
   return *client;
 }
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -44,19 +44,19 @@
   };
 
   prometheus::Registry registry;
-  family_of_counters& requests{MakeCounters(
-      registry, "cuminferry_requests_total", "Requests that entered here, by row and outcome.")};
+  family_of_counters& requests{MakeCounters(registry, "cuminferry_requests_total",
+                                            "Requests that entered here, by row and outcome.")};
   prometheus::Family<prometheus::Histogram>& request_times{
       MakeHistograms(registry, "cuminferry_request_duration_seconds",
                      "From a request's head to its last answer byte.")};
-  family_of_counters& served{MakeCounters(registry, "cuminferry_served_total",
-                                          "Requests for the own backend server.")};
+  family_of_counters& served{
+      MakeCounters(registry, "cuminferry_served_total", "Requests for the own backend server.")};
   prometheus::Family<prometheus::Histogram>& waits{MakeHistograms(
       registry, "cuminferry_gate_wait_seconds", "Wait for a slot of the backend server.")};
   prometheus::Family<prometheus::Histogram>& runs{MakeHistograms(
       registry, "cuminferry_backend_duration_seconds", "Time in the backend server.")};
-  family_of_counters& repeats{MakeCounters(
-      registry, "cuminferry_repeats_total", "Requests sent to a further target, by service.")};
+  family_of_counters& repeats{MakeCounters(registry, "cuminferry_repeats_total",
+                                           "Requests sent to a further target, by service.")};
   std::map<std::string, prometheus::Gauge*, std::less<>> gauges;
   std::map<std::string, row_counters, std::less<>> by_row;
   std::map<std::string, served_counters, std::less<>> by_served_row;
@@ -71,9 +71,9 @@
   if (found == state_->by_row.end()) {
     const prometheus::Labels labels{{"row", std::string(row)}, {"outcome", std::string(outcome)}};
     found = state_->by_row
-                .emplace(key, state::row_counters{
-                                  .ends = &state_->requests.Add(labels),
-                                  .times = &state_->request_times.Add(labels, kBuckets)})
+                .emplace(key,
+                         state::row_counters{.ends = &state_->requests.Add(labels),
+                                             .times = &state_->request_times.Add(labels, kBuckets)})
                 .first;
   }
   found->second.ends->Increment();
@@ -86,12 +86,11 @@
   auto found = state_->by_served_row.find(key);
   if (found == state_->by_served_row.end()) {
     const prometheus::Labels labels{{"row", std::string(row)}, {"outcome", std::string(outcome)}};
-    found =
-        state_->by_served_row
-            .emplace(key, state::served_counters{.ends = &state_->served.Add(labels),
-                                                 .waits = &state_->waits.Add(labels, kBuckets),
-                                                 .runs = &state_->runs.Add(labels, kBuckets)})
-            .first;
+    found = state_->by_served_row
+                .emplace(key, state::served_counters{.ends = &state_->served.Add(labels),
+                                                     .waits = &state_->waits.Add(labels, kBuckets),
+                                                     .runs = &state_->runs.Add(labels, kBuckets)})
+                .first;
   }
   found->second.ends->Increment();
   found->second.waits->Observe(Seconds(waited));
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -139,12 +139,11 @@
   level.Step(wait, taken, gate.service_time());
   if (level.open() != was_open) {
     was_open = level.open();
-    board.log.OnChange(was_open ? "level.opened" : "level.lowered",
-                       {{"level", level.level()},
-                        {"wait_us", wait.count()},
-                        {"running", gate.running()},
-                        {"waiting", gate.waiting()},
-                        {"limit", gate.limit()}});
+    board.log.OnChange(was_open ? "level.opened" : "level.lowered", {{"level", level.level()},
+                                                                     {"wait_us", wait.count()},
+                                                                     {"running", gate.running()},
+                                                                     {"waiting", gate.waiting()},
+                                                                     {"limit", gate.limit()}});
   }
 }
 
@@ -283,8 +282,8 @@
   http_head head = peer_->request();
   head.RemoveConnectionFields();
   head.Remove(kCallField);
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      deadline_ - side_.board.loop.Now());
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - side_.board.loop.Now());
   head.Set(side_.board.settings.headers.deadline,
            std::to_string(std::max<std::int64_t>(1, left.count())));
   return head;
@@ -304,23 +303,24 @@
   backend_ = side_.backend.Send(
       RequestForBackend(), once ? kIdleForOnce : kBackendSilenceLimit * 20,
       {.on_head =
-           [with](http_head head) { with([&](call& self) { self.OnAnswerHead(std::move(head)); }); },
+           [with](http_head head) {
+             with([&](call& self) { self.OnAnswerHead(std::move(head)); });
+           },
        .on_interim = {},
        .on_body =
-           [with](std::string_view bytes) {
-             with([&](call& self) { self.OnAnswerBody(bytes); });
-           },
+           [with](std::string_view bytes) { with([&](call& self) { self.OnAnswerBody(bytes); }); },
        .on_end = [with] { with([](call& self) { self.OnAnswerEnd(); }); },
        .on_failed =
            [with](exchange_failure failure) {
              with([&](call& self) { self.OnBackendFailed(failure); });
            },
        .on_drained = [with] { with([](call& self) { self.peer_->ResumeBody(); }); },
-       .is_answer = [with](const http_head& head) {
-         bool is_answer = false;
-         with([&](const call& self) { is_answer = self.IsAnswer(head); });
-         return is_answer;
-       }});
+       .is_answer =
+           [with](const http_head& head) {
+             bool is_answer = false;
+             with([&](const call& self) { is_answer = self.IsAnswer(head); });
+             return is_answer;
+           }});
   backend_->SendBody(early_body_);
   early_body_.clear();
   if (body_ended_) {
@@ -355,8 +355,8 @@
 void serving_side::call::OnAnswerHead(http_head head) {
   outcome_ = Judge(head);
   // A failure below fails the request here: no fault of this backend server.
-  const bool own_fault = head.status >= kFirstServerError &&
-                         side_.board.causes.CalledBy(about_.row).empty();
+  const bool own_fault =
+      head.status >= kFirstServerError && side_.board.causes.CalledBy(about_.row).empty();
   side_.NoteOutcome(!outcome_ && !own_fault);
   if (outcome_ || detached_) {
     return;
--- a/tests/platform/published_records_test.cpp
+++ b/tests/platform/published_records_test.cpp
@@ -20,9 +20,8 @@
 
 item_replica Replica(const std::string& key, const std::string& value) {
   item_replica items;
-  items.Apply({.complete_to = 5,
-               .whole = true,
-               .items = {{.key = key, .value = value, .revision = 4}}});
+  items.Apply(
+      {.complete_to = 5, .whole = true, .items = {{.key = key, .value = value, .revision = 4}}});
   return items;
 }
 
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -18,7 +18,9 @@
   item_replica items;
   std::vector<bool> heard;
   platform::store_watcher watcher{
-      loop, store.at(), log,
+      loop,
+      store.at(),
+      log,
       {.on_update = [this](const item_update& update) { items.Apply(update); },
        .on_heard = [this](bool now) { heard.push_back(now); }}};
 
--- a/tests/relay/http_head_test.cpp
+++ b/tests/relay/http_head_test.cpp
@@ -1,7 +1,7 @@
-#include <cppunit/extensions/HelperMacros.h>
-
 #include "cuminferry_relay/http/http_head.h"
 
+#include <cppunit/extensions/HelperMacros.h>
+
 namespace cuminferry::testing {
 
 class http_head_test : public CppUnit::TestFixture {
@@ -16,8 +16,11 @@
  public:
   void RemoveConnectionFields_NamedByConnection_GoesToo() {
     http_head head;
-    head.fields = {{"Connection", "close, X-Own"}, {"x-own", "1"}, {"Keep-Alive", "timeout=5"},
-                   {"Transfer-Encoding", "chunked"}, {"Accept", "*/*"}};
+    head.fields = {{"Connection", "close, X-Own"},
+                   {"x-own", "1"},
+                   {"Keep-Alive", "timeout=5"},
+                   {"Transfer-Encoding", "chunked"},
+                   {"Accept", "*/*"}};
     head.RemoveConnectionFields();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, head.fields.size());
     CPPUNIT_ASSERT_EQUAL(std::string("Accept"), head.fields[0].first);
--- a/tests/relay/item_replica_test.cpp
+++ b/tests/relay/item_replica_test.cpp
@@ -50,7 +50,8 @@
   void Apply_OlderChangeAfterNewer_ChangesNothing() {
     item_replica replica;
     replica.Apply({.complete_to = 9, .whole = true, .items = {Item("k", 9)}});
-    CPPUNIT_ASSERT(replica.Apply({.complete_to = 5, .whole = false, .items = {Item("k", 5)}}).empty());
+    CPPUNIT_ASSERT(
+        replica.Apply({.complete_to = 5, .whole = false, .items = {Item("k", 5)}}).empty());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, replica.Find("k")->revision);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, replica.complete_to());
   }
@@ -58,8 +59,7 @@
   void Apply_WholeCopyWithoutAnItem_RemovesIt() {
     item_replica replica;
     replica.Apply({.complete_to = 9, .whole = true, .items = {Item("a", 3), Item("b", 9)}});
-    const auto changed =
-        replica.Apply({.complete_to = 12, .whole = true, .items = {Item("b", 9)}});
+    const auto changed = replica.Apply({.complete_to = 12, .whole = true, .items = {Item("b", 9)}});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changed.size());
     CPPUNIT_ASSERT(replica.Find("a") == nullptr);
   }
--- a/tests/relay/message_reader_test.cpp
+++ b/tests/relay/message_reader_test.cpp
@@ -100,7 +100,8 @@
 
   void Read_TwoRequests_StopsBetweenThem() {
     collector read(message_reader::kind::kRequests);
-    const std::string_view two = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\nGET /b/ HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string_view two =
+        "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\nGET /b/ HTTP/1.1\r\nHost: h\r\n\r\n";
     const auto taken = read.reader().Read(two);
     CPPUNIT_ASSERT(taken.ok());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read.messages.size());
@@ -111,8 +112,9 @@
   // Two readers that disagree on where a body ends let one request hide within another.
   void Read_LengthBesideChunked_IsRefused() {
     collector read(message_reader::kind::kRequests);
-    CPPUNIT_ASSERT(!read.Read("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
-                              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+    CPPUNIT_ASSERT(
+        !read.Read("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
   }
 
   void Read_LargeHead_IsRefusedAndSaysWhy() {
@@ -123,7 +125,8 @@
 
   void Read_InterimAnswer_WaitsForTheFinalOne() {
     collector read(message_reader::kind::kResponses);
-    CPPUNIT_ASSERT(read.Read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+    CPPUNIT_ASSERT(
+        read.Read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read.messages.size());
     CPPUNIT_ASSERT_EQUAL(200, read.messages[0].head.status);
     CPPUNIT_ASSERT(read.messages[0].whole);
--- a/tests/relay/overload_replay_test.cpp
+++ b/tests/relay/overload_replay_test.cpp
@@ -130,13 +130,12 @@
   void Call(std::uint64_t id) {
     const request& of = requests_[id];
     const row_load& row = rows_[of.row];
-    const slot_verdict verdict =
-        gate_.Offer({.id = id,
-                     .nested = row.leaf_calls > 1,
-                     .deadline_left = of.arrived + row.deadline - now_,
-                     .objective_left = of.arrived + row.objective - now_,
-                     .objective = row.objective},
-                    now_);
+    const slot_verdict verdict = gate_.Offer({.id = id,
+                                              .nested = row.leaf_calls > 1,
+                                              .deadline_left = of.arrived + row.deadline - now_,
+                                              .objective_left = of.arrived + row.objective - now_,
+                                              .objective = row.objective},
+                                             now_);
     if (verdict == slot_verdict::kStart) {
       Begin(id);
     } else if (verdict == slot_verdict::kRefuse) {
@@ -149,7 +148,8 @@
     of.began = true;
     of.run_began = now_;
     const double part = 0.5 + random_.Fraction();
-    At(now_ + duration(static_cast<duration::rep>(part * kLeafRun.count())), [this, id] { End(id); });
+    At(now_ + duration(static_cast<duration::rep>(part * kLeafRun.count())),
+       [this, id] { End(id); });
   }
 
   void End(std::uint64_t id) {
--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -131,8 +131,7 @@
     relay_fleet fleet(1);
     fleet.PublishToAll(1);
     fleet.target(0).on_request = [](scripted_target::conversation& now) {
-      now.connection.Write(
-          "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+      now.connection.Write("HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
     };
     const auto result = fleet.Send(0, relay_fleet::Post("/once/x", "1", "permit"));
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
@@ -156,8 +155,7 @@
     fleet.PublishToAll(1);
     fleet.StopNode(0);
     for (int i = 0; i < 5; ++i) {
-      const auto result =
-          fleet.Send(1, relay_fleet::Post("/once/x", std::to_string(i), "permit"));
+      const auto result = fleet.Send(1, relay_fleet::Post("/once/x", std::to_string(i), "permit"));
       CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
       CPPUNIT_ASSERT_EQUAL(200, result->status());
     }
@@ -182,9 +180,10 @@
     fleet.StopNode(1);
     // It accepts and never says anything.
     std::vector<std::unique_ptr<tcp_connection>> accepted;
-    auto silent = tcp_listener::Listen(
-        fleet.loop(), fleet.PeerAddress(1), seconds(60),
-        [&](std::unique_ptr<tcp_connection> connection) { accepted.push_back(std::move(connection)); });
+    auto silent = tcp_listener::Listen(fleet.loop(), fleet.PeerAddress(1), seconds(60),
+                                       [&](std::unique_ptr<tcp_connection> connection) {
+                                         accepted.push_back(std::move(connection));
+                                       });
     CPPUNIT_ASSERT(silent.ok());
     for (int i = 0; i < 8; ++i) {
       const instant began = fleet.loop().Now();
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -129,28 +129,27 @@
     targets_.push_back(std::make_unique<scripted_target>(loop_, At(node, kBackendPort)));
   }
   for (int node = 0; node < nodes; ++node) {
-    auto started =
-        relay_node::builder(loop_)
-            .WithSettings(SettingsOf(node))
-            .WithTableReader([](const item_replica& items)
-                                 -> absl::StatusOr<std::shared_ptr<const route_table>> {
-              const published_item* item = items.Find("table");
-              if (item == nullptr) {
-                return std::shared_ptr<const route_table>();
-              }
-              return route_table::Make(*ParseWhole<std::uint64_t>(item->value), Routes(),
-                                       {{.name = kService}}, {});
-            })
-            .WithInstanceReader([this](const item_replica& items) {
-              std::vector<service_instance> listed;
-              for (const service_instance& instance : Instances()) {
-                if (items.Find("instance/" + instance.id) != nullptr) {
-                  listed.push_back(instance);
-                }
-              }
-              return listed;
-            })
-            .Start();
+    auto started = relay_node::builder(loop_)
+                       .WithSettings(SettingsOf(node))
+                       .WithTableReader([](const item_replica& items)
+                                            -> absl::StatusOr<std::shared_ptr<const route_table>> {
+                         const published_item* item = items.Find("table");
+                         if (item == nullptr) {
+                           return std::shared_ptr<const route_table>();
+                         }
+                         return route_table::Make(*ParseWhole<std::uint64_t>(item->value), Routes(),
+                                                  {{.name = kService}}, {});
+                       })
+                       .WithInstanceReader([this](const item_replica& items) {
+                         std::vector<service_instance> listed;
+                         for (const service_instance& instance : Instances()) {
+                           if (items.Find("instance/" + instance.id) != nullptr) {
+                             listed.push_back(instance);
+                           }
+                         }
+                         return listed;
+                       })
+                       .Start();
     if (!started.ok()) {
       throw std::runtime_error(std::string(started.status().message()));
     }
@@ -168,8 +167,7 @@
 
 endpoint relay_fleet::At(int node, std::uint16_t port) const {
   const auto block = static_cast<std::uint32_t>(block_);
-  return {.address = kLoopback + (block << 8) + static_cast<std::uint32_t>(node) + 1,
-          .port = port};
+  return {.address = kLoopback + (block << 8) + static_cast<std::uint32_t>(node) + 1, .port = port};
 }
 
 endpoint relay_fleet::PeerAddress(int node) const { return At(node, kPeerPort); }
@@ -227,8 +225,7 @@
 
 void relay_fleet::PublishTo(int node, std::uint64_t version) {
   item_update update{.complete_to = version, .whole = true, .items = {}};
-  update.items.push_back(
-      {.key = "table", .value = std::to_string(version), .revision = version});
+  update.items.push_back({.key = "table", .value = std::to_string(version), .revision = version});
   for (const service_instance& instance : Instances()) {
     update.items.push_back({.key = "instance/" + instance.id, .value = "", .revision = 1});
   }
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -86,8 +86,7 @@
   static std::string Post(std::string_view path, std::string_view id, std::string_view body);
 
   /** Runs the loop until the condition holds; false after `limit`. */
-  bool RunUntil(const std::function<bool()>& condition,
-                duration limit = std::chrono::seconds(5));
+  bool RunUntil(const std::function<bool()>& condition, duration limit = std::chrono::seconds(5));
   void RunFor(duration span);
 
   scripted_target& target(int node) { return *targets_[static_cast<std::size_t>(node)]; }
--- a/tests/relay/relay_path_test.cpp
+++ b/tests/relay/relay_path_test.cpp
@@ -58,7 +58,8 @@
     relay_fleet fleet(1);
     fleet.PublishToAll(1);
     const auto result = fleet.Send(
-        0, "GET /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nCaller: forged\r\nRelay-Call: 9,9,9\r\n\r\n");
+        0,
+        "GET /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nCaller: forged\r\nRelay-Call: 9,9,9\r\n\r\n");
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
     CPPUNIT_ASSERT_EQUAL(200, result->status());
     const http_head& seen = fleet.target(0).heads.at(0);
--- a/tests/relay/repeat_budget_test.cpp
+++ b/tests/relay/repeat_budget_test.cpp
@@ -47,8 +47,7 @@
   // A whole service fails, and every node would like to send each request once more. What each
   // node may add up to would double the load on a service that is down already.
   void TakeOne_ManyNodesAllFailing_FleetKeepsTheBound() {
-    CheckProperty("the fleet's repeats stay within ratio and allowance",
-                                [](std::uint64_t seed) {
+    CheckProperty("the fleet's repeats stay within ratio and allowance", [](std::uint64_t seed) {
       random_source random(seed);
       const std::size_t nodes = 2 + random.Below(30);
       std::vector<repeat_budget> fleet(nodes, repeat_budget(kRatio, kAllowance, kWindow));
--- a/tests/relay/route_table_test.cpp
+++ b/tests/relay/route_table_test.cpp
@@ -33,8 +33,8 @@
 
  public:
   void Find_SeveralPrefixes_LongestWins() {
-    const auto table = *Table({Route("all", "h", "/"), Route("a", "h", "/a/"),
-                               Route("ab", "h", "/a/b/")});
+    const auto table =
+        *Table({Route("all", "h", "/"), Route("a", "h", "/a/"), Route("ab", "h", "/a/b/")});
     CPPUNIT_ASSERT_EQUAL(std::string("ab"), table->Find("h", "/a/b/c")->name);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), table->Find("h", "/a/x/b/")->name);
     CPPUNIT_ASSERT_EQUAL(std::string("all"), table->Find("h", "/z")->name);
@@ -73,9 +73,7 @@
     CPPUNIT_ASSERT(!Table({Route("a", "h", "/a/"), Route("b", "H", "/a/")}).ok());
   }
 
-  void Make_PrefixWithoutSlash_IsRefused() {
-    CPPUNIT_ASSERT(!Table({Route("a", "h", "/a")}).ok());
-  }
+  void Make_PrefixWithoutSlash_IsRefused() { CPPUNIT_ASSERT(!Table({Route("a", "h", "/a")}).ok()); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(route_table_test);
--- /dev/null
+++ b/tests/table/explain_command_test.cpp
@@ -0,0 +1,93 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "ctl/command_line.h"
+
+namespace cuminferry::testing {
+namespace {
+
+constexpr char kEntryLog[] =
+    R"(12.1 node-a {"time_us":2000,"instance":"node-a","event":"request.turned_away","id":"9c41","row":"permit","service":"permits","target":"i-7","why":"full","placements":1,"reached":0}
+cut off line {"time_us":2100,"instance":"node-a","event":"requ
+{"time_us":9000,"instance":"node-a","event":"request.end","id":"9c41","result":"refused","us":7000,"row":"permit","table":12,"why":"full","level":0.5}
+{"time_us":3000,"instance":"node-a","event":"request.end","id":"other","result":"answered","us":10}
+)";
+constexpr char kServingLog[] =
+    R"({"time_us":1500,"instance":"node-b","event":"serving.end","id":"9c41","row":"permit","result":"full","waited_us":400,"ran_us":0,"running":23,"waiting":60,"limit":23,"level":0.5}
+{"time_us":1600,"instance":"node-b","event":"request.end","id":"9c41.77","result":"failed","us":100,"why":"lost"}
+)";
+
+struct ran_command {
+  ctl::exit_code code;
+  std::string out;
+  std::string err;
+};
+
+ran_command Run(std::vector<std::string> arguments) {
+  std::ostringstream out;
+  std::ostringstream err;
+  const ctl::exit_code code = ctl::RunCtl(arguments, {out, err});
+  return {code, out.str(), err.str()};
+}
+
+}  // namespace
+
+class explain_command_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(explain_command_test);
+  CPPUNIT_TEST(Explain_LinesOfTwoNodes_AreOrderedAndInWords);
+  CPPUNIT_TEST(Explain_CallsOfTheRequest_AreMarked);
+  CPPUNIT_TEST(Explain_UnknownId_SaysWhyItMayBeMissing);
+  CPPUNIT_TEST(Explain_NoSuchFile_IsANumberedError);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    folder_ = std::filesystem::temp_directory_path() /
+              ("explain-" + std::to_string(reinterpret_cast<std::uintptr_t>(this)));
+    std::filesystem::create_directories(folder_);
+    std::ofstream(folder_ / "a.log") << kEntryLog;
+    std::ofstream(folder_ / "b.log") << kServingLog;
+  }
+
+  void tearDown() override { std::filesystem::remove_all(folder_); }
+
+  void Explain_LinesOfTwoNodes_AreOrderedAndInWords() {
+    const ran_command ran = Run({"explain", "9c41", "--logs", folder_.string()});
+    CPPUNIT_ASSERT(ran.code == ctl::exit_code::kDone);
+    const auto serving = ran.out.find("at the backend server: no slot");
+    const auto away = ran.out.find("brought no answer");
+    const auto end = ran.out.find("ended as refused after 7.0 ms, row permit, table 12");
+    CPPUNIT_ASSERT(serving < away);
+    CPPUNIT_ASSERT(away < end);
+    CPPUNIT_ASSERT(end != std::string::npos);
+    CPPUNIT_ASSERT(ran.out.find("23 of 23 slots taken, 60 waiting") != std::string::npos);
+    CPPUNIT_ASSERT(ran.out.find("other") == std::string::npos);
+  }
+
+  void Explain_CallsOfTheRequest_AreMarked() {
+    const ran_command ran = Run({"explain", "9c41", "--logs", folder_.string()});
+    CPPUNIT_ASSERT(ran.out.find("node-b  (call) ended as failed") != std::string::npos);
+  }
+
+  void Explain_UnknownId_SaysWhyItMayBeMissing() {
+    const ran_command ran = Run({"explain", "beef", "--logs", folder_.string()});
+    CPPUNIT_ASSERT(ran.code == ctl::exit_code::kFoundProblems);
+    CPPUNIT_ASSERT(ran.out.find("log.left_out") != std::string::npos);
+  }
+
+  void Explain_NoSuchFile_IsANumberedError() {
+    const ran_command ran = Run({"explain", "9c41", "--logs", (folder_ / "none.log").string()});
+    CPPUNIT_ASSERT(ran.code == ctl::exit_code::kFileUnreadable);
+    CPPUNIT_ASSERT(ran.err.find("CF205") != std::string::npos);
+  }
+
+ private:
+  std::filesystem::path folder_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(explain_command_test);
+
+}  // namespace cuminferry::testing
