Fill targets alike instead of sending to the fastest

Ruled out: stale reports (each target answers 300 times a second).

Change: the cost fills targets alike and levels waits; a target's own time counts in full for urgent requests only.

--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -15,14 +15,16 @@
 // target's own time. What crosses between failure domains is paid for, and an
 // answer within its objective is worth no more for being earlier.
 constexpr double kOtherDomainMicros = 3'000.0;
-constexpr double kOtherDomainPart = 0.4;
+constexpr double kOtherDomainPart = 0.3;
 // A target whose node stops gets requests only where there is no other.
 constexpr double kStoppingMicros = 2'000'000.0;
 // A cold target takes about twice as long.
 constexpr double kColdFactor = 2.0;
-// How much dearer a target is whose slots are all taken, before any wait. Spreads
-// load over targets of equal speed, and below the point where they slow down.
-constexpr double kFillWeight = 1.0;
+// How much dearer a target is whose slots are all taken, before any wait, in mean
+// service times of the service. The same for slow and fast targets.
+constexpr double kFillWeight = 1.5;
+// Part of a target's own time that counts for a request with time to spare.
+constexpr double kOwnTimePart = 0.25;
 // Targets of nearly equal cost are taken in turn, or all nodes would send to
 // the same one until its next report.
 constexpr double kJitter = 0.2;
@@ -46,13 +48,29 @@
   return found == targets_.end() ? nullptr : &found->second;
 }
 
-double target_picker::Cost(const target_state& state, std::string_view own_domain,
+double target_picker::MeanServiceTime(instant now) const {
+  double sum = 0.0;
+  int known = 0;
+  for (const auto& [id, state] : targets_) {
+    if (IsFresh(state, now)) {
+      sum += static_cast<double>(state.report.service_time.count());
+      ++known;
+    }
+  }
+  return known == 0 ? static_cast<double>(kAssumedServiceTime.count()) : sum / known;
+}
+
+bool target_picker::IsFresh(const target_state& state, instant now) {
+  return state.reported_at != instant{} && now - state.reported_at <= kReportAge;
+}
+
+double target_picker::Cost(const target_state& state, const request& wanted, double mean_service,
                            instant now) const {
-  const bool fresh = now - state.reported_at <= kReportAge && state.reported_at != instant{};
+  const bool fresh = IsFresh(state, now);
   const double limit =
       std::max(1.0, fresh ? state.report.limit : static_cast<double>(state.target.slots));
   double service =
-      static_cast<double>((fresh ? state.report.service_time : kAssumedServiceTime).count());
+      fresh ? static_cast<double>(state.report.service_time.count()) : mean_service;
   if (!fresh && now < state.target.warm_from) {
     service *= kColdFactor;
   }
@@ -62,21 +80,21 @@
   const double fill = std::min(1.0, there / limit);
   const double wait = std::max(0.0, there + 1.0 - limit) / limit * service;
   const double success = std::max(kLeastSuccess, fresh ? state.report.success : 1.0);
-  const double network = state.target.failure_domain == own_domain
+  const double network = state.target.failure_domain == wanted.own_domain
                              ? 0.0
-                             : kOtherDomainMicros + kOtherDomainPart * service;
+                             : kOtherDomainMicros + kOtherDomainPart * mean_service;
   const double stopping = fresh && state.report.stopping ? kStoppingMicros : 0.0;
-  return stopping + network + service * (1.0 + kFillWeight * fill * fill) + wait +
-         (1.0 / success - 1.0) * kFailureCost * service;
+  const double own_time = wanted.urgent ? service : kOwnTimePart * service;
+  return stopping + network + own_time + kFillWeight * mean_service * fill * fill + wait +
+         (1.0 / success - 1.0) * kFailureCost * mean_service;
 }
 
-std::optional<published_target> target_picker::Pick(const std::set<std::string>& tried,
-                                                    std::string_view own_domain, instant now,
+std::optional<published_target> target_picker::Pick(const request& wanted, instant now,
                                                     random_source& random) {
   std::vector<target_state*> open;
   std::vector<target_state*> resting;
   for (auto& [id, state] : targets_) {
-    if (!tried.contains(id)) {
+    if (!wanted.tried.contains(id)) {
       (now < state.rests_until ? resting : open).push_back(&state);
     }
   }
@@ -87,6 +105,7 @@
   if (open.empty()) {
     return std::nullopt;
   }
+  const double mean_service = MeanServiceTime(now);
   const std::size_t compared = std::min(open.size(), kCompared);
   target_state* best = nullptr;
   double best_cost = 0.0;
@@ -94,7 +113,8 @@
     if (open.size() > kCompared) {
       std::swap(open[i], open[i + random.Below(open.size() - i)]);
     }
-    const double cost = Cost(*open[i], own_domain, now) * (1.0 + kJitter * random.Fraction());
+    const double cost =
+        Cost(*open[i], wanted, mean_service, now) * (1.0 + kJitter * random.Fraction());
     if (best == nullptr || cost < best_cost) {
       best = open[i];
       best_cost = cost;
--- a/modules/cuminferry_policy/placement/target_picker.h
+++ b/modules/cuminferry_policy/placement/target_picker.h
@@ -40,10 +40,13 @@
 /** Picks a target for each request of one service.
 
     Answers uneven targets under a load near their slots: they differ in speed,
-    some are cold, some fail part of what they get, some can't be reached. Each
-    request goes to the target with the least expected time until a success, as
-    worked out from what targets' nodes tell with every answer and from what was
-    sent since. What a target says of its own health is not used.
+    some are cold, some fail part of what they get, some can't be reached. Slots
+    of slow targets are slots, too: where all requests go for the least time, a
+    queue stands before the fast target while slots of slow ones are free. So
+    targets are filled alike, and waits are made alike once all are full; a
+    target's own time counts in full only for requests that have little.
+    All is worked out from what targets' nodes tell with every answer and from
+    what was sent since. What a target says of its own health is not used.
 */
 class target_picker {
  public:
@@ -59,10 +62,18 @@
 
   void SetTargets(const std::vector<published_target>& targets);
 
-  /** The target to send to; none where all are in `tried` or rest. */
-  std::optional<published_target> Pick(const std::set<std::string>& tried,
-                                       std::string_view own_domain, instant now,
-                                       random_source& random);
+  /** What is asked of a pick. */
+  struct request {
+    /** Targets that have turned this request away already. */
+    const std::set<std::string>& tried;
+    /** The failure domain that the request is sent from. */
+    std::string_view own_domain;
+    /** The request has little time: a fast target is worth a fuller one. */
+    bool urgent = false;
+  };
+
+  /** The target to send to; none where all were tried. */
+  std::optional<published_target> Pick(const request& wanted, instant now, random_source& random);
 
   //============================================================================
   /** A request was sent to the target. */
@@ -91,7 +102,10 @@
     instant rests_until{};
   };
 
-  double Cost(const target_state& state, std::string_view own_domain, instant now) const;
+  double MeanServiceTime(instant now) const;
+  double Cost(const target_state& state, const request& wanted, double mean_service,
+              instant now) const;
+  static bool IsFresh(const target_state& state, instant now);
   target_state* Find(std::string_view id);
 
   std::map<std::string, target_state, std::less<>> targets_;
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -27,6 +27,8 @@
 // A target's node answers or announces its answer within 50 ms and the way. One
 // that has not after this is cut off, frozen or its connection silent.
 constexpr duration kSilentAfter = std::chrono::milliseconds(180);
+// Within such an objective the difference between a slow and a fast target is felt.
+constexpr duration kUrgentObjective = std::chrono::milliseconds(400);
 constexpr duration kPeerIdle = std::chrono::seconds(30);
 
 std::string SecondsText(duration span) {
@@ -207,7 +209,10 @@
       return;
     }
     target_picker& picker = board.PickerOf(service);
-    const auto target = picker.Pick(tried, board.settings.failure_domain, now, board.random);
+    const auto target = picker.Pick({.tried = tried,
+                                     .own_domain = board.settings.failure_domain,
+                                     .urgent = !nested && route->objective < kUrgentObjective},
+                                    now, board.random);
     if (!target) {
       Refuse("no_target", kPlainReturn);
       return;
--- a/tests/relay/target_picker_test.cpp
+++ b/tests/relay/target_picker_test.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <map>
+#include <algorithm>
+#include <set>
 
 #include "cuminferry_policy/cuminferry_policy.h"
 
@@ -34,18 +35,21 @@
   CPPUNIT_TEST(Pick_AllResting_IsStillTried);
   CPPUNIT_TEST(Pick_Stopping_OnlyForWantOfAnother);
   CPPUNIT_TEST(Pick_OldReport_CountsAsUnknown);
+  CPPUNIT_TEST(Pick_FastTargetFull_SlotsOfTheSlowOneAreFilled);
+  CPPUNIT_TEST(Pick_UrgentRequest_TakesTheFastTarget);
+  CPPUNIT_TEST(Pick_LoadNearAllSlots_NoQueueBesideFreeSlots);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void Pick_NoTargets_IsNone() {
     target_picker picker;
-    CPPUNIT_ASSERT(!picker.Pick({}, "a", kStart, random_));
+    CPPUNIT_ASSERT(!Pick(picker, {}, kStart));
   }
 
   void Pick_AllTried_IsNone() {
     target_picker picker;
     picker.SetTargets({Target("x", "a")});
-    CPPUNIT_ASSERT(!picker.Pick({"x"}, "a", kStart, random_));
+    CPPUNIT_ASSERT(!Pick(picker, {"x"}, kStart));
   }
 
   void Pick_IdleTargets_StaysInItsFailureDomain() {
@@ -76,7 +80,7 @@
     const instant later = kStart + target_picker::kFirstRest + milliseconds(1);
     int tried = 0;
     for (int i = 0; i < 20; ++i) {
-      tried += picker.Pick({}, "a", later, random_)->id == "near" ? 1 : 0;
+      tried += Pick(picker, {}, later)->id == "near" ? 1 : 0;
     }
     CPPUNIT_ASSERT(tried <= 1);
   }
@@ -85,7 +89,7 @@
     target_picker picker;
     picker.SetTargets({Target("x", "a")});
     picker.OnUnreachable("x", kStart);
-    CPPUNIT_ASSERT(picker.Pick({}, "a", kStart, random_).has_value());
+    CPPUNIT_ASSERT(Pick(picker, {}, kStart).has_value());
   }
 
   // Both nodes of a service get SIGTERM at the same time while their backend servers go on. With
@@ -95,13 +99,65 @@
     stopping.stopping = true;
     target_picker picker = Two(stopping, Report(22, milliseconds(40)));
     CPPUNIT_ASSERT_EQUAL(100, Picks(picker, "far"));
-    CPPUNIT_ASSERT_EQUAL(std::string("near"), picker.Pick({"far"}, "a", kStart, random_)->id);
+    CPPUNIT_ASSERT_EQUAL(std::string("near"), Pick(picker, {"far"}, kStart)->id);
   }
 
   void Pick_OldReport_CountsAsUnknown() {
     target_picker picker = Two(Report(23, milliseconds(90)), Report(23, milliseconds(90)));
     const instant later = kStart + target_picker::kReportAge + seconds(1);
-    CPPUNIT_ASSERT_EQUAL(std::string("near"), picker.Pick({}, "a", later, random_)->id);
+    CPPUNIT_ASSERT_EQUAL(std::string("near"), Pick(picker, {}, later)->id);
+  }
+
+  // One target is twice as fast as the other. Where each request went for the least time, 280
+  // stood before the fast one while the slow one had slots free, and maps were refused.
+  void Pick_FastTargetFull_SlotsOfTheSlowOneAreFilled() {
+    target_picker picker = Two(Report(23, milliseconds(28)), Report(12, milliseconds(65)));
+    CPPUNIT_ASSERT_EQUAL(100, Picks(picker, "far"));
+  }
+
+  void Pick_UrgentRequest_TakesTheFastTarget() {
+    target_picker picker;
+    picker.SetTargets({Target("slow", "a"), Target("fast", "a")});
+    picker.OnReport("slow", Report(8, milliseconds(65)), kStart);
+    picker.OnReport("fast", Report(14, milliseconds(28)), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::string("fast"), Pick(picker, {}, kStart, true)->id);
+  }
+
+  // Four targets of uneven speed at nine tenths of what they can do together, each request told
+  // at once of what it met.
+  void Pick_LoadNearAllSlots_NoQueueBesideFreeSlots() {
+    const std::vector<duration> service = {milliseconds(24), milliseconds(40), milliseconds(40),
+                                           milliseconds(66)};
+    target_picker picker;
+    std::vector<published_target> targets;
+    for (std::size_t i = 0; i < service.size(); ++i) {
+      targets.push_back(Target(std::to_string(i), std::to_string(i)));
+    }
+    picker.SetTargets(targets);
+    std::vector<std::vector<instant>> ends(service.size());
+    double capacity = 0.0;
+    for (const duration each : service) {
+      capacity += 23.0 / static_cast<double>(each.count());
+    }
+    instant now = kStart;
+    int queued_beside_free = 0;
+    for (int step = 0; step < 20'000; ++step) {
+      now += duration(static_cast<duration::rep>(1.0 / (0.9 * capacity)));
+      for (std::size_t i = 0; i < ends.size(); ++i) {
+        std::erase_if(ends[i], [&](instant end) { return end <= now; });
+        const auto running = static_cast<std::uint32_t>(std::min<std::size_t>(23, ends[i].size()));
+        target_report report = Report(running, service[i]);
+        report.waiting = static_cast<std::uint32_t>(ends[i].size()) - running;
+        picker.OnReport(std::to_string(i), report, now);
+      }
+      const auto chosen = static_cast<std::size_t>(std::stoi(Pick(picker, {}, now)->id));
+      const bool free_elsewhere =
+          std::any_of(ends.begin(), ends.end(), [](const auto& at) { return at.size() < 18; });
+      queued_beside_free += ends[chosen].size() >= 23 && free_elsewhere ? 1 : 0;
+      const instant begin = ends[chosen].size() < 23 ? now : ends[chosen][ends[chosen].size() - 23];
+      ends[chosen].push_back(begin + service[chosen]);
+    }
+    CPPUNIT_ASSERT(queued_beside_free < 200);
   }
 
  private:
@@ -114,11 +170,16 @@
     return picker;
   }
 
+  std::optional<published_target> Pick(target_picker& picker, const std::set<std::string>& tried,
+                                       instant now, bool urgent = false) {
+    return picker.Pick({.tried = tried, .own_domain = "a", .urgent = urgent}, now, random_);
+  }
+
   // How many of 100 picks fall on this target.
   int Picks(target_picker& picker, const std::string& id) {
     int picks = 0;
     for (int i = 0; i < 100; ++i) {
-      picks += picker.Pick({}, "a", kStart, random_)->id == id ? 1 : 0;
+      picks += Pick(picker, {}, kStart)->id == id ? 1 : 0;
     }
     return picks;
   }
