Tell rows apart by the time that they run, not by shares of credit

Ruled out: a higher bound alone; what is left on the innocent row grows with how often the two overlap. Change: least squares without negative rates over windows of 100 ms of each row's running time, 30 s remembered.

--- a/modules/cuminferry_policy/entry/row_causes.h
+++ b/modules/cuminferry_policy/entry/row_causes.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
 
@@ -12,25 +13,29 @@
 /** Learns which rows the backend server calls while it runs requests of a row,
     and how often.
 
-    Calls carry no tie to the request that caused them. Each call is credited to
-    the rows that run at that moment, in proportion to their number and to what
-    is already known of them (expectation maximisation), so that rows that often
-    run side by side come apart as soon as they sometimes don't.
+    Calls carry no tie to the request that caused them. In each short window the
+    calls to a row are a sum over the rows that ran in it, each with the time
+    that its requests ran and a rate of its own. The rates that fit the windows
+    of the last seconds best, none below zero, tell rows apart that often run
+    side by side, as soon as their numbers sometimes differ.
 */
 class row_causes {
  public:
-  /** A row's runs that the estimate remembers: seconds of load, so that a changed
-      backend server shows within seconds. */
-  static constexpr double kRunsRemembered = 200.0;
-  /** Fewer calls a run than this are taken as coincidence: rows that only run side
-      by side with the cause get some credit. Below 0.1, uploads were refused for
-      the sake of a service that they never use. */
+  /** Length of a window: about a run, so that calls fall where their cause ran. */
+  static constexpr duration kWindow = std::chrono::milliseconds(100);
+  /** What a window keeps of its weight at the next: 30 s are remembered, so that
+      a changed backend server shows within seconds. */
+  static constexpr double kKept = 0.997;
+  /** Fewer calls a run than this are taken as coincidence. A row that seldom calls
+      a full service costs it little. */
   static constexpr double kLeastCalls = 0.4;
+  /** Rows learned of, the first that run; a table's other rows don't run here. */
+  static constexpr std::size_t kMostRows = 32;
 
-  void OnRunStart(std::string_view row);
-  void OnRunEnd(std::string_view row);
+  void OnRunStart(std::string_view row, instant now);
+  void OnRunEnd(std::string_view row, instant now);
   /** The backend server calls this row. */
-  void OnCall(std::string_view called);
+  void OnCall(std::string_view called, instant now);
 
   /** Calls to `called` in one run of `row`. */
   double CallsPerRun(std::string_view row, std::string_view called) const;
@@ -40,13 +45,34 @@
 
  private:
   struct row_runs {
+    std::string name;
     std::uint32_t running = 0;
-    double runs = 0.0;
-    std::map<std::string, double, std::less<>> calls;
+    /** Within the window: seconds that its requests ran, together. */
+    double seconds = 0.0;
+    /** Remembered like the windows. */
+    double ran_seconds = 0.0;
+    double ended = 0.0;
   };
+  struct called_row {
+    double in_window = 0.0;
+    /** Sum over windows of calls times each row's seconds. */
+    std::vector<double> products;
+    /** Calls a second of each row's running. */
+    std::vector<double> rates;
+  };
+
+  row_runs* Find(std::string_view row, bool add);
+  void Advance(instant now);
+  void CloseWindow();
+  void Fit(called_row& called) const;
 
-  std::map<std::string, row_runs, std::less<>> rows_;
+  std::vector<row_runs> rows_;
+  // Sum over windows of the products of two rows' seconds.
+  std::vector<std::vector<double>> squares_;
+  std::map<std::string, called_row, std::less<>> called_;
   std::uint32_t running_total_ = 0;
+  instant window_began_{};
+  instant advanced_to_{};
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -122,7 +122,7 @@
     }
     service = ChooseService();
     if (nested && board.causes.AnyRunning()) {
-      board.causes.OnCall(route->name);
+      board.causes.OnCall(route->name, started);
     }
     board.BudgetOf(service).OnFirstSend(started);
     Place();
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -292,7 +292,7 @@
 void serving_side::call::Start() {
   running_ = true;
   started_ = side_.board.loop.Now();
-  side_.board.causes.OnRunStart(about_.row);
+  side_.board.causes.OnRunStart(about_.row, started_);
   const bool once = about_.repeat != repeat_rule::kIdempotent;
   std::weak_ptr<call> weak = weak_from_this();
   const auto with = [weak](auto action) {
@@ -448,7 +448,7 @@
   running_ = false;
   deadline_timer_.Stop();
   const instant now = side_.board.loop.Now();
-  side_.board.causes.OnRunEnd(about_.row);
+  side_.board.causes.OnRunEnd(about_.row, now);
   side_.gate.Finish(now - started_, now);
 }
 
--- a/tests/relay/row_learning_test.cpp
+++ b/tests/relay/row_learning_test.cpp
@@ -1,6 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <deque>
+#include <vector>
 
 #include "cuminferry_policy/cuminferry_policy.h"
 
@@ -34,31 +34,42 @@
   void CallsPerRun_TwoRowsSideBySide_AreToldApart() {
     row_causes causes;
     random_source random(3);
-    std::deque<std::string> running;
-    for (int step = 0; step < 4'000; ++step) {
-      const std::string row = random.Below(3) == 0 ? "upload" : "lookup";
-      causes.OnRunStart(row);
-      running.push_back(row);
-      if (row == "lookup") {
-        for (int call = 0; call < 4; ++call) {
-          causes.OnCall("feed");
-        }
+    struct run {
+      std::string row;
+      int left = 0;
+    };
+    std::vector<run> running;
+    instant now = kStart;
+    for (int step = 0; step < 20'000; ++step) {
+      now += milliseconds(2);
+      if (random.Below(8) == 0) {
+        const std::string row = random.Below(3) == 0 ? "upload" : "lookup";
+        causes.OnRunStart(row, now);
+        running.push_back({row, 50});
       }
-      if (running.size() > random.Below(4)) {
-        causes.OnRunEnd(running.front());
-        running.pop_front();
+      for (run& each : running) {
+        --each.left;
+        if (each.row == "lookup" && each.left % 12 == 1) {
+          causes.OnCall("feed", now);
+        }
       }
+      std::erase_if(running, [&](const run& each) {
+        if (each.left <= 0) {
+          causes.OnRunEnd(each.row, now);
+        }
+        return each.left <= 0;
+      });
     }
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, causes.CallsPerRun("lookup", "feed"), 0.8);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(5.0, causes.CallsPerRun("lookup", "feed"), 0.5);
     CPPUNIT_ASSERT(causes.CalledBy("upload").empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, causes.CalledBy("lookup").size());
   }
 
   void CallsPerRun_NothingRuns_LearnsNothing() {
     row_causes causes;
-    causes.OnCall("feed");
-    causes.OnRunStart("lookup");
-    causes.OnRunEnd("lookup");
+    causes.OnCall("feed", kStart);
+    causes.OnRunStart("lookup", kStart + seconds(1));
+    causes.OnRunEnd("lookup", kStart + seconds(2));
     CPPUNIT_ASSERT(causes.CalledBy("lookup").empty());
   }
 
