Start from seeds when the store turns a node away; follow the settings file

Cause: a node that restarts while the store turns it away knows no other node and answers 503 until the store relents; and a changed settings file was only logged. Ruled out: a static list of nodes; instances come and go.

--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -92,6 +92,15 @@
   return found->second;
 }
 
+void relay_board::UseBoundsOf(const relay_settings& changed) {
+  settings.repeat_ratio = changed.repeat_ratio;
+  settings.repeat_allowance = changed.repeat_allowance;
+  settings.repeat_window = changed.repeat_window;
+  settings.grace = changed.grace;
+  // Made anew with the next request of each service.
+  budgets_.clear();
+}
+
 endpoint relay_board::PeerBeside(const endpoint& backend) const {
   return {.address = backend.address, .port = settings.peer.port};
 }
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -49,8 +49,12 @@
   endpoint PeerBeside(const endpoint& backend) const;
   http_client& ClientFor(const endpoint& peer);
 
+  /** Takes a changed bound on repeats and a changed grace. */
+  void UseBoundsOf(const relay_settings& changed);
+
   event_loop& loop;
-  const relay_settings settings;
+  /** Identity and addresses stay; the bounds may change. */
+  relay_settings settings;
   random_source random;
   decision_log log;
   relay_metrics metrics;
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -44,6 +44,7 @@
   std::unordered_map<outbound_call*, std::shared_ptr<outbound_call>> calls;
   std::unique_ptr<http_server> outbound;
   std::unique_ptr<http_server> peer;
+  std::unique_ptr<http_server> seed;
   std::unique_ptr<http_server> ready;
   std::unique_ptr<http_server> metrics;
   bool platform_heard = false;
@@ -79,6 +80,13 @@
     };
     absl::Status status =
         listen(peer, at.peer, peer_limits, [this](auto request) { OnPeerRequest(request); });
+    status.Update(listen(seed, at.seed, peer_limits, [this](auto request) {
+      if (request->request().target.starts_with(kItemsPath)) {
+        exchange.OnRequest(*request);
+      } else {
+        request->Answer(MakeAnswer(kNotFound, "Not Found"), "");
+      }
+    }));
     status.Update(listen(metrics, at.metrics, {}, [this](auto request) { OnMetrics(*request); }));
     status.Update(listen(ready, at.ready, {}, [this](auto request) { OnReadyQuestion(*request); }));
     status.Update(listen(outbound, at.outbound, {}, [this](auto request) { OnOutbound(request); }));
@@ -250,6 +258,21 @@
 
 std::uint64_t relay_node::items_revision() const { return state_->board.items.complete_to(); }
 
+bool relay_node::UseSettings(const relay_settings& changed) {
+  relay_board& board = state_->board;
+  board.UseBoundsOf(changed);
+  relay_settings in_force = board.settings;
+  // Used by their owners as they are needed.
+  in_force.platform = changed.platform;
+  in_force.seeds = changed.seeds;
+  board.settings.seeds = changed.seeds;
+  const bool whole = in_force == changed;
+  board.log.OnChange("settings.reloaded", {{"whole", whole},
+                                           {"repeat_allowance", changed.repeat_allowance},
+                                           {"platform", changed.platform.ToString()}});
+  return whole;
+}
+
 void relay_node::Drain(std::function<void()> on_drained) {
   if (state_->board.draining) {
     return;
--- a/modules/cuminferry_relay/path/relay_node.h
+++ b/modules/cuminferry_relay/path/relay_node.h
@@ -56,6 +56,10 @@
   /** The copy of the items is complete to this revision. */
   std::uint64_t items_revision() const;
 
+  /** Takes changed settings while it runs: bounds at once. Returns whether all of
+      the change is in force; addresses and identity need a restart. */
+  bool UseSettings(const relay_settings& changed);
+
   /** Takes no new work, lets what runs finish, then calls the hook: at the
       latest shortly before the grace of the settings is over. */
   void Drain(std::function<void()> on_drained);
--- a/modules/cuminferry_relay/path/relay_settings.cpp
+++ b/modules/cuminferry_relay/path/relay_settings.cpp
@@ -29,6 +29,7 @@
   reader.Address("outbound", into.outbound, kRequired, kAnyPort);
   reader.Address("ready", into.ready, kRequired, kAnyPort);
   reader.Address("peer", into.peer, kRequired, kAnyPort);
+  reader.Address("seed", into.seed, kRequired, kAnyPort);
   reader.Address("metrics", into.metrics, kRequired, kAnyPort);
   reader.Address("backend", into.backend, kRequired, kKnownPort);
   reader.Address("platform", into.platform, kRequired, kKnownPort);
--- a/modules/cuminferry_relay/path/relay_settings.h
+++ b/modules/cuminferry_relay/path/relay_settings.h
@@ -26,6 +26,8 @@
   std::string not_executed;
   /** The backend server's signature on an answer. */
   std::string signature;
+
+  bool operator==(const relay_header_names&) const = default;
 };
 
 /** What one node of the HTTP relay is told about itself. JSON with comments. */
@@ -41,6 +43,9 @@
   std::string ready_path;
   /** HTTP for other nodes; the port is the same on all instances. */
   endpoint peer;
+  /** Where nodes that know no other ask for the published items; other nodes have
+      it among their seeds. */
+  endpoint seed;
   /** HTTP for metrics. */
   endpoint metrics;
   std::string metrics_path;
@@ -64,6 +69,8 @@
   /** Not in the file: the adapter to the deployment sets them. */
   relay_header_names headers;
 
+  bool operator==(const relay_settings&) const = default;
+
   /** Reads and checks JSON with comments. */
   static absl::StatusOr<relay_settings> Parse(std::string_view json,
                                               std::vector<table_problem>& problems);
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint16_t kOutboundPort = 18304;
 constexpr std::uint16_t kReadyPort = 18302;
 constexpr std::uint16_t kPeerPort = 17620;
+constexpr std::uint16_t kSeedPort = 17622;
 constexpr std::uint16_t kMetricsPort = 17621;
 constexpr std::uint16_t kBackendPort = 18301;
 constexpr std::uint16_t kNoPlatformPort = 1;
@@ -181,6 +182,7 @@
   settings.ready = At(node, kReadyPort);
   settings.ready_path = "/ready";
   settings.peer = At(node, kPeerPort);
+  settings.seed = At(node, kSeedPort);
   settings.metrics = At(node, kMetricsPort);
   settings.metrics_path = "/metrics";
   settings.backend = At(node, kBackendPort);
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -97,8 +97,9 @@
   std::uint64_t TotalRequests() const;
   event_loop& loop() { return loop_; }
 
- private:
   relay_settings SettingsOf(int node) const;
+
+ private:
   endpoint At(int node, std::uint16_t port) const;
   std::vector<service_instance> Instances() const;
 
--- a/tests/relay/relay_path_test.cpp
+++ b/tests/relay/relay_path_test.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(Requests_Pipelined_AreAnsweredInOrder);
   CPPUNIT_TEST(Table_OlderVersion_IsNotTakenBack);
   CPPUNIT_TEST(Table_PlatformSilent_ComesFromAnotherNode);
+  CPPUNIT_TEST(Table_NoPeerKnown_ComesFromASeed);
+  CPPUNIT_TEST(Settings_BoundsChange_AreTakenAddressesNot);
   CPPUNIT_TEST(Drain_OnlyTarget_ServesUntilItStops);
   CPPUNIT_TEST_SUITE_END();
 
@@ -143,6 +145,26 @@
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return fleet.node(0).items_revision() == 9; }, seconds(2)));
   }
 
+  // A node is started while the platform turns it away, and knows nobody but its seeds.
+  void Table_NoPeerKnown_ComesFromASeed() {
+    relay_fleet fleet(2);
+    fleet.PublishTo(1, 9);
+    relay_settings seeded = fleet.SettingsOf(0);
+    seeded.seeds = {fleet.SettingsOf(1).seed};
+    CPPUNIT_ASSERT(fleet.node(0).UseSettings(seeded));
+    fleet.node(0).OnPlatform(false);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return fleet.node(0).items_revision() == 9; }, seconds(2)));
+  }
+
+  void Settings_BoundsChange_AreTakenAddressesNot() {
+    relay_fleet fleet(1);
+    relay_settings changed = fleet.SettingsOf(0);
+    changed.repeat_allowance = 7;
+    CPPUNIT_ASSERT(fleet.node(0).UseSettings(changed));
+    changed.outbound.port = 1;
+    CPPUNIT_ASSERT(!fleet.node(0).UseSettings(changed));
+  }
+
   // Both nodes of a service are told to stop while their backend servers go on. Until the
   // platform sends clients elsewhere, requests must not be refused.
   void Drain_OnlyTarget_ServesUntilItStops() {
