--- a/modules/cuminferry_relay/path/decision_log.cpp
+++ b/modules/cuminferry_relay/path/decision_log.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cuminferry {
@@ -16,6 +17,11 @@
 
 }  // namespace
 
+double ForLog(double figure) {
+  constexpr double kThousandths = 1000.0;
+  return std::round(figure * kThousandths) / kThousandths;
+}
+
 struct decision_log::state {
   event_loop& loop;
   std::string instance;
--- a/modules/cuminferry_relay/path/decision_log.h
+++ b/modules/cuminferry_relay/path/decision_log.h
@@ -10,6 +10,9 @@
 
 namespace cuminferry {
 
+/** A figure as a line shows it: thousandths are enough, and short. */
+double ForLog(double figure);
+
 /** Structured lines on standard output, one JSON object each.
 
     Never blocks the caller: lines are gathered and handed to a writer thread a
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -525,8 +525,8 @@
       detail["why"] = reason;
     }
     if (result == "refused" && route != nullptr) {
-      detail["level"] =
-          board.admission.Level(route->name, table->largest_priority() + 1.0, board.loop.Now());
+      const double top = table->largest_priority() + 1.0;
+      detail["level"] = ForLog(board.admission.Level(route->name, top, board.loop.Now()));
     }
     board.log.OnRequest("request.end", std::move(detail));
   }
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -139,7 +139,7 @@
   level.Step(wait, taken, gate.service_time());
   if (level.open() != was_open) {
     was_open = level.open();
-    board.log.OnChange(was_open ? "level.opened" : "level.lowered", {{"level", level.level()},
+    board.log.OnChange(was_open ? "level.opened" : "level.lowered", {{"level", ForLog(level.level())},
                                                                      {"wait_us", wait.count()},
                                                                      {"running", gate.running()},
                                                                      {"waiting", gate.waiting()},
@@ -487,7 +487,7 @@
                                       {"running", side_.gate.running()},
                                       {"waiting", side_.gate.waiting()},
                                       {"limit", side_.gate.limit()},
-                                      {"level", side_.level.level()}});
+                                      {"level", ForLog(side_.level.level())}});
   serving_side::state& side = side_;
   const auto keep = shared_from_this();
   side.calls.erase(id_);
