Keep log lines for requests that someone will ask about

Cause: of an upload that was answered after 2.2 s the target's node had left its line out: lines of all requests shared one rate of 400 a second, and were put together before they were dropped. Ruled out: a higher rate; at 1,000 requests a second it is spent on what went well. Change: 300 lines a second for refused, failed, late and repeated requests, 50 for the rest, asked for before a line is put together.

--- a/modules/cuminferry_relay/path/decision_log.cpp
+++ b/modules/cuminferry_relay/path/decision_log.cpp
@@ -15,6 +15,30 @@
 // A pipe takes this much at once; a longer write may be cut by its reader.
 constexpr std::size_t kLargestBatch = 16 * 1024;
 
+// Lines that may be written, refilled evenly; holds those of one second.
+class line_budget {
+ public:
+  explicit line_budget(double per_second) : per_second_(per_second), allowed_(per_second) {}
+
+  bool Take(instant now) {
+    if (refilled_ != instant{}) {
+      const double seconds = static_cast<double>((now - refilled_).count()) / 1e6;
+      allowed_ = std::min(per_second_, allowed_ + seconds * per_second_);
+    }
+    refilled_ = now;
+    if (allowed_ < 1.0) {
+      return false;
+    }
+    allowed_ -= 1.0;
+    return true;
+  }
+
+ private:
+  double per_second_;
+  double allowed_;
+  instant refilled_{};
+};
+
 }  // namespace
 
 double ForLog(double figure) {
@@ -29,28 +53,13 @@
   std::shared_ptr<spdlog::details::thread_pool> writer;
   std::shared_ptr<spdlog::async_logger> logger;
   std::string gathered;
-  double allowed = kLinesPerSecond;
-  instant refilled{};
+  line_budget ordinary{kOrdinaryPerSecond};
+  line_budget notable{kNotablePerSecond};
   std::uint64_t left_out = 0;
 
   state(event_loop& loop, std::string instance)
       : loop(loop), instance(std::move(instance)), flush(loop) {}
 
-  bool MayWrite() {
-    const instant now = loop.Now();
-    if (refilled != instant{}) {
-      const double seconds = static_cast<double>((now - refilled).count()) / 1e6;
-      allowed = std::min(kLinesPerSecond, allowed + seconds * kLinesPerSecond);
-    }
-    refilled = now;
-    if (allowed < 1.0) {
-      ++left_out;
-      return false;
-    }
-    allowed -= 1.0;
-    return true;
-  }
-
   void Append(std::string_view event, const nlohmann::ordered_json& detail) {
     nlohmann::ordered_json line;
     // Time of day, for people only: it may jump.
@@ -89,10 +98,15 @@
 
 decision_log::~decision_log() { Flush(); }
 
+bool decision_log::Wants(bool notable) {
+  line_budget& budget = notable ? state_->notable : state_->ordinary;
+  const bool wanted = budget.Take(state_->loop.Now());
+  state_->left_out += wanted ? 0 : 1;
+  return wanted;
+}
+
 void decision_log::OnRequest(std::string_view event, nlohmann::ordered_json detail) {
-  if (state_->MayWrite()) {
-    state_->Append(event, detail);
-  }
+  state_->Append(event, detail);
 }
 
 void decision_log::OnChange(std::string_view event, nlohmann::ordered_json detail) {
--- a/modules/cuminferry_relay/path/decision_log.h
+++ b/modules/cuminferry_relay/path/decision_log.h
@@ -22,8 +22,12 @@
 */
 class decision_log {
  public:
-  /** Lines a second at most; requests, not changes of state, give way. */
-  static constexpr double kLinesPerSecond = 400.0;
+  /** Lines a second at most for requests that went well. They are samples: a
+      node sees some hundred a second. */
+  static constexpr double kOrdinaryPerSecond = 50.0;
+  /** And for those that were refused, failed, late or tried again: what someone
+      will ask about. */
+  static constexpr double kNotablePerSecond = 300.0;
   static constexpr duration kFlushPeriod = std::chrono::milliseconds(200);
   /** Batches that wait for the writer: 2 MB at most. */
   static constexpr std::size_t kQueuedBatches = 128;
@@ -33,7 +37,10 @@
   decision_log(const decision_log&) = delete;
   decision_log& operator=(const decision_log&) = delete;
 
-  /** A decision on one request. */
+  /** Whether a line on a request may be written now. Counts it as left out if
+      not; asked first, so that a line left out costs nothing else. */
+  bool Wants(bool notable);
+  /** A decision on one request, after Wants(). */
   void OnRequest(std::string_view event, nlohmann::ordered_json detail);
   /** A change of what this process does or believes; never left out. */
   void OnChange(std::string_view event, nlohmann::ordered_json detail);
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -502,6 +502,9 @@
   }
 
   void LogTry(relay_outcome why) {
+    if (!board.log.Wants(true)) {
+      return;
+    }
     board.log.OnRequest("request.turned_away", {{"id", request_id},
                                                 {"row", route->name},
                                                 {"service", service},
@@ -512,6 +515,10 @@
   }
 
   void LogEnd(std::string_view result, duration took) {
+    const bool late = route != nullptr && took > route->objective;
+    if (!board.log.Wants(result != "answered" || late || placements > 1)) {
+      return;
+    }
     nlohmann::ordered_json detail{{"id", request_id}, {"result", result}, {"us", took.count()}};
     if (route != nullptr) {
       detail["row"] = route->name;
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -106,6 +106,7 @@
   void OnDeadline();
   void FreeSlot();
   void End(std::string_view result);
+  void LogEnd(std::string_view result, duration waited, duration took) const;
 
   serving_side::state& side_;
   std::uint64_t id_;
@@ -139,11 +140,12 @@
   level.Step(wait, taken, gate.service_time());
   if (level.open() != was_open) {
     was_open = level.open();
-    board.log.OnChange(was_open ? "level.opened" : "level.lowered", {{"level", ForLog(level.level())},
-                                                                     {"wait_us", wait.count()},
-                                                                     {"running", gate.running()},
-                                                                     {"waiting", gate.waiting()},
-                                                                     {"limit", gate.limit()}});
+    board.log.OnChange(was_open ? "level.opened" : "level.lowered",
+                       {{"level", ForLog(level.level())},
+                        {"wait_us", wait.count()},
+                        {"running", gate.running()},
+                        {"waiting", gate.waiting()},
+                        {"limit", gate.limit()}});
   }
 }
 
@@ -478,22 +480,29 @@
   const duration waited = (ran ? started_ : now) - arrived_;
   const duration took = ran ? now - started_ : duration::zero();
   board.metrics.OnServed(about_.row, result, waited, took);
-  board.log.OnRequest("serving.end", {{"id", request_id_},
-                                      {"row", about_.row},
-                                      {"result", result},
-                                      {"nested", about_.nested},
-                                      {"waited_us", waited.count()},
-                                      {"ran_us", took.count()},
-                                      {"running", side_.gate.running()},
-                                      {"waiting", side_.gate.waiting()},
-                                      {"limit", side_.gate.limit()},
-                                      {"level", ForLog(side_.level.level())}});
+  const bool late = waited + took > about_.objective / 2;
+  if (board.log.Wants(result != "answered" || late)) {
+    LogEnd(result, waited, took);
+  }
   serving_side::state& side = side_;
   const auto keep = shared_from_this();
   side.calls.erase(id_);
   side.StartWaiting();
 }
 
+void serving_side::call::LogEnd(std::string_view result, duration waited, duration took) const {
+  side_.board.log.OnRequest("serving.end", {{"id", request_id_},
+                                            {"row", about_.row},
+                                            {"result", result},
+                                            {"nested", about_.nested},
+                                            {"waited_us", waited.count()},
+                                            {"ran_us", took.count()},
+                                            {"running", side_.gate.running()},
+                                            {"waiting", side_.gate.waiting()},
+                                            {"limit", side_.gate.limit()},
+                                            {"level", ForLog(side_.level.level())}});
+}
+
 //==============================================================================
 serving_side::serving_side(relay_board& board) : state_(std::make_unique<state>(board)) {}
 
