Let two nodes of each failure domain watch the platform for all

Ruled out: longer gathering alone; drains have 2 s to be known. Change: watchers are drawn by a hash over the listed instances; the others ask a watching node every 250 ms and take up the watch when none answers for a second. A copy tells how long entries may still be listed again after an outage.

--- a/modules/cuminferry_fleet/cuminferry_fleet.h
+++ b/modules/cuminferry_fleet/cuminferry_fleet.h
@@ -16,3 +16,4 @@
 #include "cuminferry_fleet/platform/published_values.h"
 #include "cuminferry_fleet/replica/instance_list.h"
 #include "cuminferry_fleet/replica/item_replica.h"
+#include "cuminferry_fleet/replica/watch_duty.h"
--- a/modules/cuminferry_fleet/replica/instance_list.cpp
+++ b/modules/cuminferry_fleet/replica/instance_list.cpp
@@ -1,11 +1,20 @@
 #include "cuminferry_fleet/replica/instance_list.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cuminferry {
 
 void instance_list::OnPlatformReturned(instant now) { keep_missing_until_ = now + kRelistTime; }
 
+void instance_list::KeepMissingFor(duration span, instant now) {
+  keep_missing_until_ = std::max(keep_missing_until_, now + std::min(span, duration(kRelistTime)));
+}
+
+duration instance_list::KeepsMissing(instant now) const {
+  return std::max(duration::zero(), keep_missing_until_ - now);
+}
+
 bool instance_list::Update(std::vector<service_instance> listed, instant now) {
   bool changed = false;
   for (auto& [id, known] : entries_) {
--- a/modules/cuminferry_fleet/replica/instance_list.h
+++ b/modules/cuminferry_fleet/replica/instance_list.h
@@ -23,6 +23,10 @@
 
   /** The platform's service answers again after it did not. */
   void OnPlatformReturned(instant now);
+  /** As OnPlatformReturned(), for as long as another node told. */
+  void KeepMissingFor(duration span, instant now);
+  /** How long missing entries are still kept. */
+  duration KeepsMissing(instant now) const;
   /** What is listed now. Returns whether anything changed. */
   bool Update(std::vector<service_instance> listed, instant now);
   /** Drops kept entries whose time is over. Returns whether anything changed. */
--- a/modules/cuminferry_fleet/replica/item_replica.h
+++ b/modules/cuminferry_fleet/replica/item_replica.h
@@ -32,10 +32,13 @@
   /** All items are here: what is absent does not exist at complete_to. */
   bool whole = false;
   std::vector<published_item> items;
+  /** The platform has just come back at the sender: entries that are missing may
+      be listed again within this. Microseconds. */
+  std::int64_t unsettled_micros = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(complete_to, whole, items);
+    archive(complete_to, whole, items, unsettled_micros);
   }
 };
 
--- a/modules/cuminferry_relay/path/item_exchange.cpp
+++ b/modules/cuminferry_relay/path/item_exchange.cpp
@@ -42,10 +42,13 @@
 
 struct item_exchange::state {
   relay_board& board;
-  update_hook on_update;
+  hooks on;
   loop_timer ask_timer;
   loop_timer limit_timer;
   bool platform_heard = false;
+  // Watching the platform: by duty, or because no watching node answers.
+  bool watching = true;
+  instant answered_at{};
   std::uint32_t periods_behind = 0;
   endpoint asked;
   std::string answer;
@@ -54,25 +57,63 @@
   std::unique_ptr<client_exchange> finished;
   std::map<endpoint, std::unique_ptr<http_client>> seed_clients;
 
-  state(relay_board& board, update_hook on_update)
-      : board(board),
-        on_update(std::move(on_update)),
-        ask_timer(board.loop),
-        limit_timer(board.loop) {
+  state(relay_board& board, hooks on)
+      : board(board), on(std::move(on)), ask_timer(board.loop), limit_timer(board.loop) {
     ask_timer.StartPeriodic(kAskPeriod, [this] { OnPeriod(); });
   }
 
   void OnPeriod() {
     const bool behind = board.heard_revision > board.items.complete_to();
     periods_behind = behind ? periods_behind + 1 : 0;
-    const bool wants = !platform_heard || periods_behind >= kPeriodsBehind;
+    UpdateWatching();
+    const bool wants = !watching || !platform_heard || periods_behind >= kPeriodsBehind;
     if (wants && !asking) {
       Ask();
     }
   }
 
-  // Another node, drawn anew each time: one that is cut off itself has no news.
+  void UpdateWatching() {
+    const instant now = board.loop.Now();
+    const bool has_copy = board.items.complete_to() > 0;
+    // Off duty, the others are asked for a while before the watch is given up.
+    const bool answered = answered_at != instant{} && now - answered_at <= kAloneAfter;
+    const bool off_duty = has_copy && !board.duty().on_duty();
+    if (off_duty && watching && !asking) {
+      Ask();
+    }
+    const bool wanted = !off_duty || !answered;
+    if (wanted != watching) {
+      watching = wanted;
+      board.log.OnChange(watching ? "watch.begun" : "watch.left_to_others",
+                         {{"on_duty", board.duty().on_duty()},
+                          {"answered", answered},
+                          {"items_revision", board.items.complete_to()}});
+      on.on_watching(watching);
+    }
+  }
+
+  // A watching node, mostly of the own failure domain. Drawn anew each time: one
+  // that is cut off itself has no news.
+  http_client* ChooseWatching() {
+    constexpr std::uint64_t kFarOneIn = 4;
+    const std::vector<endpoint>& near = board.duty().near();
+    const std::vector<endpoint>& far = board.duty().far();
+    const bool from_far = near.empty() || (!far.empty() && board.random.Below(kFarOneIn) == 0);
+    const std::vector<endpoint>& from = from_far ? far : near;
+    if (from.empty()) {
+      return nullptr;
+    }
+    asked = board.PeerBeside(from[board.random.Below(from.size())]);
+    return &board.ClientFor(asked);
+  }
+
+  // Any node, where the own watch gives no news.
   http_client* Choose() {
+    if (platform_heard || !watching) {
+      if (http_client* client = ChooseWatching()) {
+        return client;
+      }
+    }
     const std::vector<endpoint>& peers = board.peers();
     if (!peers.empty()) {
       asked = peers[board.random.Below(peers.size())];
@@ -141,18 +182,19 @@
       board.log.OnChange("items.damaged", {{"peer", asked.ToString()}, {"bytes", answer.size()}});
       return;
     }
+    answered_at = board.loop.Now();
     if (update->complete_to > board.items.complete_to()) {
       board.log.OnChange("items.from_peer", {{"peer", asked.ToString()},
                                              {"from", board.items.complete_to()},
                                              {"to", update->complete_to},
                                              {"items", update->items.size()}});
-      on_update(*update);
+      on.on_update(*update);
     }
   }
 };
 
-item_exchange::item_exchange(relay_board& board, update_hook on_update)
-    : state_(std::make_unique<state>(board, std::move(on_update))) {}
+item_exchange::item_exchange(relay_board& board, hooks hooks)
+    : state_(std::make_unique<state>(board, std::move(hooks))) {}
 
 item_exchange::~item_exchange() = default;
 
@@ -164,10 +206,10 @@
   const auto after = mark == std::string::npos
                          ? std::optional<std::int64_t>(0)
                          : ParseDecimal(std::string_view(target).substr(mark + 6));
-  http_head head = MakeAnswer(kOk, "OK");
-  peer.Answer(
-      std::move(head),
-      Encode(state_->board.items.UpdateSince(static_cast<std::uint64_t>(after.value_or(0)))));
+  item_update update =
+      state_->board.items.UpdateSince(static_cast<std::uint64_t>(after.value_or(0)));
+  update.unsettled_micros = state_->on.unsettled().count();
+  peer.Answer(MakeAnswer(kOk, "OK"), Encode(update));
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -39,6 +39,8 @@
     return leaving_.contains(instance_id) || gone_.contains(instance_id);
   }
   std::uint32_t own_slots() const { return own_slots_; }
+  /** Which nodes watch the platform. */
+  const watch_duty& duty() const { return duty_; }
   /** Other nodes, by the addresses that they serve each other at. */
   const std::vector<endpoint>& peers() const { return peers_; }
 
@@ -83,6 +85,7 @@
   std::set<std::string, std::less<>> leaving_;
   std::set<std::string, std::less<>> gone_;
   std::uint32_t own_slots_ = 0;
+  watch_duty duty_;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -52,12 +52,15 @@
   std::function<void()> on_drained;
 
   state(event_loop& loop, relay_settings settings, table_reader read_table,
-        instance_reader read_instances)
+        instance_reader read_instances, std::function<void(bool)> on_watching)
       : board(loop, std::move(settings)),
         read_table(std::move(read_table)),
         read_instances(std::move(read_instances)),
         serving(board),
-        exchange(board, [this](const item_update& update) { TakeItems(update); }),
+        exchange(board,
+                 {.on_update = [this](const item_update& update) { TakeItems(update); },
+                  .on_watching = std::move(on_watching),
+                  .unsettled = [this] { return instances.KeepsMissing(this->board.loop.Now()); }}),
         list_timer(loop),
         drain_timer(loop) {}
 
@@ -140,6 +143,9 @@
 
   //============================================================================
   void TakeItems(const item_update& update) {
+    if (update.unsettled_micros > 0) {
+      instances.KeepMissingFor(duration(update.unsettled_micros), board.loop.Now());
+    }
     const std::vector<std::string> changed = board.items.Apply(update);
     if (changed.empty()) {
       return;
@@ -223,9 +229,14 @@
   return *this;
 }
 
+relay_node::builder& relay_node::builder::WithWatchHook(std::function<void(bool)> on_watching) {
+  on_watching_ = std::move(on_watching);
+  return *this;
+}
+
 absl::StatusOr<std::unique_ptr<relay_node>> relay_node::builder::Start() {
   auto made = std::make_unique<state>(loop_, std::move(settings_), std::move(read_table_),
-                                      std::move(read_instances_));
+                                      std::move(read_instances_), std::move(on_watching_));
   const absl::Status listening = made->Listen();
   if (!listening.ok()) {
     return listening;
--- a/modules/cuminferry_relay/path/relay_node.h
+++ b/modules/cuminferry_relay/path/relay_node.h
@@ -34,6 +34,8 @@
     builder& WithSettings(relay_settings settings);
     builder& WithTableReader(table_reader reader);
     builder& WithInstanceReader(instance_reader reader);
+    /** Told whether this node should watch the platform; it should at first. */
+    builder& WithWatchHook(std::function<void(bool)> on_watching);
     /** kAddressInUse where an address can't be had. */
     absl::StatusOr<std::unique_ptr<relay_node>> Start();
 
@@ -42,6 +44,7 @@
     relay_settings settings_;
     table_reader read_table_;
     instance_reader read_instances_;
+    std::function<void(bool)> on_watching_ = [](bool) {};
   };
 
   ~relay_node();
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -84,7 +84,7 @@
     int written = 0;
     writer.StartPeriodic(milliseconds(20), [&] { at.store.Put("k", std::to_string(++written)); });
     CPPUNIT_ASSERT(at.RunUntil([&] { return written == 50; }));
-    // 50 changes in a second, fetched every 0.4 s.
+    // 50 changes in a second, fetched every quarter of one.
     CPPUNIT_ASSERT(at.store.calls <= 8);
   }
 
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -125,7 +125,10 @@
   return bytes.size() < kStatusAt + 3 ? 0 : std::stoi(bytes.substr(kStatusAt, 3));
 }
 
-relay_fleet::relay_fleet(int nodes) : block_(NextBlock()) {
+relay_fleet::relay_fleet(int nodes, int domains)
+    : block_(NextBlock()),
+      domains_(domains == 0 ? nodes : domains),
+      watches_(static_cast<std::size_t>(nodes), true) {
   for (int node = 0; node < nodes; ++node) {
     targets_.push_back(std::make_unique<scripted_target>(loop_, At(node, kBackendPort)));
   }
@@ -150,6 +153,9 @@
                          }
                          return listed;
                        })
+                       .WithWatchHook([this, node](bool watching) {
+                         watches_[static_cast<std::size_t>(node)] = watching;
+                       })
                        .Start();
     if (!started.ok()) {
       throw std::runtime_error(std::string(started.status().message()));
@@ -173,11 +179,15 @@
 
 endpoint relay_fleet::PeerAddress(int node) const { return At(node, kPeerPort); }
 
+std::string relay_fleet::DomainOf(int node) const {
+  return "domain-" + std::to_string(node % domains_);
+}
+
 relay_settings relay_fleet::SettingsOf(int node) const {
   relay_settings settings;
   settings.instance = "node-" + std::to_string(node);
   settings.service = kService;
-  settings.failure_domain = "domain-" + std::to_string(node);
+  settings.failure_domain = DomainOf(node);
   settings.outbound = At(node, kOutboundPort);
   settings.ready = At(node, kReadyPort);
   settings.ready_path = "/ready";
@@ -203,7 +213,7 @@
     all.push_back({.id = "i-" + std::to_string(node),
                    .service = kService,
                    .backend = At(static_cast<int>(node), kBackendPort),
-                   .failure_domain = "domain-" + std::to_string(node),
+                   .failure_domain = DomainOf(static_cast<int>(node)),
                    .slots = 20});
   }
   return all;
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -67,8 +67,9 @@
  public:
   static constexpr char kService[] = "maps";
 
-  /** @param nodes  nodes, each beside a backend server of kService */
-  explicit relay_fleet(int nodes);
+  /** @param nodes    nodes, each beside a backend server of kService
+      @param domains  failure domains, over which they stand in turn; 0: one each */
+  explicit relay_fleet(int nodes, int domains = 0);
   ~relay_fleet();
 
   //============================================================================
@@ -93,6 +94,8 @@
   relay_node& node(int node) { return *nodes_[static_cast<std::size_t>(node)]; }
   /** Where a node listens for other nodes. */
   endpoint PeerAddress(int node) const;
+  /** Whether a node watches the platform itself. */
+  bool Watches(int node) const { return watches_.at(static_cast<std::size_t>(node)); }
   void StopNode(int node) { nodes_[static_cast<std::size_t>(node)].reset(); }
   std::uint64_t TotalRequests() const;
   event_loop& loop() { return loop_; }
@@ -102,9 +105,12 @@
  private:
   endpoint At(int node, std::uint16_t port) const;
   std::vector<service_instance> Instances() const;
+  std::string DomainOf(int node) const;
 
   event_loop loop_;
   int block_;
+  int domains_;
+  std::vector<bool> watches_;
   std::vector<std::unique_ptr<scripted_target>> targets_;
   std::vector<std::unique_ptr<relay_node>> nodes_;
   std::vector<std::unique_ptr<tcp_connection>> clients_;
--- a/tests/relay/relay_path_test.cpp
+++ b/tests/relay/relay_path_test.cpp
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "relay/relay_fleet.h"
 
 namespace cuminferry::testing {
@@ -23,6 +25,8 @@
   CPPUNIT_TEST(Table_OlderVersion_IsNotTakenBack);
   CPPUNIT_TEST(Table_PlatformSilent_ComesFromAnotherNode);
   CPPUNIT_TEST(Table_NoPeerKnown_ComesFromASeed);
+  CPPUNIT_TEST(Watch_SixNodesOfADomain_TwoWatchForAll);
+  CPPUNIT_TEST(Watch_WatchingNodesGone_OthersTakeItUp);
   CPPUNIT_TEST(Settings_BoundsChange_AreTakenAddressesNot);
   CPPUNIT_TEST(Drain_OnlyTarget_ServesUntilItStops);
   CPPUNIT_TEST_SUITE_END();
@@ -156,6 +160,46 @@
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return fleet.node(0).items_revision() == 9; }, seconds(2)));
   }
 
+  // The platform counts each call. A watch at each node asks for as many at each change as there
+  // are nodes.
+  void Watch_SixNodesOfADomain_TwoWatchForAll() {
+    relay_fleet fleet(6, 1);
+    fleet.PublishToAll(1);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return Watching(fleet, 6) == 2; }, seconds(3)));
+    for (int node = 0; node < 6; ++node) {
+      if (fleet.Watches(node)) {
+        fleet.PublishTo(node, 5);
+      }
+    }
+    CPPUNIT_ASSERT(fleet.RunUntil(
+        [&] {
+          bool all = true;
+          for (int node = 0; node < 6; ++node) {
+            all = all && fleet.node(node).items_revision() == 5;
+          }
+          return all;
+        },
+        seconds(1)));
+  }
+
+  // Both nodes that watch are lost at the same time. The others must not stay with an old table.
+  void Watch_WatchingNodesGone_OthersTakeItUp() {
+    relay_fleet fleet(6, 1);
+    fleet.PublishToAll(1);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return Watching(fleet, 6) == 2; }, seconds(3)));
+    std::vector<int> left;
+    for (int node = 0; node < 6; ++node) {
+      if (fleet.Watches(node)) {
+        fleet.StopNode(node);
+      } else {
+        left.push_back(node);
+      }
+    }
+    CPPUNIT_ASSERT(fleet.RunUntil(
+        [&] { return std::ranges::all_of(left, [&](int node) { return fleet.Watches(node); }); },
+        seconds(3)));
+  }
+
   void Settings_BoundsChange_AreTakenAddressesNot() {
     relay_fleet fleet(1);
     relay_settings changed = fleet.SettingsOf(0);
@@ -180,6 +224,15 @@
     }
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return drained; }));
   }
+
+ private:
+  static int Watching(const relay_fleet& fleet, int nodes) {
+    int watching = 0;
+    for (int node = 0; node < nodes; ++node) {
+      watching += fleet.Watches(node) ? 1 : 0;
+    }
+    return watching;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relay_path_test);
