--- a/extras/node/node_main.cpp
+++ b/extras/node/node_main.cpp
@@ -11,7 +11,7 @@
 namespace cuminferry {
 namespace {
 
-// Exit codes; see docs/OPERATING.md.
+// Exit codes; see docs/OPERATIONS.md.
 constexpr int kExitOk = 0;
 constexpr int kExitUsage = 2;
 constexpr int kExitSettings = 3;
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -130,12 +130,17 @@
   }
 
   void OnMetrics(server_exchange& request) {
+    if (request.request().target != board.settings.metrics_path) {
+      request.Answer(MakeAnswer(kNotFound, "Not Found"), "");
+      return;
+    }
     board.metrics.SetGauge("cuminferry_open_requests", static_cast<double>(calls.size()));
     board.metrics.SetGauge("cuminferry_serving_requests",
                            static_cast<double>(serving.in_progress()));
     board.metrics.SetGauge("cuminferry_items_revision",
                            static_cast<double>(board.items.complete_to()));
     board.metrics.SetGauge("cuminferry_platform_heard", platform_heard ? 1.0 : 0.0);
+    serving.ReportTo(board.metrics);
     http_head head = MakeAnswer(kOk, "OK");
     head.Set("Content-Type", "text/plain; version=0.0.4");
     request.Answer(std::move(head), board.metrics.ToText());
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -532,4 +532,11 @@
 
 std::size_t serving_side::in_progress() const { return state_->calls.size(); }
 
+void serving_side::ReportTo(relay_metrics& metrics) const {
+  metrics.SetGauge("cuminferry_level", state_->level.level());
+  metrics.SetGauge("cuminferry_slots_running", state_->gate.running());
+  metrics.SetGauge("cuminferry_slots_limit", state_->gate.limit());
+  metrics.SetGauge("cuminferry_queue", state_->gate.waiting());
+}
+
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/serving_side.h
+++ b/modules/cuminferry_relay/path/serving_side.h
@@ -27,6 +27,8 @@
 
   /** Requests that wait or run. */
   std::size_t in_progress() const;
+  /** Sets the gauges of the gate. */
+  void ReportTo(relay_metrics& metrics) const;
 
  private:
   struct state;
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -253,8 +253,13 @@
 
 std::unique_ptr<tcp_connection> relay_fleet::Connect(int node,
                                                      const std::shared_ptr<client_result>& into) {
+  return ConnectTo(At(node, kOutboundPort), into);
+}
+
+std::unique_ptr<tcp_connection> relay_fleet::ConnectTo(const endpoint& at,
+                                                       const std::shared_ptr<client_result>& into) {
   return tcp_connection::Connect(
-      loop_, At(node, kOutboundPort), seconds(1), seconds(3),
+      loop_, at, seconds(1), seconds(3),
       {.on_data = [into](std::string_view bytes) { into->bytes += bytes; },
        .on_end =
            [into](connection_end end) {
@@ -266,8 +271,12 @@
 }
 
 std::shared_ptr<client_result> relay_fleet::Send(int node, std::string text) {
+  return SendTo(At(node, kOutboundPort), text);
+}
+
+std::shared_ptr<client_result> relay_fleet::SendTo(const endpoint& at, std::string_view text) {
   auto result = std::make_shared<client_result>();
-  clients_.push_back(Connect(node, result));
+  clients_.push_back(ConnectTo(at, result));
   clients_.back()->Write(text);
   return result;
 }
--- a/tests/relay/relay_path_test.cpp
+++ b/tests/relay/relay_path_test.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(Table_NoPeerKnown_ComesFromASeed);
   CPPUNIT_TEST(Watch_SixNodesOfADomain_TwoWatchForAll);
   CPPUNIT_TEST(Watch_WatchingNodesGone_OthersTakeItUp);
+  CPPUNIT_TEST(Metrics_AfterARequest_NameItsRowAndOutcome);
+  CPPUNIT_TEST(Ready_TableKnown_SaysSoUntilTheDrain);
   CPPUNIT_TEST(Settings_BoundsChange_AreTakenAddressesNot);
   CPPUNIT_TEST(Drain_OnlyTarget_ServesUntilItStops);
   CPPUNIT_TEST_SUITE_END();
@@ -200,6 +202,32 @@
         seconds(3)));
   }
 
+  void Metrics_AfterARequest_NameItsRowAndOutcome() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    const auto request = fleet.Send(0, relay_fleet::Get("/safe/x", "1"));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return request->status() != 0; }));
+    const auto page =
+        fleet.SendTo(fleet.SettingsOf(0).metrics, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n");
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return page->Has("cuminferry_slots_limit 18"); }));
+    CPPUNIT_ASSERT(page->Has("cuminferry_requests_total{outcome=\"answered\",row=\"safe\"} 1"));
+    CPPUNIT_ASSERT(page->Has("cuminferry_gate_wait_seconds_count"));
+  }
+
+  void Ready_TableKnown_SaysSoUntilTheDrain() {
+    relay_fleet fleet(1);
+    const std::string question = "GET /ready HTTP/1.1\r\nHost: r\r\n\r\n";
+    const endpoint ready = fleet.SettingsOf(0).ready;
+    const auto before = fleet.SendTo(ready, question);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return before->status() == 503; }));
+    fleet.PublishToAll(1);
+    const auto known = fleet.SendTo(ready, question);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return known->status() == 200; }));
+    fleet.node(0).Drain([] {});
+    const auto drains = fleet.SendTo(ready, question);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return drains->status() == 503; }));
+  }
+
   void Settings_BoundsChange_AreTakenAddressesNot() {
     relay_fleet fleet(1);
     relay_settings changed = fleet.SettingsOf(0);
