Refuse clients late in a drain instead of cutting them off

Two nodes of a domain drained at once, so the platform kept sending clients to them; they took requests until 5.3 s after SIGTERM and ended with 11 and 16 open. Ruled out: a crash (process.stopped stands in the log) and a target's silence (the run was cut with the node). Change: from 0.48 of the grace on, new requests are refused with a time to return; what runs has the rest of it.

--- a/extras/ctl/commands/explain_command.cpp
+++ b/extras/ctl/commands/explain_command.cpp
@@ -113,6 +113,7 @@
       {"timed-out", "no answer, and no sign of one, in time: it may have run"},
       {"deadline", "the row's timeout or the client's deadline passed"},
       {"no_target", "no target of the service was left to try"},
+      {"stopping", "the node was about to end"},
       {"no_table", "the node knew no table yet"},
       {"no_row", "no row of the table in force matches host and path"}};
   const auto found = kMeanings.find(why);
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -97,6 +97,10 @@
     const http_head& request = client->request();
     const std::string* id = request.Find(board.settings.headers.request_id);
     const std::string* host = request.Find("host");
+    if (board.closed) {
+      Refuse("stopping", kPlainReturn);
+      return;
+    }
     table = board.table();
     if (!table) {
       Refuse("no_table", kPlainReturn);
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -72,8 +72,12 @@
 
   /** SIGTERM came: the process ends within its grace. */
   bool draining = false;
-  /** Near the end of the drain: nothing more is taken for the own backend server. */
+  /** The platform has noticed the drain: nothing more is taken for the own backend
+      server. */
   bool stopping = false;
+  /** Later in the drain: nothing more is taken from clients either, so that what
+      runs can end before the process does. */
+  bool closed = false;
 
  private:
   std::shared_ptr<const route_table> table_;
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -22,6 +22,10 @@
 // two misses: until then clients still send here.
 constexpr duration kNoticeTime = std::chrono::milliseconds(2'300);
 constexpr duration kDrainPeriod = std::chrono::milliseconds(50);
+// Clients that still come are refused after this part of the grace: the rest is for
+// what they have sent before. Without it, a node that clients keep coming to cut off
+// ten requests at its end.
+constexpr double kOpenPart = 0.48;
 // Left of the grace for what remains after the last answer.
 constexpr duration kGraceMargin = std::chrono::milliseconds(700);
 
@@ -207,6 +211,8 @@
     const bool noticed = passed >= kNoticeTime;
     // Until then the backend server may be the only one of its service.
     board.stopping = noticed;
+    const double grace = static_cast<double>(board.settings.grace.count());
+    board.closed = passed >= duration(static_cast<duration::rep>(kOpenPart * grace));
     if ((noticed && idle) || passed >= board.settings.grace - kGraceMargin) {
       drain_timer.Stop();
       board.log.OnChange("process.stopped", {{"open_requests", calls.size()},
--- a/modules/cuminferry_relay/path/relay_settings.cpp
+++ b/modules/cuminferry_relay/path/relay_settings.cpp
@@ -1,5 +1,6 @@
 #include "cuminferry_relay/path/relay_settings.h"
 
+#include <cmath>
 #include <optional>
 
 #include "cuminferry_table/reading/object_reader.h"
@@ -44,7 +45,7 @@
 
 void ReadBounds(object_reader& reader, relay_settings& into) {
   // A fraction; the reader's numbers are whole.
-  std::uint64_t percent = static_cast<std::uint64_t>(into.repeat_ratio * 100.0 + 0.5);
+  std::uint64_t percent = static_cast<std::uint64_t>(std::lround(into.repeat_ratio * 100.0));
   reader.Number("repeat_percent", percent, 0, 100, kOptional);
   into.repeat_ratio = static_cast<double>(percent) / 100.0;
   std::uint64_t allowance = static_cast<std::uint64_t>(into.repeat_allowance);
--- a/tests/relay/relay_path_test.cpp
+++ b/tests/relay/relay_path_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(Ready_TableKnown_SaysSoUntilTheDrain);
   CPPUNIT_TEST(Settings_BoundsChange_AreTakenAddressesNot);
   CPPUNIT_TEST(Drain_OnlyTarget_ServesUntilItStops);
+  CPPUNIT_TEST(Drain_ClientsKeepComing_NoneIsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -253,6 +254,46 @@
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return drained; }));
   }
 
+  // Two of a domain's four nodes are told to stop, and the platform keeps sending clients to
+  // them, since too few would be left. A node that takes requests until its end cuts off those
+  // that run then: parents see the page break.
+  void Drain_ClientsKeepComing_NoneIsCutOff() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    relay_settings short_grace = fleet.SettingsOf(0);
+    short_grace.grace = seconds(4);
+    fleet.node(0).UseSettings(short_grace);
+    std::vector<std::unique_ptr<loop_timer>> running;
+    for (int node = 0; node < 2; ++node) {
+      fleet.target(node).on_request = [&](scripted_target::conversation& now) {
+        running.push_back(std::make_unique<loop_timer>(fleet.loop()));
+        running.back()->StartOnce(milliseconds(300),
+                                  [to = &now.connection, answer = scripted_target::Answer(
+                                                             now.request)] { to->Write(answer); });
+      };
+    }
+    std::vector<std::shared_ptr<client_result>> results;
+    loop_timer arrivals(fleet.loop());
+    arrivals.StartPeriodic(milliseconds(40), [&] {
+      results.push_back(fleet.Send(0, relay_fleet::Get("/safe/x", std::to_string(results.size()))));
+    });
+    bool drained = false;
+    fleet.node(0).Drain([&] {
+      arrivals.Stop();
+      drained = true;
+    });
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return drained; }));
+    // The process ends now.
+    fleet.StopNode(0);
+    fleet.RunFor(milliseconds(20));
+    int served = 0;
+    for (const auto& result : results) {
+      served += result->status() == 200 ? 1 : 0;
+      CPPUNIT_ASSERT(result->status() == 200 || result->status() == 503);
+    }
+    CPPUNIT_ASSERT(served > 30);
+  }
+
  private:
   static int Watching(const relay_fleet& fleet, int nodes) {
     int watching = 0;
