--- a/modules/cuminferry_policy/entry/entry_admission.h
+++ b/modules/cuminferry_policy/entry/entry_admission.h
@@ -19,7 +19,7 @@
  public:
   /** Part of a row's requests that is let in whatever the level: keeps the level
       known and the row from starving. */
-  static constexpr double kLeastShare = 0.15;
+  static constexpr double kLeastShare = 0.06;
   /** A level that nothing confirms rises by this much a second. */
   static constexpr double kRecoveryPerSecond = 1.0;
   /** A level older than this begins to rise. */
