--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -69,8 +69,7 @@
   const bool fresh = IsFresh(state, now);
   const double limit =
       std::max(1.0, fresh ? state.report.limit : static_cast<double>(state.target.slots));
-  double service =
-      fresh ? static_cast<double>(state.report.service_time.count()) : mean_service;
+  double service = fresh ? static_cast<double>(state.report.service_time.count()) : mean_service;
   if (!fresh && now < state.target.warm_from) {
     service *= kColdFactor;
   }
