Name status codes and read settings in one place

Change: http_status with codes and reason phrases; ReadSettingsText for both kinds of settings. No behaviour changes.

--- a/modules/cuminferry_relay/http/http_server.cpp
+++ b/modules/cuminferry_relay/http/http_server.cpp
@@ -4,6 +4,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/http/message_reader.h"
 
 namespace cuminferry {
@@ -15,24 +16,6 @@
 // Pipelined requests wait in memory up to this size; then the socket is not read.
 constexpr std::size_t kLargestPipeline = 64 * 1024;
 
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kContentTooLarge = 413;
-constexpr int kHeadTooLarge = 431;
-
-std::string_view ReasonOf(int status) {
-  switch (status) {
-    case kBadRequest:
-      return "Bad Request";
-    case kRequestTimeout:
-      return "Request Timeout";
-    case kContentTooLarge:
-      return "Content Too Large";
-    default:
-      return "Request Header Fields Too Large";
-  }
-}
-
 }  // namespace
 
 void server_exchange::Answer(http_head response, std::string_view body) {
@@ -154,7 +137,8 @@
         return;
       }
       if (!taken.ok()) {
-        OnBadRequest(reader_->head_too_large() ? kHeadTooLarge : kBadRequest);
+        OnBadRequest(reader_->head_too_large() ? http_status::kHeadTooLarge
+                                               : http_status::kBadRequest);
         return;
       }
       bytes.remove_prefix(std::min(*taken, bytes.size()));
@@ -165,7 +149,7 @@
     timer_.StartOnce(limits_.idle_time, [this] { End(); });
   }
 
-  void OnHeadTimeout() { OnBadRequest(kRequestTimeout); }
+  void OnHeadTimeout() { OnBadRequest(http_status::kRequestTimeout); }
   void OnHead(http_head head);
   void OnBody(std::string_view bytes);
   void OnRequestEnd();
@@ -278,7 +262,7 @@
   body_bytes_ = 0;
   close_after_ = !head.keep_alive || server->draining;
   if (head.framing == body_framing::kLength && head.length > limits_.largest_body) {
-    OnBadRequest(kContentTooLarge);
+    OnBadRequest(http_status::kContentTooLarge);
     return;
   }
   if (const std::string* expect = head.Find("expect")) {
@@ -299,7 +283,7 @@
     return;
   }
   if (body_bytes_ > limits_.largest_body) {
-    OnBadRequest(kContentTooLarge);
+    OnBadRequest(http_status::kContentTooLarge);
     return;
   }
   const auto hooks = current_->on();
@@ -350,7 +334,7 @@
   } else {
     http_head answer;
     answer.status = status;
-    answer.reason = ReasonOf(status);
+    answer.reason = http_status::ReasonOf(status);
     answer.framing = body_framing::kLength;
     connection_->Write(answer.ToResponseText(true));
     Linger();
--- /dev/null
+++ b/modules/cuminferry_relay/http/http_status.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string_view>
+
+namespace cuminferry {
+
+/** The status codes that a node answers by itself, or looks at (RFC 9110). */
+namespace http_status {
+
+inline constexpr int kOk = 200;
+inline constexpr int kNoContent = 204;
+inline constexpr int kFirstRedirect = 300;
+inline constexpr int kNotModified = 304;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kContentTooLarge = 413;
+inline constexpr int kMisdirectedRequest = 421;
+inline constexpr int kHeadTooLarge = 431;
+inline constexpr int kFirstServerError = 500;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+
+/** The usual reason phrase; empty for a code that is not listed here. */
+std::string_view ReasonOf(int status);
+
+}  // namespace http_status
+
+}  // namespace cuminferry
--- a/modules/cuminferry_relay/http/message_reader.cpp
+++ b/modules/cuminferry_relay/http/message_reader.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_relay/http/http_status.h"
 
 namespace cuminferry {
 namespace {
@@ -12,7 +13,6 @@
 constexpr int kReadOn = 0;
 constexpr int kSkipBody = 1;
 constexpr int kStop = -1;
-constexpr int kFirstFinalStatus = 200;
 
 }  // namespace
 
@@ -70,10 +70,8 @@
 
   // A response without framing lasts until its connection closes.
   bool LastsUntilClose() const {
-    constexpr int kNoContent = 204;
-    constexpr int kNotModified = 304;
-    return reads == kind::kResponses && !no_body && parser.status_code != kNoContent &&
-           parser.status_code != kNotModified &&
+    return reads == kind::kResponses && !no_body && parser.status_code != http_status::kNoContent &&
+           parser.status_code != http_status::kNotModified &&
            (parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
   }
 
@@ -88,7 +86,7 @@
   }
 
   int OnHeadersComplete() {
-    if (reads == kind::kResponses && parser.status_code < kFirstFinalStatus) {
+    if (reads == kind::kResponses && parser.status_code < http_status::kOk) {
       if (on.on_interim) {
         on.on_interim();
       }
--- a/modules/cuminferry_relay/path/item_exchange.cpp
+++ b/modules/cuminferry_relay/path/item_exchange.cpp
@@ -7,13 +7,13 @@
 #include <sstream>
 #include <utility>
 
+#include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/path/outbound_call.h"
 #include "cuminferry_wire/messages/bounded_input_archive.h"
 
 namespace cuminferry {
 namespace {
 
-constexpr int kOk = 200;
 constexpr duration kAnswerLimit = std::chrono::milliseconds(1000);
 // A node that has news lets its own watch deliver them first.
 constexpr std::uint32_t kPeriodsBehind = 2;
@@ -146,20 +146,20 @@
     request.Set("Host", asked.ToString());
     answer.clear();
     answer_ok = false;
-    asking =
-        client->Send(request, std::chrono::seconds(30),
-                     {.on_head = [this](const http_head& head) { answer_ok = head.status == kOk; },
-                      .on_interim = {},
-                      .on_body =
-                          [this](std::string_view bytes) {
-                            if (answer.size() + bytes.size() <= kLargestUpdate) {
-                              answer.append(bytes);
-                            }
-                          },
-                      .on_end = [this] { OnAnswer(); },
-                      .on_failed = [this](exchange_failure) { Done(); },
-                      .on_drained = {},
-                      .is_answer = {}});
+    asking = client->Send(
+        request, std::chrono::seconds(30),
+        {.on_head = [this](const http_head& head) { answer_ok = head.status == http_status::kOk; },
+         .on_interim = {},
+         .on_body =
+             [this](std::string_view bytes) {
+               if (answer.size() + bytes.size() <= kLargestUpdate) {
+                 answer.append(bytes);
+               }
+             },
+         .on_end = [this] { OnAnswer(); },
+         .on_failed = [this](exchange_failure) { Done(); },
+         .on_drained = {},
+         .is_answer = {}});
     asking->FinishBody();
     limit_timer.StartOnce(kAnswerLimit, [this] {
       asking->Cancel();
@@ -209,7 +209,7 @@
   item_update update =
       state_->board.items.UpdateSince(static_cast<std::uint64_t>(after.value_or(0)));
   update.unsettled_micros = state_->on.unsettled().count();
-  peer.Answer(MakeAnswer(kOk, "OK"), Encode(update));
+  peer.Answer(MakeAnswer(http_status::kOk), Encode(update));
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -6,15 +6,11 @@
 #include <set>
 #include <utility>
 
+#include "cuminferry_relay/http/http_status.h"
+
 namespace cuminferry {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 // Bytes of a request's body that are held until a target has answered or
 // refused: within this a request can be sent to another target.
 constexpr std::size_t kLargestReplay = 256 * 1024;
@@ -37,10 +33,10 @@
 
 }  // namespace
 
-http_head MakeAnswer(int status, std::string_view reason) {
+http_head MakeAnswer(int status) {
   http_head head;
   head.status = status;
-  head.reason = reason;
+  head.reason = http_status::ReasonOf(status);
   return head;
 }
 
@@ -107,13 +103,13 @@
       return;
     }
     if (id == nullptr || host == nullptr) {
-      AnswerError(kBadRequest, "Bad Request", "malformed");
+      AnswerError(http_status::kBadRequest, "malformed");
       return;
     }
     request_id = *id;
     route = table->Find(*host, request.target);
     if (route == nullptr) {
-      AnswerError(kNotFound, "Not Found", "no_row");
+      AnswerError(http_status::kNotFound, "no_row");
       return;
     }
     SetDeadline(request);
@@ -401,9 +397,9 @@
     if (SurelyNotRun(why) && !may_have_run) {
       Refuse(ToText(why), ReturnTime(now));
     } else if (why == relay_outcome::kTimedOut) {
-      AnswerError(kGatewayTimeout, "Gateway Timeout", ToText(why));
+      AnswerError(http_status::kGatewayTimeout, ToText(why));
     } else {
-      AnswerError(kBadGateway, "Bad Gateway", ToText(why));
+      AnswerError(http_status::kBadGateway, ToText(why));
     }
   }
 
@@ -443,7 +439,7 @@
     if (upstream) {
       board.PickerOf(service).OnDone(target_id);
     }
-    AnswerError(kGatewayTimeout, "Gateway Timeout", "deadline");
+    AnswerError(http_status::kGatewayTimeout, "deadline");
   }
 
   void OnClientGone() {
@@ -467,13 +463,13 @@
 
   // The request has not run and will not.
   void Refuse(std::string_view why, duration return_after) {
-    http_head head = MakeAnswer(kUnavailable, "Service Unavailable");
+    http_head head = MakeAnswer(http_status::kUnavailable);
     head.Set("Retry-After", SecondsText(return_after));
     AnswerAndEnd(std::move(head), "refused", why);
   }
 
-  void AnswerError(int status, std::string_view reason, std::string_view why) {
-    AnswerAndEnd(MakeAnswer(status, reason), status == kNotFound ? "no_row" : "failed", why);
+  void AnswerError(int status, std::string_view why) {
+    AnswerAndEnd(MakeAnswer(status), status == http_status::kNotFound ? "no_row" : "failed", why);
   }
 
   void AnswerAndEnd(http_head head, std::string_view result, std::string_view why) {
--- a/modules/cuminferry_relay/path/outbound_call.h
+++ b/modules/cuminferry_relay/path/outbound_call.h
@@ -35,7 +35,7 @@
   std::unique_ptr<state> state_;
 };
 
-/** An answer of this node's own. */
-http_head MakeAnswer(int status, std::string_view reason);
+/** The head of an answer of this node's own, with the usual reason phrase. */
+http_head MakeAnswer(int status);
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cuminferry_relay/http/http_server.h"
+#include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/path/item_exchange.h"
 #include "cuminferry_relay/path/outbound_call.h"
 #include "cuminferry_relay/path/serving_side.h"
@@ -11,10 +12,6 @@
 namespace cuminferry {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 // Silent connections of clients and peers are noticed within this.
 constexpr duration kSilenceLimit = std::chrono::seconds(3);
 constexpr duration kListPeriod = std::chrono::milliseconds(250);
@@ -91,7 +88,7 @@
       if (request->request().target.starts_with(kItemsPath)) {
         exchange.OnRequest(*request);
       } else {
-        request->Answer(MakeAnswer(kNotFound, "Not Found"), "");
+        request->Answer(MakeAnswer(http_status::kNotFound), "");
       }
     }));
     status.Update(listen(metrics, at.metrics, {}, [this](auto request) { OnMetrics(*request); }));
@@ -125,17 +122,17 @@
 
   void OnReadyQuestion(server_exchange& request) const {
     if (!request.request().target.starts_with(board.settings.ready_path)) {
-      request.Answer(MakeAnswer(kNotFound, "Not Found"), "");
+      request.Answer(MakeAnswer(http_status::kNotFound), "");
     } else if (IsReady()) {
-      request.Answer(MakeAnswer(kOk, "OK"), "ready\n");
+      request.Answer(MakeAnswer(http_status::kOk), "ready\n");
     } else {
-      request.Answer(MakeAnswer(kUnavailable, "Service Unavailable"), "not ready\n");
+      request.Answer(MakeAnswer(http_status::kUnavailable), "not ready\n");
     }
   }
 
   void OnMetrics(server_exchange& request) {
     if (request.request().target != board.settings.metrics_path) {
-      request.Answer(MakeAnswer(kNotFound, "Not Found"), "");
+      request.Answer(MakeAnswer(http_status::kNotFound), "");
       return;
     }
     board.metrics.SetGauge("cuminferry_open_requests", static_cast<double>(calls.size()));
@@ -145,7 +142,7 @@
                            static_cast<double>(board.items.complete_to()));
     board.metrics.SetGauge("cuminferry_platform_heard", platform_heard ? 1.0 : 0.0);
     serving.ReportTo(board.metrics);
-    http_head head = MakeAnswer(kOk, "OK");
+    http_head head = MakeAnswer(http_status::kOk);
     head.Set("Content-Type", "text/plain; version=0.0.4");
     request.Answer(std::move(head), board.metrics.ToText());
   }
--- a/modules/cuminferry_relay/path/relay_settings.cpp
+++ b/modules/cuminferry_relay/path/relay_settings.cpp
@@ -10,7 +10,6 @@
 
 using enum presence;
 
-constexpr std::size_t kLargestText = 64 * 1024;
 constexpr std::size_t kMostSeeds = 64;
 constexpr std::uint16_t kAnyPort = 0;
 constexpr std::uint16_t kKnownPort = 1;
@@ -60,24 +59,14 @@
 absl::StatusOr<relay_settings> relay_settings::Parse(std::string_view json,
                                                      std::vector<table_problem>& problems) {
   problem_list list(problems);
-  if (json.size() > kLargestText) {
-    list.Add(
-        result_code::kSettingsOutOfRange, "",
-        std::to_string(json.size()) + " bytes; accepted: at most " + std::to_string(kLargestText));
-    return list.AsStatus();
-  }
-  const std::optional<nlohmann::json> value = ReadJsonText(json, kSettingsCodes, list);
-  if (!value.has_value()) {
-    return list.AsStatus();
-  }
   relay_settings settings;
-  object_reader reader(*value, "", kSettingsCodes, list);
-  ReadIdentity(reader, settings);
-  ReadAddresses(reader, settings);
-  ReadBounds(reader, settings);
-  reader.RefuseOtherKeys();
-  if (!list.empty()) {
-    return list.AsStatus();
+  const absl::Status read = ReadSettingsText(json, list, [&](object_reader& reader) {
+    ReadIdentity(reader, settings);
+    ReadAddresses(reader, settings);
+    ReadBounds(reader, settings);
+  });
+  if (!read.ok()) {
+    return read;
   }
   return settings;
 }
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -4,18 +4,12 @@
 #include <unordered_map>
 #include <utility>
 
+#include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/path/outbound_call.h"
 
 namespace cuminferry {
 namespace {
 
-constexpr int kMisdirected = 421;
-constexpr int kFirstServerError = 500;
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-
 // On the same instance: a connection that isn't there within this was refused or
 // found the backend server's accept queue full.
 constexpr duration kBackendConnectLimit = std::chrono::milliseconds(500);
@@ -342,10 +336,10 @@
 // What an answer says besides being an answer; nothing where it is one to pass on.
 std::optional<relay_outcome> serving_side::call::Judge(const http_head& head) const {
   const relay_header_names& names = side_.board.settings.headers;
-  if (head.Find(names.not_executed) != nullptr || head.status == kMisdirected) {
+  if (head.Find(names.not_executed) != nullptr || head.status == http_status::kMisdirectedRequest) {
     return relay_outcome::kTurnedAway;
   }
-  const bool success = head.status >= kFirstSuccess && head.status < kFirstRedirect;
+  const bool success = head.status >= http_status::kOk && head.status < http_status::kFirstRedirect;
   const bool is_signed = head.Find(names.signature) != nullptr;
   const bool echoes = head.Find(names.request_id) != nullptr;
   if ((success && !is_signed) || !echoes || head.Find("content-encoding") != nullptr) {
@@ -357,8 +351,8 @@
 void serving_side::call::OnAnswerHead(http_head head) {
   outcome_ = Judge(head);
   // A failure below fails the request here: no fault of this backend server.
-  const bool own_fault =
-      head.status >= kFirstServerError && side_.board.causes.CalledBy(about_.row).empty();
+  const bool own_fault = head.status >= http_status::kFirstServerError &&
+                         side_.board.causes.CalledBy(about_.row).empty();
   side_.NoteOutcome(!outcome_ && !own_fault);
   if (outcome_ || detached_) {
     return;
@@ -457,8 +451,8 @@
 // Answers the calling node that no answer of the backend server comes.
 void serving_side::call::TurnAway(relay_outcome why) {
   if (!detached_) {
-    http_head head = SurelyNotRun(why) ? MakeAnswer(kUnavailable, "Service Unavailable")
-                                       : MakeAnswer(kBadGateway, "Bad Gateway");
+    http_head head =
+        MakeAnswer(SurelyNotRun(why) ? http_status::kUnavailable : http_status::kBadGateway);
     head.Set(kOutcomeField, std::string(ToText(why)));
     head.Set(kLoadField, side_.Load(about_.row).ToText());
     peer_->Answer(std::move(head), "");
@@ -512,8 +506,7 @@
   const std::string* field = peer->request().Find(kCallField);
   const auto about = field == nullptr ? std::nullopt : call_header::Parse(*field);
   if (!about) {
-    constexpr int kBadRequest = 400;
-    peer->Answer(MakeAnswer(kBadRequest, "Bad Request"), "");
+    peer->Answer(MakeAnswer(http_status::kBadRequest), "");
     return;
   }
   const std::uint64_t id = ++state_->last_id;
--- a/modules/cuminferry_table/reading/object_reader.cpp
+++ b/modules/cuminferry_table/reading/object_reader.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/ascii.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "cuminferry_table/reading/near_miss.h"
@@ -213,4 +214,23 @@
   problems_.Add(codes_.out_of_range, PlaceOf(key), std::move(detail));
 }
 
+absl::Status ReadSettingsText(std::string_view json, problem_list& problems,
+                              const std::function<void(object_reader&)>& read) {
+  constexpr std::size_t kLargestText = 64 * 1024;
+  if (json.size() > kLargestText) {
+    problems.Add(
+        result_code::kSettingsOutOfRange, "",
+        std::to_string(json.size()) + " bytes; accepted: at most " + std::to_string(kLargestText));
+    return problems.AsStatus();
+  }
+  const std::optional<nlohmann::json> value = ReadJsonText(json, kSettingsCodes, problems);
+  if (!value.has_value()) {
+    return problems.AsStatus();
+  }
+  object_reader reader(*value, "", kSettingsCodes, problems);
+  read(reader);
+  reader.RefuseOtherKeys();
+  return problems.AsStatus();
+}
+
 }  // namespace cuminferry
--- a/modules/cuminferry_table/reading/object_reader.h
+++ b/modules/cuminferry_table/reading/object_reader.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <absl/status/status.h>
+
 #include <cstdint>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <span>
 #include <string>
@@ -83,4 +86,10 @@
   std::vector<std::string> known_;
 };
 
+/** Reads settings: one JSON object with comments, of at most 64 KiB. `read` takes
+    its members; keys that it didn't ask for are refused. All problems are noted,
+    and the first is returned. */
+absl::Status ReadSettingsText(std::string_view json, problem_list& problems,
+                              const std::function<void(object_reader&)>& read);
+
 }  // namespace cuminferry
--- a/modules/cuminferry_table/settings/node_settings.cpp
+++ b/modules/cuminferry_table/settings/node_settings.cpp
@@ -10,7 +10,6 @@
 
 using enum presence;
 
-constexpr std::size_t kLargestText = 64 * 1024;
 constexpr std::size_t kMostAddresses = 64;
 constexpr std::uint64_t kMostSlots = 100'000;
 constexpr std::uint64_t kMostTargets = 10'000;
@@ -89,22 +88,12 @@
 absl::StatusOr<node_settings> node_settings::Parse(std::string_view json,
                                                    std::vector<table_problem>& problems) {
   problem_list list(problems);
-  if (json.size() > kLargestText) {
-    list.Add(
-        result_code::kSettingsOutOfRange, "",
-        std::to_string(json.size()) + " bytes; accepted: at most " + std::to_string(kLargestText));
-    return list.AsStatus();
-  }
-  const std::optional<nlohmann::json> value = ReadJsonText(json, kSettingsCodes, list);
-  if (!value.has_value()) {
-    return list.AsStatus();
-  }
   node_settings settings;
-  object_reader reader(*value, "", kSettingsCodes, list);
-  ReadIdentity(reader, settings);
-  ReadAddresses(reader, settings);
-  ReadNumbers(reader, settings);
-  reader.RefuseOtherKeys();
+  static_cast<void>(ReadSettingsText(json, list, [&](object_reader& reader) {
+    ReadIdentity(reader, settings);
+    ReadAddresses(reader, settings);
+    ReadNumbers(reader, settings);
+  }));
   if (list.empty()) {
     CheckAddresses(settings, list);
     CheckConnections(settings, list);
