Use the slots of nodes that stop while others are full

Cause: incident on Quebec, 18 s: two of four leaf nodes were restarted in turn and served on for 2.3 s, but callers passed them over altogether; the other two were overloaded and 483 requests were refused in two seconds. Ruled out: the store (platform.lost stands nowhere then) and silent peers. Change: a stopping target is dearer than a free one, not than a queue.

--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -16,8 +16,9 @@
 // answer within its objective is worth no more for being earlier.
 constexpr double kOtherDomainMicros = 3'000.0;
 constexpr double kOtherDomainPart = 0.3;
-// A target whose node stops gets requests only where there is no other.
-constexpr double kStoppingMicros = 2'000'000.0;
+// A target whose node stops serves on for seconds and then turns requests away: it is
+// dearer than a free one, not than a queue.
+constexpr double kStoppingPart = 1.5;
 // A cold target takes about twice as long.
 constexpr double kColdFactor = 2.0;
 // How much dearer a target is whose slots are all taken, before any wait, in mean
@@ -82,7 +83,7 @@
   const double network = state.target.failure_domain == wanted.own_domain
                              ? 0.0
                              : kOtherDomainMicros + kOtherDomainPart * mean_service;
-  const double stopping = fresh && state.report.stopping ? kStoppingMicros : 0.0;
+  const double stopping = fresh && state.report.stopping ? kStoppingPart * mean_service : 0.0;
   const double own_time = wanted.urgent ? service : kOwnTimePart * service;
   return stopping + network + own_time + kFillWeight * mean_service * fill * fill + wait +
          (1.0 / success - 1.0) * kFailureCost * mean_service;
--- a/modules/cuminferry_policy/placement/target_picker.h
+++ b/modules/cuminferry_policy/placement/target_picker.h
@@ -33,7 +33,7 @@
   duration service_time{};
   /** Part of the target's recent answers that were successes, 0 to 1. */
   double success = 1.0;
-  /** Its node is about to stop: it serves, but only for want of another. */
+  /** Its node is about to stop: it serves for a few seconds more. */
   bool stopping = false;
 };
 
