--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -327,10 +327,7 @@
     }
     board.PickerOf(service).OnReport(target_id, load->report, now);
     board.admission.OnLevel(route->name, target_id, load->level, load->from_clients, now);
-    if (load->items_revision > board.heard_revision) {
-      board.heard_revision = load->items_revision;
-      board.heard_from = board.settings.peer;
-    }
+    board.heard_revision = std::max(board.heard_revision, load->items_revision);
   }
 
   void OnAnswerBody(std::string_view bytes) {
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -32,8 +32,6 @@
   void SetInstances(const std::vector<service_instance>& instances);
   /** Services that have instances. */
   std::size_t service_count() const { return pickers_.size(); }
-  /** Whether an instance may get requests; unknown ones may not. */
-  bool IsServing(std::string_view instance_id) const { return serving_.contains(instance_id); }
   /** Whether an instance was said to leave or is no longer listed. */
   bool IsLeaving(std::string_view instance_id) const {
     return leaving_.contains(instance_id) || gone_.contains(instance_id);
@@ -62,9 +60,8 @@
   relay_metrics metrics;
 
   item_replica items;
-  /** The highest revision that any answer has told, and who told it. */
+  /** The highest revision that any answer has told. */
   std::uint64_t heard_revision = 0;
-  endpoint heard_from;
 
   entry_admission admission;
   row_causes causes;
--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(Once_TurnedAwayUnrun_IsRefusedWithAReturnTime);
   CPPUNIT_TEST(Once_OtherInstanceAtTheAddress_IsNeverRun);
   CPPUNIT_TEST(Target_Unreachable_RequestGoesElsewhere);
+  CPPUNIT_TEST(Target_BackendDown_IsNotTriedByEachRequest);
   CPPUNIT_TEST(Timeout_TargetSilent_IsAnsweredInTime);
   CPPUNIT_TEST(Safe_PeerSilent_GoesElsewhereSoon);
   CPPUNIT_TEST(Safe_LongRun_IsNotTakenForSilence);
@@ -161,6 +162,28 @@
     }
   }
 
+  // A backend server crashes; its node lives, has nothing to do and says so. Tried first by each
+  // request, it adds a way there and back to every one of them.
+  void Target_BackendDown_IsNotTriedByEachRequest() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    fleet.StopTarget(1);
+    const auto turned_away = [&] {
+      const auto page =
+          fleet.SendTo(fleet.SettingsOf(1).metrics, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n");
+      CPPUNIT_ASSERT(fleet.RunUntil([&] { return page->Has("cuminferry_queue"); }));
+      const std::string mark = "cuminferry_served_total{outcome=\"down\",row=\"once\"} ";
+      const auto at = page->bytes.find(mark);
+      return at == std::string::npos ? 0 : std::stoi(page->bytes.substr(at + mark.size()));
+    };
+    for (int i = 0; i < 40; ++i) {
+      const auto result = fleet.Send(1, relay_fleet::Post("/once/x", std::to_string(i), "permit"));
+      CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+      CPPUNIT_ASSERT_EQUAL(200, result->status());
+    }
+    CPPUNIT_ASSERT(turned_away() <= 3);
+  }
+
   void Timeout_TargetSilent_IsAnsweredInTime() {
     relay_fleet fleet(1);
     fleet.PublishToAll(1);
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -325,7 +325,7 @@
 std::uint64_t relay_fleet::TotalRequests() const {
   std::uint64_t total = 0;
   for (const auto& target : targets_) {
-    total += target->ids.size();
+    total += target ? target->ids.size() : 0;
   }
   return total;
 }
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -98,6 +98,7 @@
   endpoint PeerAddress(int node) const;
   /** Whether a node watches the platform itself. */
   bool Watches(int node) const { return watches_.at(static_cast<std::size_t>(node)); }
+  void StopTarget(int node) { targets_[static_cast<std::size_t>(node)].reset(); }
   void StopNode(int node) { nodes_[static_cast<std::size_t>(node)].reset(); }
   std::uint64_t TotalRequests() const;
   event_loop& loop() { return loop_; }
