Fetch news from the node that told of it, and ask watchers of other domains as often

The store was silent towards a third of the nodes, both watchers of the domain among them, and they could not know yet; the others asked these three times of four. Ruled out: the gathering of changes (0.25 s) and a node that the store turned away itself. Change: news that an answer tells of are fetched from the node that told, at once by nodes that don't watch; half of the other questions go to other domains.

--- a/modules/cuminferry_relay/path/item_exchange.cpp
+++ b/modules/cuminferry_relay/path/item_exchange.cpp
@@ -66,12 +66,17 @@
     const bool behind = board.heard_revision > board.items.complete_to();
     periods_behind = behind ? periods_behind + 1 : 0;
     UpdateWatching();
-    const bool wants = !watching || !platform_heard || periods_behind >= kPeriodsBehind;
+    const bool wants = !watching || !platform_heard || OthersKnowMore();
     if (wants && !asking) {
       Ask();
     }
   }
 
+  bool OthersKnowMore() const {
+    // The own watch delivers the same news within a period or two.
+    return periods_behind >= (watching ? kPeriodsBehind : 1);
+  }
+
   void UpdateWatching() {
     const instant now = board.loop.Now();
     const bool has_copy = board.items.complete_to() > 0;
@@ -92,10 +97,10 @@
     }
   }
 
-  // A watching node, mostly of the own failure domain. Drawn anew each time: one
-  // that is cut off itself has no news.
+  // A watching node, of the own failure domain every other time. Drawn anew each
+  // time: all that watch in one domain may hear nothing without knowing it.
   http_client* ChooseWatching() {
-    constexpr std::uint64_t kFarOneIn = 4;
+    constexpr std::uint64_t kFarOneIn = 2;
     const std::vector<endpoint>& near = board.duty().near();
     const std::vector<endpoint>& far = board.duty().far();
     const bool from_far = near.empty() || (!far.empty() && board.random.Below(kFarOneIn) == 0);
@@ -107,8 +112,13 @@
     return &board.ClientFor(asked);
   }
 
-  // Any node, where the own watch gives no news.
+  // The node that told of news that neither the own watch nor the watching nodes
+  // give; a watching node; or any.
   http_client* Choose() {
+    if (OthersKnowMore()) {
+      asked = board.heard_from;
+      return &board.ClientFor(asked);
+    }
     if (platform_heard || !watching) {
       if (http_client* client = ChooseWatching()) {
         return client;
@@ -157,16 +167,22 @@
                }
              },
          .on_end = [this] { OnAnswer(); },
-         .on_failed = [this](exchange_failure) { Done(); },
+         .on_failed = [this](exchange_failure) { OnNoAnswer(); },
          .on_drained = {},
          .is_answer = {}});
     asking->FinishBody();
     limit_timer.StartOnce(kAnswerLimit, [this] {
       asking->Cancel();
-      Done();
+      OnNoAnswer();
     });
   }
 
+  void OnNoAnswer() {
+    // Whoever told of the news may be gone: the next answer that tells counts.
+    board.heard_revision = board.items.complete_to();
+    Done();
+  }
+
   void Done() {
     limit_timer.Stop();
     finished = std::move(asking);
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -66,6 +66,7 @@
   std::size_t placements = 0;
   std::uint32_t reached = 0;
   std::string target_id;
+  endpoint target_peer;
   std::unique_ptr<client_exchange> upstream;
   // Ended exchanges are let go outside of their own hooks.
   std::unique_ptr<client_exchange> finished_upstream;
@@ -220,6 +221,7 @@
     ++placements;
     tried.insert(target->id);
     target_id = target->id;
+    target_peer = board.PeerBeside(target->backend);
     outcome.reset();
     picker.OnSent(target_id);
     std::weak_ptr<outbound_call> weak = self->weak_from_this();
@@ -229,7 +231,7 @@
       }
     };
     upstream =
-        board.ClientFor(board.PeerBeside(target->backend))
+        board.ClientFor(target_peer)
             .Send(RequestFor(*target, now), kPeerIdle,
                   {.on_head =
                        [with](http_head head) {
@@ -327,7 +329,10 @@
     }
     board.PickerOf(service).OnReport(target_id, load->report, now);
     board.admission.OnLevel(route->name, target_id, load->level, load->from_clients, now);
-    board.heard_revision = std::max(board.heard_revision, load->items_revision);
+    if (load->items_revision > board.heard_revision) {
+      board.heard_revision = load->items_revision;
+      board.heard_from = target_peer;
+    }
   }
 
   void OnAnswerBody(std::string_view bytes) {
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -60,8 +60,9 @@
   relay_metrics metrics;
 
   item_replica items;
-  /** The highest revision that any answer has told. */
+  /** The highest revision that any answer has told, and the node that told it. */
   std::uint64_t heard_revision = 0;
+  endpoint heard_from;
 
   entry_admission admission;
   row_causes causes;
