--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(Watch_ItemsChange_FollowsThem);
   CPPUNIT_TEST(Watch_SeriesOfChanges_CostsFewCalls);
   CPPUNIT_TEST(Watch_HistoryGone_ReadsAllAnew);
+  CPPUNIT_TEST(Watch_ForgottenBySilentStore_IsAskedAnewSoon);
   CPPUNIT_TEST(Store_TurnsAway_IsToldAndAskedAgain);
   CPPUNIT_TEST(Store_SilentAtStart_IsToldAndAskedAgain);
   CPPUNIT_TEST_SUITE_END();
@@ -102,6 +103,22 @@
     CPPUNIT_ASSERT(at.items.Find("b") != nullptr);
   }
 
+  // The store falls silent for a moment and comes back without the watch that it took meanwhile.
+  // The node waits for a change that it will never be told of, and serves an old table.
+  void Watch_ForgottenBySilentStore_IsAskedAnewSoon() {
+    watched_store at;
+    at.store.Put("a", "1");
+    at.watcher.Start();
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.items.Find("a") != nullptr; }));
+    at.store.silent = true;
+    const int calls = at.store.calls;
+    at.store.Put("a", "2");
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.store.calls > calls; }));
+    at.store.silent = false;
+    at.store.Put("a", "3");
+    CPPUNIT_ASSERT(at.RunUntil([&] { return at.items.Find("a")->value == "3"; }, seconds(3)));
+  }
+
   void Store_TurnsAway_IsToldAndAskedAgain() {
     watched_store at;
     at.store.broken_status = 429;
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,627 @@
+#include "soak/soak_fleet.h"
+
+#include <spdlog/fmt/fmt.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "trial/child_process.h"
+
+namespace cuminferry::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint16_t kOutboundPort = 18304;
+constexpr std::uint16_t kReadyPort = 18302;
+constexpr std::uint16_t kPeerPort = 17620;
+constexpr std::uint16_t kSeedPort = 17622;
+constexpr std::uint16_t kMetricsPort = 17621;
+constexpr std::uint16_t kBackendPort = 18301;
+constexpr std::uint16_t kStorePort = 18309;
+
+constexpr std::size_t kDomains = 3;
+constexpr double kRepeatAllowance = 30.0;
+constexpr duration kHeartbeat = milliseconds(1'500);
+constexpr duration kReadyPeriod = seconds(1);
+constexpr int kMissesToLeave = 2;
+constexpr duration kTick = milliseconds(20);
+constexpr duration kEditProbePeriod = milliseconds(150);
+constexpr duration kRestartAfter = milliseconds(300);
+// A leaving backend server serves on for so long.
+constexpr duration kLeavingTime = milliseconds(3'000);
+constexpr duration kGrace = seconds(6);
+constexpr int kEditsInSeries = 8;
+constexpr duration kSeriesGap = milliseconds(80);
+constexpr double kBurst = 4.0;
+constexpr duration kGivesUp = milliseconds(40);
+constexpr double kGivesUpShare = 0.03;
+
+// Each run has loopback addresses of its own, so that runs beside each other
+// don't meet: 127.B.G.N with B from the process, G the group, N the number.
+enum class group : std::uint8_t { kNode, kPublished, kStore };
+
+endpoint At(group which, std::size_t number, std::uint16_t port) {
+  constexpr std::uint32_t kBlocks = 180;
+  const auto block = 64 + static_cast<std::uint32_t>(::getpid()) % kBlocks;
+  return {.address = (127U << 24) + (block << 16) + (static_cast<std::uint32_t>(which) << 8) +
+                     static_cast<std::uint32_t>(number) + 1,
+          .port = port};
+}
+
+std::string ServiceOf(std::size_t node) { return node % 2 == 0 ? "maps" : "permits"; }
+
+/** A row as clients know it. */
+struct known_row {
+  const char* name;
+  const char* kind;
+  const char* service;
+  int priority;
+  milliseconds timeout;
+  milliseconds objective;
+};
+
+constexpr std::array kRows{
+    known_row{"read", "safe", "maps", 1, milliseconds(1'500), milliseconds(300)},
+    known_row{"file", "unsafe", "permits", 0, milliseconds(2'000), milliseconds(800)},
+    known_row{"load", "upload", "permits", 1, milliseconds(2'000), milliseconds(800)},
+    known_row{"feed", "safe", "maps", 1, milliseconds(700), milliseconds(300)}};
+constexpr std::string_view kCalledRow = "feed";
+
+json RouteOf(const known_row& row, const std::string& name) {
+  return {{"type", "routes"},
+          {"metadata", {{"name", name}}},
+          {"spec",
+           {{"host", "soak.example"},
+            {"prefix", "/" + name + "/"},
+            {"service", row.service},
+            {"kind", row.kind},
+            {"attempts", 2},
+            {"timeout_ms", row.timeout.count()},
+            {"slo_ms", row.objective.count()},
+            {"priority", row.priority}}}};
+}
+
+}  // namespace
+
+/** One place for a process, with what stands beside it. */
+struct soak_node {
+  std::size_t number = 0;
+  std::string settings_file;
+  std::optional<trial::child_process> process;
+  int incarnation = 0;
+  instant start_at{};
+  // SIGTERM was sent; the process ends by itself.
+  bool stopping = false;
+  bool paused = false;
+  int misses = kMissesToLeave;
+  bool asking = false;
+  disturbance* down = nullptr;
+
+  std::unique_ptr<loopback_proxy> link;
+  std::unique_ptr<loopback_proxy> store_link;
+  std::unique_ptr<soak_target> target;
+  std::string target_id;
+  std::size_t target_number = 0;
+  bool leaving = false;
+  std::unique_ptr<http_client> ready;
+  std::unique_ptr<client_exchange> question;
+  std::unique_ptr<client_exchange> ended_question;
+  std::unique_ptr<soak_client> clients;
+
+  bool takes_clients() const { return misses < kMissesToLeave; }
+};
+
+class soak_fleet {
+ public:
+  explicit soak_fleet(const soak_options& options)
+      : options_(options),
+        random_(options.seed * 31 + 7),
+        ledger_(kRepeatAllowance),
+        store_(loop_, At(group::kStore, 0, kStorePort)),
+        tick_(loop_),
+        heartbeat_(loop_),
+        edit_probe_(loop_) {
+    std::filesystem::create_directories(options_.folder);
+    for (std::size_t number = 0; number < options_.nodes; ++number) {
+      MakeNode(number);
+    }
+  }
+
+  ~soak_fleet() {
+    // Timers and clients before what they use.
+    later_.clear();
+    for (const auto& node : nodes_) {
+      node->clients.reset();
+      node->question.reset();
+      node->process.reset();
+    }
+  }
+
+  soak_result Run() {
+    const soak_plan plan = soak_plan::Draw(options_.seed, options_.nodes, options_.rounds);
+    began_ = loop_.Now();
+    Edit();
+    for (const soak_event& event : plan.events) {
+      After(event.at, [this, event] { Do(event); });
+    }
+    for (const auto& [begin, end] : plan.calm) {
+      ledger_.OnCalm(began_ + begin, began_ + end);
+    }
+    tick_.StartPeriodic(kTick, [this] { OnTick(); });
+    heartbeat_.StartPeriodic(kHeartbeat, [this] { Heartbeat(); });
+    edit_probe_.StartPeriodic(kEditProbePeriod, [this] { ProbeEdits(); });
+    After(plan.length, [this] { loop_.Stop(); });
+    loop_.Run();
+    return {.violations = ledger_.Check(), .summary = ledger_.Summary()};
+  }
+
+ private:
+  //============================================================================
+  // The fleet.
+
+  void MakeNode(std::size_t number) {
+    auto node = std::make_unique<soak_node>();
+    node->number = number;
+    node->settings_file = fmt::format("{}/node-{}.json", options_.folder, number);
+    const endpoint published = At(group::kPublished, number, kPeerPort);
+    node->link =
+        std::make_unique<loopback_proxy>(loop_, published, At(group::kNode, number, kPeerPort));
+    node->store_link = std::make_unique<loopback_proxy>(
+        loop_, At(group::kStore, number + 1, kStorePort), At(group::kStore, 0, kStorePort));
+    node->ready = std::make_unique<http_client>(
+        loop_, At(group::kNode, number, kReadyPort),
+        http_client::options{
+            .connect_limit = kReadyPeriod, .silence_limit = seconds(2), .idle_limit = {}});
+    node->clients =
+        std::make_unique<soak_client>(loop_, At(group::kNode, number, kOutboundPort), ledger_);
+    nodes_.push_back(std::move(node));
+    WriteSettings(number, static_cast<int>(kRepeatAllowance));
+    StartTarget(*nodes_.back());
+    StartProcess(*nodes_.back());
+  }
+
+  void WriteSettings(std::size_t number, int allowance) {
+    const auto address = [number](std::uint16_t port) {
+      return At(group::kNode, number, port).ToString();
+    };
+    const json settings = {{"instance", fmt::format("node-{}", number)},
+                           {"service", ServiceOf(number)},
+                           {"failure_domain", fmt::format("domain-{}", number % kDomains)},
+                           {"outbound", address(kOutboundPort)},
+                           {"ready", address(kReadyPort)},
+                           {"ready_path", "/cuminferry/readyz"},
+                           {"peer", address(kPeerPort)},
+                           {"seed", address(kSeedPort)},
+                           {"metrics", address(kMetricsPort)},
+                           {"metrics_path", "/metrics"},
+                           {"backend", At(group::kPublished, number, kBackendPort).ToString()},
+                           {"platform", At(group::kStore, number + 1, kStorePort).ToString()},
+                           {"seeds", json::array()},
+                           {"repeat_allowance", allowance},
+                           {"repeat_window_ms", 10'000},
+                           {"grace_ms", std::chrono::duration_cast<milliseconds>(kGrace).count()}};
+    std::ofstream(nodes_[number]->settings_file) << settings.dump(2);
+  }
+
+  void StartProcess(soak_node& node) {
+    auto started =
+        trial::child_process::Start({options_.program, "--settings", node.settings_file},
+                                    fmt::format("{}/node-{}.log", options_.folder, node.number));
+    if (!started.ok()) {
+      ledger_.OnViolation(std::string(started.status().message()));
+      return;
+    }
+    node.process.emplace(std::move(*started));
+    ++node.incarnation;
+    node.stopping = false;
+    node.paused = false;
+  }
+
+  void StartTarget(soak_node& node) {
+    node.target_number = ++targets_started_;
+    node.target_id = fmt::format("i-{}", node.target_number);
+    const bool calls = ServiceOf(node.number) == "permits";
+    node.target = std::make_unique<soak_target>(
+        loop_,
+        soak_target::options{.at = At(group::kPublished, node.number, kBackendPort),
+                             .node = At(group::kNode, node.number, kOutboundPort),
+                             .id = node.target_id,
+                             .number = node.target_number,
+                             .node_number = node.number,
+                             .service = ServiceOf(node.number),
+                             .calls = calls ? std::string(kCalledRow) : ""},
+        ledger_, random_);
+    node.leaving = false;
+    Publish(node);
+  }
+
+  void Publish(const soak_node& node) {
+    store_.Put("servers/" + node.target_id,
+               json{{"service", ServiceOf(node.number)},
+                    {"addr", At(group::kPublished, node.number, kBackendPort).ToString()},
+                    {"zone", fmt::format("domain-{}", node.number % kDomains)},
+                    {"capacity", soak_target::options{}.slots},
+                    {"state", node.leaving ? "draining" : "ready"},
+                    {"warmup_left_ms", 0},
+                    {"sequence", ++heartbeats_}}
+                   .dump());
+  }
+
+  void Heartbeat() {
+    for (const auto& node : nodes_) {
+      if (node->target) {
+        Publish(*node);
+      }
+    }
+  }
+
+  // Each edit adds a row of its own and takes the last edit's row away.
+  void Edit() {
+    json resources = json::array();
+    for (const known_row& row : kRows) {
+      resources.push_back(RouteOf(row, row.name));
+    }
+    ++edits_;
+    resources.push_back(RouteOf(kRows[0], fmt::format("edit{}", edits_)));
+    for (const char* service : {"maps", "permits"}) {
+      resources.push_back({{"type", "services"},
+                           {"metadata", {{"name", service}}},
+                           {"spec", {{"health_path", "/healthz"}, {"max_conns", 500}}}});
+    }
+    resources.push_back({{"type", "limits"},
+                         {"metadata", {{"name", "limits"}}},
+                         {"spec",
+                          {{"header_bytes", 16'384},
+                           {"body_bytes", 1'000'000},
+                           {"header_ms", 3'000},
+                           {"idle_ms", 5'000}}}});
+    store_.Put(
+        "op/config",
+        json{{"version", fmt::format("{:08x}", 3 * edits_)}, {"resources", resources}}.dump());
+    ledger_.OnEdit(edits_, loop_.Now());
+  }
+
+  //============================================================================
+  // Time.
+
+  void After(duration delay, std::function<void()> action) {
+    later_.push_back(std::make_unique<loop_timer>(loop_));
+    later_.back()->StartOnce(delay, std::move(action));
+  }
+
+  void OnTick() {
+    const instant now = loop_.Now();
+    for (const auto& node : nodes_) {
+      WatchProcess(*node, now);
+      AskReady(*node, now);
+      SendRequests(*node);
+    }
+  }
+
+  void WatchProcess(soak_node& node, instant now) {
+    int exit_code = 0;
+    if (node.process && node.process->WaitForEnd({}, exit_code)) {
+      if (!node.stopping || exit_code != 0) {
+        ledger_.OnViolation(fmt::format("node {} ended by itself: {}", node.number, exit_code));
+      }
+      node.process.reset();
+      node.start_at = now + kRestartAfter;
+    }
+    if (!node.process && now >= node.start_at) {
+      StartProcess(node);
+    }
+  }
+
+  void AskReady(soak_node& node, instant now) {
+    if (node.asking || now < node.start_at) {
+      return;
+    }
+    node.asking = true;
+    After(kReadyPeriod, [&node] { node.asking = false; });
+    http_head head;
+    head.method = "GET";
+    head.target = "/cuminferry/readyz";
+    head.Set("Host", "ready");
+    node.ended_question = std::move(node.question);
+    ++node.misses;
+    node.question = node.ready->Send(head, {},
+                                     {.on_head =
+                                          [this, &node](const http_head& answer) {
+                                            if (answer.status == 200) {
+                                              OnReady(node);
+                                            }
+                                          },
+                                      .on_interim = {},
+                                      .on_body = {},
+                                      .on_end = {},
+                                      .on_failed = [](exchange_failure) {},
+                                      .on_drained = {},
+                                      .is_answer = {}});
+    node.question->FinishBody();
+  }
+
+  void OnReady(soak_node& node) {
+    node.misses = 0;
+    if (node.down != nullptr) {
+      std::exchange(node.down, nullptr)->end = loop_.Now();
+    }
+  }
+
+  //============================================================================
+  // Clients.
+
+  void SendRequests(soak_node& node) {
+    const double expected = options_.rate * burst_ * static_cast<double>(kTick.count()) / 1e6;
+    if (!node.takes_clients() || random_.Fraction() >= expected) {
+      return;
+    }
+    const double draw = random_.Fraction();
+    const known_row& row = kRows[draw < 0.55 ? 0 : draw < 0.85 ? 1 : 2];
+    client_request request{.method = row.kind == std::string_view("safe") ? "GET" : "POST",
+                           .path = fmt::format("/{}/x", row.name),
+                           .keep = random_.Fraction() < 0.5};
+    if (row.kind != std::string_view("safe")) {
+      request.body_bytes = row.kind == std::string_view("upload") ? 100'000 : 1'000;
+      request.chunked = random_.Fraction() < 0.3;
+    }
+    if (random_.Fraction() < kGivesUpShare) {
+      request.gives_up_after = kGivesUp;
+    }
+    Send(node, request, row, row.name, 0);
+  }
+
+  void ProbeEdits() {
+    for (const auto& node : nodes_) {
+      for (const int edit : {edits_, edits_ - 1}) {
+        if (node->takes_clients() && edit > 0) {
+          const std::string name = fmt::format("edit{}", edit);
+          Send(*node, {.path = "/" + name + "/x", .keep = true}, kRows[0], name, edit);
+        }
+      }
+    }
+  }
+
+  void Send(soak_node& node, const client_request& request, const known_row& row,
+            const std::string& name, int edit) {
+    node.clients->Send(request, {.id = fmt::format("r{}", ++requests_sent_),
+                                 .row = name,
+                                 .service = row.service,
+                                 .node = node.number,
+                                 .incarnation = node.incarnation,
+                                 .idempotent = row.kind == std::string_view("safe"),
+                                 .edit = edit,
+                                 .timeout = row.timeout});
+  }
+
+  //============================================================================
+  // What is done to them.
+
+  void Do(const soak_event& event) {
+    fmt::print("  {:6.2f} s {} node {} for {:.2f} s\n", static_cast<double>(event.at.count()) / 1e6,
+               ToText(event.action), event.node, static_cast<double>(event.span.count()) / 1e6);
+    soak_node& node = *nodes_[event.node];
+    switch (event.action) {
+      case soak_action::kKill:
+        Kill(node, event.span);
+        break;
+      case soak_action::kKillAll:
+        for (const auto& each : nodes_) {
+          Kill(*each, event.span);
+        }
+        break;
+      case soak_action::kPause:
+        Pause(node, event.span);
+        break;
+      case soak_action::kStop:
+        if (node.process && !node.paused && !node.stopping) {
+          node.stopping = true;
+          node.process->Signal(SIGTERM);
+        }
+        break;
+      case soak_action::kReload:
+        WriteSettings(node.number, static_cast<int>(kRepeatAllowance) - 1);
+        if (node.process) {
+          node.process->Signal(SIGHUP);
+        }
+        break;
+      case soak_action::kEdit:
+        Edit();
+        break;
+      case soak_action::kEdits:
+        for (int i = 0; i < kEditsInSeries; ++i) {
+          After(kSeriesGap * i, [this] { Edit(); });
+        }
+        break;
+      case soak_action::kReplace:
+        Replace(node);
+        break;
+      case soak_action::kTargetCrash:
+        Crash(node, event.span);
+        break;
+      case soak_action::kBurst:
+        burst_ = kBurst;
+        After(event.span, [this] { burst_ = 1.0; });
+        break;
+      default:
+        DoToLinks(node, event);
+        break;
+    }
+  }
+
+  void DoToLinks(soak_node& node, const soak_event& event) {
+    switch (event.action) {
+      case soak_action::kDelay:
+        HarmLink(node, {.delay = milliseconds(60)}, event.span);
+        break;
+      case soak_action::kReset:
+        Harm(node.number, {});
+        node.link->ResetOpen();
+        break;
+      case soak_action::kSilence:
+        Harm(node.number, {});
+        node.link->SilenceOpen();
+        break;
+      case soak_action::kCutToNode:
+        HarmLink(node, {.cut_to_server = true}, event.span);
+        break;
+      case soak_action::kCutFromNode:
+        HarmLink(node, {.cut_to_client = true}, event.span);
+        break;
+      case soak_action::kCutOff:
+        HarmLink(node, {.cut_to_server = true, .cut_to_client = true}, event.span);
+        HarmStoreLink(node, {.cut_to_server = true, .cut_to_client = true}, event.span);
+        break;
+      case soak_action::kStoreCut:
+        HarmStoreLink(node, {.cut_to_server = true, .cut_to_client = true}, event.span);
+        break;
+      case soak_action::kStoreReset:
+        HarmStoreLink(node, {.resets_new = true}, event.span);
+        node.store_link->ResetOpen();
+        break;
+      case soak_action::kStoreDown:
+        store_.broken_status = 503;
+        HarmStore(event.span, [this] { store_.broken_status = 0; });
+        break;
+      case soak_action::kStoreSilent:
+        store_.silent = true;
+        HarmStore(event.span, [this] { store_.silent = false; });
+        break;
+      case soak_action::kStoreForgets:
+        store_.Compact();
+        HarmStore({}, [] {});
+        break;
+      case soak_action::kTargetSlow:
+        HarmTarget(node, {.slowness = 10.0}, event.span);
+        break;
+      case soak_action::kTargetLoses:
+        HarmTarget(node, {.loses = 0.5}, event.span);
+        break;
+      case soak_action::kTargetDamages:
+        HarmTarget(node, {.cuts = 0.2, .damages = 0.2, .repeats = 0.3}, event.span);
+        break;
+      default:
+        HarmTarget(node, {.sheds = 0.5}, event.span);
+        break;
+    }
+  }
+
+  disturbance& Harm(std::size_t node, duration span) {
+    return ledger_.OnDisturbance({.what = disturbance::kind::kHarm,
+                                  .node = node,
+                                  .begin = loop_.Now(),
+                                  .end = loop_.Now() + span});
+  }
+
+  // Ends when the process that is started next is ready.
+  void Kill(soak_node& node, duration span) {
+    if (node.down == nullptr) {
+      node.down = &Harm(node.number, seconds(600));
+    }
+    node.process.reset();
+    node.start_at = loop_.Now() + span;
+  }
+
+  void Pause(soak_node& node, duration span) {
+    if (!node.process || node.stopping) {
+      return;
+    }
+    node.paused = true;
+    node.process->Signal(SIGSTOP);
+    Harm(node.number, span + kTick);
+    After(span, [&node] {
+      node.paused = false;
+      if (node.process) {
+        node.process->Signal(SIGCONT);
+      }
+    });
+  }
+
+  void HarmLink(soak_node& node, const link_fault& fault, duration span) {
+    node.link->SetFault(fault);
+    Harm(node.number, span);
+    After(span, [&node] { node.link->SetFault({}); });
+  }
+
+  void HarmStoreLink(soak_node& node, const link_fault& fault, duration span) {
+    node.store_link->SetFault(fault);
+    ledger_.OnDisturbance({.what = disturbance::kind::kStore,
+                           .node = node.number,
+                           .begin = loop_.Now(),
+                           .end = loop_.Now() + span});
+    After(span, [&node] { node.store_link->SetFault({}); });
+  }
+
+  void HarmStore(duration span, std::function<void()> mend) {
+    ledger_.OnDisturbance(
+        {.what = disturbance::kind::kStore, .begin = loop_.Now(), .end = loop_.Now() + span});
+    After(span, std::move(mend));
+  }
+
+  void HarmTarget(soak_node& node, const target_fault& fault, duration span) {
+    Harm(node.number, span);
+    if (node.target) {
+      node.target->SetFault(fault);
+    }
+    After(span, [&node] {
+      if (node.target) {
+        node.target->SetFault({});
+      }
+    });
+  }
+
+  void Crash(soak_node& node, duration span) {
+    if (!node.target || node.leaving) {
+      return;
+    }
+    Harm(node.number, span);
+    const std::string id = node.target_id;
+    node.target.reset();
+    // Its entry lapses after three heartbeats.
+    After(3 * kHeartbeat, [this, id] { store_.Remove("servers/" + id); });
+    After(span, [this, &node] { StartTarget(node); });
+  }
+
+  void Replace(soak_node& node) {
+    if (!node.target || node.leaving) {
+      return;
+    }
+    node.leaving = true;
+    Publish(node);
+    ledger_.OnLeaving(node.target_number, loop_.Now());
+    node.target->Leave();
+    After(kLeavingTime, [this, &node] {
+      store_.Remove("servers/" + node.target_id);
+      node.target.reset();
+    });
+    // Its address is used again a little later.
+    After(kLeavingTime + seconds(1), [this, &node] { StartTarget(node); });
+  }
+
+  soak_options options_;
+  event_loop loop_;
+  random_source random_;
+  soak_ledger ledger_;
+  store_stand_in store_;
+  std::vector<std::unique_ptr<soak_node>> nodes_;
+  loop_timer tick_;
+  loop_timer heartbeat_;
+  loop_timer edit_probe_;
+  std::vector<std::unique_ptr<loop_timer>> later_;
+  instant began_{};
+  double burst_ = 1.0;
+  int edits_ = 0;
+  std::size_t targets_started_ = 0;
+  std::uint64_t heartbeats_ = 0;
+  std::uint64_t requests_sent_ = 0;
+};
+
+soak_result RunSoak(const soak_options& options) { return soak_fleet(options).Run(); }
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/soak/soak_ledger.cpp
@@ -0,0 +1,283 @@
+#include "soak/soak_ledger.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <array>
+
+namespace cuminferry::testing {
+namespace {
+
+// A node may close a kept connection while a request is on its way to it.
+constexpr duration kCrossing = std::chrono::milliseconds(200);
+// Beside a store that fails, an edit may take so much longer.
+constexpr duration kStoreSlack = std::chrono::seconds(5);
+// An effect of an edit was seen; an older version may still be met for so long.
+constexpr duration kOlderSlack = std::chrono::milliseconds(250);
+constexpr duration kWindowStep = std::chrono::milliseconds(500);
+constexpr double kServedInCalm = 0.9;
+constexpr std::size_t kFewInCalm = 10;
+// Of the rows' timeouts: an answer that ran longer was cut by it.
+constexpr double kNearTimeout = 0.7;
+
+constexpr std::array<std::string_view, 8> kEnds{"open",   "answered", "refused",  "unknown",
+                                                "no_row", "broken",   "not_sent", "left"};
+
+double Seconds(duration span) { return static_cast<double>(span.count()) / 1e6; }
+
+std::string Describe(const sent_request& request) {
+  return fmt::format("{} {} of node {} at {:.3f} s: {} {} after {:.3f} s", request.row, request.id,
+                     request.node, Seconds(request.sent.time_since_epoch()),
+                     kEnds[static_cast<std::size_t>(request.end)], request.status,
+                     Seconds(request.ended - request.sent));
+}
+
+}  // namespace
+
+sent_request& soak_ledger::OnSent(sent_request request) {
+  const std::string id = request.id;
+  return requests_.emplace(id, std::move(request)).first->second;
+}
+
+seen_run& soak_ledger::OnArrival(seen_run run) {
+  runs_.push_back(std::make_unique<seen_run>(std::move(run)));
+  runs_by_id_[runs_.back()->id].push_back(runs_.back().get());
+  return *runs_.back();
+}
+
+const std::vector<const seen_run*>& soak_ledger::RunsOf(const std::string& id) const {
+  static const std::vector<const seen_run*> none;
+  const auto found = runs_by_id_.find(id);
+  return found == runs_by_id_.end() ? none : found->second;
+}
+
+bool soak_ledger::Disturbed(disturbance::kind what, std::size_t node, instant from,
+                            instant to) const {
+  return std::any_of(disturbances_.begin(), disturbances_.end(), [&](const disturbance& seen) {
+    const bool here =
+        node == disturbance::kAllNodes || seen.node == disturbance::kAllNodes || seen.node == node;
+    return seen.what == what && here && seen.begin <= to && seen.end + kSettle >= from;
+  });
+}
+
+bool soak_ledger::Undisturbed(const sent_request& request) const {
+  return !Disturbed(disturbance::kind::kHarm, disturbance::kAllNodes, request.sent, request.ended);
+}
+
+std::vector<std::string> soak_ledger::Check() const {
+  violations found = violations_;
+  CheckRunOnce(found);
+  CheckRefusals(found);
+  CheckCallers(found);
+  CheckCuts(found);
+  CheckLateAnswers(found);
+  CheckEdits(found);
+  CheckRegression(found);
+  CheckLeaving(found);
+  CheckRepeats(found);
+  CheckCalm(found);
+  return found;
+}
+
+void soak_ledger::CheckRunOnce(violations& into) const {
+  for (const auto& [id, runs] : runs_by_id_) {
+    const auto sent = requests_.find(id);
+    if (sent == requests_.end()) {
+      into.push_back("a request that nobody sent came to a backend server: " + id);
+      continue;
+    }
+    const auto ran =
+        std::count_if(runs.begin(), runs.end(), [](const auto* run) { return run->ran; });
+    if (!sent->second.idempotent && ran > 1) {
+      into.push_back(fmt::format("ran {} times: {}", ran, Describe(sent->second)));
+    }
+  }
+}
+
+void soak_ledger::CheckRefusals(violations& into) const {
+  for (const auto& [id, request] : requests_) {
+    const auto& runs = RunsOf(id);
+    if (request.end == request_end::kRefused &&
+        std::any_of(runs.begin(), runs.end(), [](const auto* run) { return run->ran; })) {
+      into.push_back("said to be refused, but it ran: " + Describe(request));
+    }
+  }
+}
+
+void soak_ledger::CheckCallers(violations& into) const {
+  for (const auto& run : runs_) {
+    const auto sent = requests_.find(run->id);
+    if (sent == requests_.end()) {
+      continue;
+    }
+    if (run->ran && run->service != sent->second.service) {
+      into.push_back("run by " + run->service + ": " + Describe(sent->second));
+    }
+    // The node that it was sent to stands beside a service; its number tells which.
+    const std::string expected = sent->second.node % 2 == 0 ? "maps" : "permits";
+    if (run->ran && run->caller_service != expected) {
+      into.push_back("caller said to be " + run->caller_service + ": " + Describe(sent->second));
+    }
+  }
+}
+
+void soak_ledger::CheckCuts(violations& into) const {
+  for (const auto& [id, request] : requests_) {
+    if (request.end != request_end::kBroken || !Undisturbed(request)) {
+      continue;
+    }
+    const auto& runs = RunsOf(id);
+    const bool harmed =
+        std::any_of(runs.begin(), runs.end(), [](const auto* run) { return run->harmed; });
+    const duration took = request.ended - request.sent;
+    const bool timed_out =
+        took >= std::chrono::duration_cast<duration>(kNearTimeout * request.timeout);
+    if (!harmed && !timed_out && (!runs.empty() || took > kCrossing)) {
+      into.push_back("cut off: " + Describe(request));
+    }
+  }
+}
+
+void soak_ledger::CheckLateAnswers(violations& into) const {
+  for (const auto& [id, request] : requests_) {
+    const bool ended = request.end != request_end::kOpen;
+    if (ended && request.ended - request.sent > request.timeout + kAnswerSlack &&
+        Undisturbed(request)) {
+      into.push_back("answered late: " + Describe(request));
+    }
+  }
+}
+
+// An edit's row answers 404 until the edit is in force, and again once the next is.
+void soak_ledger::CheckEdits(violations& into) const {
+  for (const auto& [id, request] : requests_) {
+    if (request.edit == 0 || request.end == request_end::kOpen ||
+        Disturbed(disturbance::kind::kHarm, disturbance::kAllNodes, request.sent, request.ended)) {
+      continue;
+    }
+    const bool store =
+        Disturbed(disturbance::kind::kStore, disturbance::kAllNodes, request.sent, request.ended);
+    const duration bound = kSpread + (store ? kStoreSlack : duration::zero());
+    const instant added = edits_.at(request.edit);
+    const auto next = edits_.find(request.edit + 1);
+    const bool stands = next == edits_.end() || request.ended < next->second;
+    if (request.end == request_end::kNoRow && request.sent > added + bound && stands) {
+      into.push_back("edit not in force: " + Describe(request));
+    }
+    if (request.end == request_end::kAnswered && next != edits_.end() &&
+        request.sent > next->second + bound) {
+      into.push_back("edit still in force: " + Describe(request));
+    }
+  }
+}
+
+void soak_ledger::CheckRegression(violations& into) const {
+  // When a node's process was first seen to have each edit.
+  std::map<std::pair<std::size_t, int>, std::map<int, instant>> first_seen;
+  for (const auto& [id, request] : requests_) {
+    if (request.edit > 0 && request.end == request_end::kAnswered) {
+      auto& at = first_seen[{request.node, request.incarnation}];
+      const auto known = at.find(request.edit);
+      if (known == at.end() || request.ended < known->second) {
+        at[request.edit] = request.ended;
+      }
+    }
+  }
+  for (const auto& [id, request] : requests_) {
+    if (request.edit == 0 || request.end != request_end::kNoRow) {
+      continue;
+    }
+    const auto at = first_seen.find({request.node, request.incarnation});
+    const auto next = edits_.find(request.edit + 1);
+    if (at == first_seen.end() || (next != edits_.end() && request.ended >= next->second)) {
+      continue;
+    }
+    const auto seen = at->second.lower_bound(request.edit);
+    if (seen != at->second.end() && request.sent > seen->second + kOlderSlack) {
+      into.push_back("older table than before: " + Describe(request));
+    }
+  }
+}
+
+void soak_ledger::CheckLeaving(violations& into) const {
+  for (const auto& run : runs_) {
+    const auto left = leaving_.find(run->target);
+    const auto sent = requests_.find(run->id);
+    if (!run->ran || left == leaving_.end() || sent == requests_.end()) {
+      continue;
+    }
+    const instant from = sent->second.sent;
+    const bool disturbed =
+        Disturbed(disturbance::kind::kHarm, disturbance::kAllNodes, left->second, run->began) ||
+        Disturbed(disturbance::kind::kStore, disturbance::kAllNodes, left->second, run->began);
+    if (!disturbed && from > left->second + kSpread) {
+      into.push_back(fmt::format("ran on target {} {:.3f} s after it was said to leave: {}",
+                                 run->target, Seconds(run->began - left->second),
+                                 Describe(sent->second)));
+    }
+  }
+}
+
+void soak_ledger::CheckRepeats(violations& into) const {
+  std::map<std::string, std::vector<instant>> requests;
+  std::map<std::string, std::vector<instant>> repeats;
+  for (const auto& [id, request] : requests_) {
+    requests[request.service].push_back(request.sent);
+    const auto& runs = RunsOf(id);
+    for (std::size_t later = 1; later < runs.size(); ++later) {
+      repeats[request.service].push_back(runs[later]->began);
+    }
+  }
+  const auto count = [](const std::vector<instant>& times, instant begin) {
+    return std::count_if(times.begin(), times.end(),
+                         [begin](instant at) { return at >= begin && at < begin + kRepeatWindow; });
+  };
+  for (const auto& [service, times] : repeats) {
+    const auto [first, last] = std::minmax_element(times.begin(), times.end());
+    for (instant begin = *first; begin <= *last; begin += kWindowStep) {
+      const auto most = std::max({count(requests[service], begin),
+                                  count(requests[service], begin - kRepeatWindow),
+                                  count(requests[service], begin - kRepeatWindow / 2)});
+      const auto seen = count(times, begin);
+      if (static_cast<double>(seen) >
+          kRepeatRatio * static_cast<double>(most) + repeat_allowance_) {
+        into.push_back(
+            fmt::format("{} repeats at {} within one window of {} requests", seen, service, most));
+        break;
+      }
+    }
+  }
+}
+
+void soak_ledger::CheckCalm(violations& into) const {
+  for (const auto& [begin, end] : calm_) {
+    std::size_t all = 0;
+    std::size_t served = 0;
+    for (const auto& [id, request] : requests_) {
+      const bool counts = !request.nested && request.edit == 0 && request.end != request_end::kLeft;
+      if (counts && request.sent >= begin && request.sent + request.timeout <= end) {
+        ++all;
+        served += request.end == request_end::kAnswered && request.status == 200 ? 1 : 0;
+      }
+    }
+    if (all < kFewInCalm ||
+        static_cast<double>(served) < kServedInCalm * static_cast<double>(all)) {
+      into.push_back(fmt::format("calm from {:.3f} s: {} of {} requests served",
+                                 Seconds(begin.time_since_epoch()), served, all));
+    }
+  }
+}
+
+std::string soak_ledger::Summary() const {
+  std::array<std::size_t, kEnds.size()> counts{};
+  for (const auto& [id, request] : requests_) {
+    ++counts[static_cast<std::size_t>(request.end)];
+  }
+  std::string text = fmt::format("{} requests, {} arrivals:", requests_.size(), runs_.size());
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    text += fmt::format(" {} {}", kEnds[i], counts[i]);
+  }
+  return text;
+}
+
+}  // namespace cuminferry::testing
--- /dev/null
+++ b/tests/soak/soak_target.cpp
@@ -0,0 +1,256 @@
+#include "soak/soak_target.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <stdexcept>
+#include <utility>
+
+#include "cuminferry_relay/http/message_reader.h"
+
+namespace cuminferry::testing {
+namespace {
+
+constexpr duration kSilenceLimit = std::chrono::seconds(20);
+constexpr std::size_t kLargestHead = 64 * 1024;
+constexpr std::size_t kQueuedPerSlot = 2;
+constexpr std::size_t kLargestAnswer = 30'000;
+constexpr duration kLateAfter = std::chrono::milliseconds(30);
+constexpr duration kCallTimeout = std::chrono::milliseconds(700);
+
+}  // namespace
+
+/** One connection of a node. */
+class soak_target::session : public std::enable_shared_from_this<soak_target::session> {
+ public:
+  session(soak_target& owner, std::unique_ptr<tcp_connection> connection)
+      : owner_(owner),
+        connection_(std::move(connection)),
+        timer_(owner.loop_),
+        late_timer_(owner.loop_),
+        reader_(message_reader::kind::kRequests, kLargestHead,
+                {.on_head = [this](http_head head) { head_ = std::move(head); },
+                 .on_interim = {},
+                 .on_body = {},
+                 .on_message_end = [this] { OnRequest(); }}) {}
+
+  void Begin() {
+    connection_->SetHooks({.on_data = [this](std::string_view bytes) { OnData(bytes); },
+                           .on_end = [this](connection_end) { Close(); },
+                           .on_drained = {},
+                           .on_connected = {}});
+  }
+
+  bool waits() const { return waiting_ && connection_ != nullptr; }
+
+  void Start() {
+    waiting_ = false;
+    running_ = true;
+    ++owner_.running_;
+    run_->ran = true;
+    run_->began = owner_.loop_.Now();
+    if (owner_.options_.calls.empty()) {
+      Work();
+    } else {
+      Call();
+    }
+  }
+
+  void Abort() {
+    if (connection_) {
+      connection_->ResetOnClose();
+    }
+    Close();
+  }
+
+ private:
+  void OnData(std::string_view bytes) {
+    const auto keep = shared_from_this();
+    while (!bytes.empty() && connection_) {
+      const auto taken = reader_.Read(bytes);
+      if (!taken.ok()) {
+        owner_.ledger_.OnViolation("bytes that are no request came to a backend server");
+        Abort();
+        return;
+      }
+      bytes.remove_prefix(*taken);
+    }
+  }
+
+  std::string Field(std::string_view name) const {
+    const std::string* field = head_.Find(name);
+    return field == nullptr ? "" : *field;
+  }
+
+  void OnRequest() {
+    id_ = Field("Cuminferry-Request-Id");
+    run_ = &owner_.ledger_.OnArrival({.id = id_,
+                                      .target = owner_.options_.number,
+                                      .service = owner_.options_.service,
+                                      .caller_service = Field("Cuminferry-Caller-Service"),
+                                      .began = owner_.loop_.Now()});
+    const std::string expected = Field("Cuminferry-Expect-Instance");
+    if (!expected.empty() && expected != owner_.options_.id) {
+      TurnAway(421);
+    } else if (Chance(owner_.fault_.sheds) ||
+               owner_.queue_.size() >= kQueuedPerSlot * owner_.options_.slots) {
+      TurnAway(503);
+    } else if (owner_.running_ < owner_.options_.slots) {
+      Start();
+    } else {
+      waiting_ = true;
+      owner_.queue_.push_back(weak_from_this());
+    }
+  }
+
+  bool Chance(double share) { return owner_.random_.Fraction() < share; }
+
+  void TurnAway(int status) {
+    http_head head = Head(status);
+    head.Set("Cuminferry-Not-Executed", "1");
+    connection_->Write(head.ToResponseText(owner_.leaving_));
+  }
+
+  http_head Head(int status) const {
+    http_head head;
+    head.status = status;
+    head.reason = "Status";
+    head.Set("Cuminferry-Request-Id", id_);
+    head.Set("Keep-Alive", "timeout=10");
+    head.framing = body_framing::kLength;
+    return head;
+  }
+
+  void Call() {
+    std::weak_ptr<session> weak = weak_from_this();
+    const std::string call_id = fmt::format("c{}-{}", owner_.options_.number, ++owner_.calls_made_);
+    client_request call{.path = "/" + owner_.options_.calls + "/x", .keep = true};
+    call.on_end = [weak](const sent_request& ended) {
+      if (const auto self = weak.lock(); self && self->running_) {
+        ended.status == 200 ? self->Work() : self->Answer(500);
+      }
+    };
+    owner_.caller_.Send(call, {.id = call_id,
+                               .row = owner_.options_.calls,
+                               .service = "maps",
+                               .node = owner_.options_.node_number,
+                               .idempotent = true,
+                               .nested = true,
+                               .timeout = kCallTimeout});
+  }
+
+  void Work() {
+    const double factor = owner_.fault_.slowness * (0.5 + owner_.random_.Fraction());
+    const duration work(
+        static_cast<duration::rep>(factor * static_cast<double>(owner_.options_.work.count())));
+    timer_.StartOnce(work, [this] { Answer(200); });
+  }
+
+  void Answer(int status) {
+    const auto keep = shared_from_this();
+    Finish();
+    if (Chance(owner_.fault_.loses)) {
+      run_->harmed = true;
+      Abort();
+      return;
+    }
+    if (Chance(owner_.fault_.damages)) {
+      run_->harmed = true;
+      connection_->Write("these bytes are no answer\r\n\r\n");
+      Abort();
+      return;
+    }
+    const std::size_t length = 1 + owner_.random_.Below(kLargestAnswer);
+    http_head head = Head(status);
+    head.Set("Cuminferry-Response-Seal", soak_client::SignatureFor(id_, length));
+    const std::string body = soak_client::BodyFor(id_, length);
+    const bool chunked = Chance(0.3);
+    head.framing = chunked ? body_framing::kChunked : body_framing::kLength;
+    head.length = length;
+    const std::string text = head.ToResponseText(owner_.leaving_) +
+                             (chunked ? ToChunk(body) + std::string(kLastChunk) : body);
+    if (Chance(owner_.fault_.cuts)) {
+      run_->harmed = true;
+      connection_->Write(text.substr(0, text.size() / 2));
+      Abort();
+      return;
+    }
+    connection_->Write(text);
+    if (Chance(owner_.fault_.repeats)) {
+      late_timer_.StartOnce(kLateAfter, [this, text] {
+        if (connection_) {
+          connection_->Write(text);
+        }
+      });
+    }
+  }
+
+  void Finish() {
+    timer_.Stop();
+    if (std::exchange(running_, false)) {
+      run_->ended = owner_.loop_.Now();
+      --owner_.running_;
+      owner_.StartNext();
+    }
+  }
+
+  void Close() {
+    const auto keep = shared_from_this();
+    connection_.reset();
+    late_timer_.Stop();
+    waiting_ = false;
+    Finish();
+    owner_.sessions_.erase(keep);
+  }
+
+  soak_target& owner_;
+  std::unique_ptr<tcp_connection> connection_;
+  loop_timer timer_;
+  loop_timer late_timer_;
+  message_reader reader_;
+  http_head head_;
+  std::string id_;
+  seen_run* run_ = nullptr;
+  bool waiting_ = false;
+  bool running_ = false;
+};
+
+//==============================================================================
+soak_target::soak_target(event_loop& loop, options options, soak_ledger& ledger,
+                         random_source& random)
+    : loop_(loop),
+      options_(std::move(options)),
+      ledger_(ledger),
+      random_(random),
+      caller_(loop, options_.node, ledger) {
+  auto listener = tcp_listener::Listen(
+      loop, options_.at, kSilenceLimit, [this](std::unique_ptr<tcp_connection> connection) {
+        auto made = std::make_shared<session>(*this, std::move(connection));
+        sessions_.insert(made);
+        made->Begin();
+      });
+  if (!listener.ok()) {
+    throw std::runtime_error(std::string(listener.status().message()));
+  }
+  listener_ = std::move(*listener);
+}
+
+soak_target::~soak_target() {
+  listener_.reset();
+  queue_.clear();
+  const auto sessions = sessions_;
+  for (const auto& open : sessions) {
+    open->Abort();
+  }
+}
+
+void soak_target::StartNext() {
+  while (running_ < options_.slots && !queue_.empty()) {
+    const auto next = queue_.front().lock();
+    queue_.pop_front();
+    if (next && next->waits()) {
+      next->Start();
+    }
+  }
+}
+
+}  // namespace cuminferry::testing
