Let a request run only once its entry is told of a slot; find cut off domains at once; use the repeat budget

Each node found each target of a cut off domain by a request of its own. Half of the repeat bound was left unused for fear of calls of repeated runs. Change: requests that run once, and those for targets not heard from for 1 s, carry Expect: 100-continue between nodes; the target's node asks for the body when it has a slot, and runs nothing before. Until then the entry may place it elsewhere at no cost, or refuse it truly. A domain of which a request brought no sign, and nothing else came since it was sent, is left out but for one request at a time. Ruled out: reservations by token (a second head a request); confirming reads to targets in touch (a round trip for nothing). Relay, policy and adapter tests pass.

--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -95,7 +95,8 @@
   std::vector<target_state*> resting;
   for (auto& [id, state] : targets_) {
     if (!wanted.tried.contains(id)) {
-      (now < state.rests_until ? resting : open).push_back(&state);
+      const bool rests = now < state.rests_until || wanted.cut_off(state.target.failure_domain);
+      (rests ? resting : open).push_back(&state);
     }
   }
   if (open.empty()) {
@@ -127,6 +128,12 @@
   return best->target;
 }
 
+bool target_picker::IsDoubtful(std::string_view id, instant now) const {
+  const auto found = targets_.find(id);
+  return found == targets_.end() || found->second.failures > 0 ||
+         found->second.reported_at == instant{} || now - found->second.reported_at > kDoubtAfter;
+}
+
 void target_picker::OnSent(std::string_view id) {
   if (target_state* state = Find(id)) {
     ++state->sent_since;
--- a/modules/cuminferry_policy/placement/target_picker.h
+++ b/modules/cuminferry_policy/placement/target_picker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -57,6 +58,8 @@
   /** The first rest, doubled with each further failure. */
   static constexpr duration kFirstRest = std::chrono::milliseconds(250);
   static constexpr duration kLongestRest = std::chrono::seconds(2);
+  /** A target that was not heard from for so long may have gone silent since. */
+  static constexpr duration kDoubtAfter = std::chrono::seconds(1);
   /** An older report counts as unknown. */
   static constexpr duration kReportAge = std::chrono::seconds(2);
 
@@ -70,11 +73,17 @@
     std::string_view own_domain;
     /** The request has little time: a fast target is worth a fuller one. */
     bool urgent = false;
+    /** Failure domains that can't be reached now: targets there are taken only
+        where no others are left. */
+    std::function<bool(std::string_view)> cut_off = [](std::string_view) { return false; };
   };
 
   /** The target to send to; none where all were tried. */
   std::optional<published_target> Pick(const request& wanted, instant now, random_source& random);
 
+  /** Whether nothing tells that the target can be reached now. */
+  bool IsDoubtful(std::string_view id, instant now) const;
+
   //============================================================================
   /** A request was sent to the target. */
   void OnSent(std::string_view id);
--- a/modules/cuminferry_policy/retries/repeat_budget.cpp
+++ b/modules/cuminferry_policy/retries/repeat_budget.cpp
@@ -8,6 +8,9 @@
 // Of the node's part of the allowance; the rest covers nodes that start anew
 // with a full balance within one window.
 constexpr double kAllowancePart = 0.5;
+// Calls of repeated runs can't be refused. Where they alone exceed the bound, the node
+// repeats nothing until it has earned this much, not for minutes.
+constexpr double kMostOwed = 20.0;
 
 }  // namespace
 
@@ -27,9 +30,9 @@
   balance_ = std::min(balance_, std::max(1.0, part) + 1.0 + kKeptForWhole);
 }
 
-void repeat_budget::OnFirstSend(instant now) {
+void repeat_budget::OnFirstSend(double repeated, instant now) {
   Refill(now);
-  balance_ += ratio_ * kEarnedPart;
+  balance_ = std::max(balance_ + ratio_ * kEarnedPart - repeated, -kMostOwed);
 }
 
 bool repeat_budget::TakeOne(bool nested, instant now) {
--- a/modules/cuminferry_policy/serving/slot_gate.cpp
+++ b/modules/cuminferry_policy/serving/slot_gate.cpp
@@ -60,10 +60,12 @@
 }
 
 void slot_gate::Finish(duration ran) {
-  running_ -= running_ > 0 ? 1 : 0;
+  Release();
   service_micros_ += kServiceWeight * (static_cast<double>(ran.count()) - service_micros_);
 }
 
+void slot_gate::Release() { running_ -= running_ > 0 ? 1 : 0; }
+
 std::optional<std::uint64_t> slot_gate::StartNext(instant now) {
   if (running_ >= limit_ || queue_.empty()) {
     return std::nullopt;
--- a/modules/cuminferry_policy/serving/slot_gate.h
+++ b/modules/cuminferry_policy/serving/slot_gate.h
@@ -59,6 +59,8 @@
   slot_verdict Offer(const slot_request& request, instant now);
   /** A running request ended after this long in the backend server. */
   void Finish(duration ran);
+  /** A request that had a slot did not run after all. */
+  void Release();
   /** The most urgent request that can start now; it counts as running. */
   std::optional<std::uint64_t> StartNext(instant now);
   /** Takes out the requests that waited as long as was useful. */
--- a/modules/cuminferry_relay/http/http_client.cpp
+++ b/modules/cuminferry_relay/http/http_client.cpp
@@ -257,10 +257,10 @@
                                   }
                                 },
                             .on_interim =
-                                [weak] {
+                                [weak](int status) {
                                   const auto self = weak.lock();
                                   if (self && !self->done && self->on.on_interim) {
-                                    self->on.on_interim();
+                                    self->on.on_interim(status);
                                   }
                                 },
                             .on_body =
--- a/modules/cuminferry_relay/http/http_client.h
+++ b/modules/cuminferry_relay/http/http_client.h
@@ -29,8 +29,9 @@
  public:
   struct hooks {
     std::function<void(http_head)> on_head;
-    /** The server has the request and works on it. */
-    std::function<void()> on_interim;
+    /** An interim response with this status: kContinue asks for the body that an
+        Expect field announced, others tell that the server works on it. */
+    std::function<void(int)> on_interim;
     std::function<void(std::string_view)> on_body;
     std::function<void()> on_end;
     std::function<void(exchange_failure)> on_failed;
--- a/modules/cuminferry_relay/http/http_server.cpp
+++ b/modules/cuminferry_relay/http/http_server.cpp
@@ -96,6 +96,7 @@
   }
 
   void SendInterim() { connection_->Write("HTTP/1.1 102 Processing\r\n\r\n"); }
+  void SendContinue() { connection_->Write("HTTP/1.1 100 Continue\r\n\r\n"); }
   void SendHead(const exchange& from, http_head response);
   void SendBody(std::string_view bytes);
   void Finish();
@@ -208,6 +209,11 @@
       With([](session& at) { at.SendInterim(); });
     }
   }
+  void SendContinue() override {
+    if (!head_sent_) {
+      With([](session& at) { at.SendContinue(); });
+    }
+  }
   void SendHead(http_head response) override {
     if (!head_sent_) {
       head_sent_ = true;
@@ -267,8 +273,8 @@
   }
   if (const std::string* expect = head.Find("expect")) {
     // The client holds its body back until it is asked for it.
-    if (SameFieldName(*expect, "100-continue")) {
-      connection_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    if (SameFieldName(*expect, "100-continue") && !server->chosen.handler_continues) {
+      SendContinue();
     }
     head.Remove("expect");
   }
@@ -368,9 +374,11 @@
 
 void http_server::session::SendHead(const exchange& from, http_head response) {
   const auto server = server_.lock();
-  // What is left of the request's body would be read as the next request.
-  close_after_ = close_after_ || !request_done_ || (server && server->draining) ||
-                 response.framing == body_framing::kUntilClose;
+  // What is left of a request's body is read and dropped where it is sure to end
+  // soon; a client may go on for long, and its connection closes.
+  const bool body_ends_soon = server && server->chosen.handler_continues;
+  close_after_ = close_after_ || (!request_done_ && !body_ends_soon) ||
+                 (server && server->draining) || response.framing == body_framing::kUntilClose;
   answer_framing_ = from.request().method == "HEAD" ? body_framing::kNone : response.framing;
   connection_->Write(response.ToResponseText(close_after_));
 }
--- a/modules/cuminferry_relay/http/http_server.h
+++ b/modules/cuminferry_relay/http/http_server.h
@@ -48,6 +48,9 @@
   virtual void ResumeBody() = 0;
   /** Tells the client, before the answer, that its request is being processed. */
   virtual void SendInterim() = 0;
+  /** Asks the client for the body that it holds back.
+      @see http_server::options::handler_continues */
+  virtual void SendContinue() = 0;
   virtual void SendHead(http_head response) = 0;
   virtual void SendBody(std::string_view bytes) = 0;
   virtual void Finish() = 0;
@@ -73,6 +76,9 @@
     http_limits limits;
     /** @see tcp_connection::Connect */
     duration silence_limit{};
+    /** The handler asks for a body that a client holds back (Expect:
+        100-continue); else the server does, at once. */
+    bool handler_continues = false;
     request_hook on_request;
   };
 
--- a/modules/cuminferry_relay/http/http_status.h
+++ b/modules/cuminferry_relay/http/http_status.h
@@ -7,6 +7,7 @@
 /** The status codes that a node answers by itself, or looks at (RFC 9110). */
 namespace http_status {
 
+inline constexpr int kContinue = 100;
 inline constexpr int kOk = 200;
 inline constexpr int kNoContent = 204;
 inline constexpr int kFirstRedirect = 300;
--- a/modules/cuminferry_relay/http/message_reader.cpp
+++ b/modules/cuminferry_relay/http/message_reader.cpp
@@ -88,7 +88,7 @@
   int OnHeadersComplete() {
     if (reads == kind::kResponses && parser.status_code < http_status::kOk) {
       if (on.on_interim) {
-        on.on_interim();
+        on.on_interim(parser.status_code);
       }
       return kReadOn;
     }
--- a/modules/cuminferry_relay/http/message_reader.h
+++ b/modules/cuminferry_relay/http/message_reader.h
@@ -23,8 +23,8 @@
 
   struct hooks {
     std::function<void(http_head)> on_head;
-    /** An interim response (1xx) came; the final one follows. */
-    std::function<void()> on_interim;
+    /** An interim response (1xx) with this status came; the final one follows. */
+    std::function<void(int)> on_interim;
     std::function<void(std::string_view)> on_body;
     /** The message is whole. No more bytes are read until Continue(). */
     std::function<void()> on_message_end;
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -59,12 +59,18 @@
 
   std::set<std::string> tried;
   endpoint target_peer;
+  std::string target_domain;
+  instant sent_at{};
   std::unique_ptr<client_exchange> upstream;
   // Ended exchanges are let go outside of their own hooks.
   std::unique_ptr<client_exchange> finished_upstream;
   std::optional<relay_outcome> outcome;
   // The target's answer is being passed on.
   bool committed = false;
+  // The target's node was sent the body. Until then it does not run the request.
+  bool released = false;
+  // How likely this is a call of a run that is itself a repeat.
+  double repeated = 0.0;
   // Some try's fate is unknown.
   bool may_have_run = false;
   bool detached = false;
@@ -117,8 +123,9 @@
     record.service = ChooseService();
     if (record.nested && board.causes.AnyRunning()) {
       board.causes.OnCall(route->name, started);
+      repeated = board.repeated_share();
     }
-    board.BudgetOf(record.service).OnFirstSend(started);
+    board.BudgetOf(record.service).OnFirstSend(repeated, started);
     Place();
   }
 
@@ -171,17 +178,19 @@
       return;
     }
     replay.Append(bytes);
-    if (upstream) {
+    if (upstream && released) {
       upstream->SendBody(bytes);
       if (upstream->unsent() > tcp_connection::kHighWater) {
         client->PauseBody();
       }
+    } else if (replay.bytes().size() > tcp_connection::kHighWater) {
+      client->PauseBody();
     }
   }
 
   void OnRequestBodyEnd() {
     body_ended = true;
-    if (upstream) {
+    if (upstream && released) {
       upstream->FinishBody();
     }
   }
@@ -196,11 +205,13 @@
       return;
     }
     target_picker& picker = board.PickerOf(record.service);
-    const auto target =
-        picker.Pick({.tried = tried,
-                     .own_domain = board.settings.failure_domain,
-                     .urgent = !record.nested && route->objective < kUrgentObjective},
-                    now, board.random);
+    const auto target = picker.Pick(
+        {.tried = tried,
+         .own_domain = board.settings.failure_domain,
+         .urgent = !record.nested && route->objective < kUrgentObjective,
+         .cut_off = [this,
+                     now](std::string_view domain) { return board.domains.IsCutOff(domain, now); }},
+        now, board.random);
     if (!target) {
       EndWithoutTarget();
       return;
@@ -209,7 +220,11 @@
     tried.insert(target->id);
     record.target_id = target->id;
     target_peer = board.PeerBeside(target->backend);
+    target_domain = target->failure_domain;
+    sent_at = now;
+    board.domains.OnTried(target_domain, now);
     outcome.reset();
+    released = !MustConfirm(picker, now);
     picker.OnSent(record.target_id);
     std::weak_ptr<outbound_call> weak = self->weak_from_this();
     const auto with = [weak](auto action) {
@@ -224,7 +239,8 @@
                        [with](http_head head) {
                          with([&](state& at) { at.OnAnswerHead(std::move(head)); });
                        },
-                   .on_interim = [with] { with([](state& at) { at.silence_timer.Stop(); }); },
+                   .on_interim =
+                       [with](int status) { with([status](state& at) { at.OnInterim(status); }); },
                    .on_body =
                        [with](std::string_view bytes) {
                          with([&](state& at) { at.OnAnswerBody(bytes); });
@@ -236,9 +252,8 @@
                        },
                    .on_drained = [with] { with([](state& at) { at.client->ResumeBody(); }); },
                    .is_answer = {}});
-    upstream->SendBody(replay.bytes());
-    if (body_ended) {
-      upstream->FinishBody();
+    if (released) {
+      SendBodySoFar();
     }
     silence_timer.StartOnce(kSilentAfter, [this] { OnSilence(); });
   }
@@ -253,13 +268,49 @@
     }
   }
 
+  // A request that may run only once, or one for a target that was not heard from
+  // lately, is run by the target's node only once it is let: where that node is cut
+  // off, frozen or gone, the request goes elsewhere, and what it is told is sure.
+  bool MustConfirm(const target_picker& picker, instant now) const {
+    return target_peer != board.settings.peer &&
+           (route->repeat != repeat_rule::kIdempotent || picker.IsDoubtful(record.target_id, now));
+  }
+
+  void SendBodySoFar() {
+    upstream->SendBody(replay.bytes());
+    if (body_ended) {
+      upstream->FinishBody();
+    }
+  }
+
+  void OnInterim(int status) {
+    silence_timer.Stop();
+    board.domains.OnHeard(target_domain, board.loop.Now());
+    if (status != http_status::kContinue || released || !upstream) {
+      return;
+    }
+    released = true;
+    SendBodySoFar();
+    client->ResumeBody();
+    // From now on its silence may hide a run.
+    silence_timer.StartOnce(kSilentAfter, [this] { OnSilence(); });
+  }
+
   // Neither an answer nor its announcement: later requests go elsewhere at once,
-  // and this one too where it may be repeated.
+  // and this one too where it may be repeated or has not run.
   void OnSilence() {
     if (ended || committed || !upstream) {
       return;
     }
     board.PickerOf(record.service).OnUnreachable(record.target_id, board.loop.Now());
+    board.domains.OnSilent(target_domain, sent_at, board.loop.Now());
+    if (!released) {
+      board.PickerOf(record.service).OnDone(record.target_id);
+      upstream->Cancel();
+      finished_upstream = std::move(upstream);
+      OnTurnedAway(relay_outcome::kUnconfirmed);
+      return;
+    }
     if (detached || route->repeat != repeat_rule::kIdempotent) {
       record.WriteTry(board.log, relay_outcome::kTimedOut);
       return;
@@ -283,29 +334,43 @@
     const relay_header_names& names = board.settings.headers;
     http_head head = client->request();
     head.RemoveConnectionFields();
+    const call_header about{.row = route->name,
+                            .priority = route->priority,
+                            .repeat = route->repeat,
+                            .nested = record.nested,
+                            .objective = route->objective,
+                            .objective_left = started + route->objective - now,
+                            .repeated = record.reached > 0 ? 1.0 : repeated,
+                            .held = !released,
+                            .framing = head.framing,
+                            .length = head.length};
+    if (!released) {
+      head.framing = body_framing::kChunked;
+      head.Set("Expect", "100-continue");
+    }
     head.Set(names.caller_service, board.settings.service);
     head.Set(names.expected_instance, target.id);
     head.Set(names.deadline,
              std::to_string(
                  std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count()));
-    head.Set(kCallField, call_header{.row = route->name,
-                                     .priority = route->priority,
-                                     .repeat = route->repeat,
-                                     .nested = record.nested,
-                                     .objective = route->objective,
-                                     .objective_left = started + route->objective - now}
-                             .ToText());
+    head.Set(kCallField, about.ToText());
     return head;
   }
 
   void OnAnswerHead(http_head head) {
     silence_timer.Stop();
     const instant now = board.loop.Now();
+    board.domains.OnHeard(target_domain, now);
     TakeLoad(head, now);
     if (const std::string* field = head.Find(kOutcomeField)) {
       outcome = ParseOutcome(*field);
       if (outcome) {
-        return;  // Decided at its end, which follows at once.
+        // Decided at its end, which follows at once. A body that was held back ends
+        // here, so that the connection can be used again.
+        if (!released) {
+          upstream->FinishBody();
+        }
+        return;
       }
     }
     head.Remove(kLoadField);
@@ -368,8 +433,11 @@
       End("cut_short");
       return;
     }
-    OnTurnedAway(failure == exchange_failure::kNotSent ? relay_outcome::kDown
-                                                       : relay_outcome::kLost);
+    if (failure == exchange_failure::kNotSent) {
+      OnTurnedAway(relay_outcome::kDown);
+    } else {
+      OnTurnedAway(released ? relay_outcome::kLost : relay_outcome::kUnconfirmed);
+    }
   }
 
   // The last try brought no answer of the backend server.
@@ -439,6 +507,11 @@
     if (upstream) {
       board.PickerOf(record.service).OnDone(record.target_id);
     }
+    if (!released && !may_have_run) {
+      // The row's timeout may be over long before its client's patience.
+      Refuse("deadline", ReturnTime(board.loop.Now()));
+      return;
+    }
     AnswerError(http_status::kGatewayTimeout, "deadline");
   }
 
--- a/modules/cuminferry_relay/path/peer_headers.cpp
+++ b/modules/cuminferry_relay/path/peer_headers.cpp
@@ -12,11 +12,12 @@
 
 constexpr double kMilli = 1000.0;
 
-constexpr std::array<std::pair<relay_outcome, std::string_view>, 7> kOutcomes{{
+constexpr std::array<std::pair<relay_outcome, std::string_view>, 8> kOutcomes{{
     {relay_outcome::kFull, "full"},
     {relay_outcome::kLeaving, "leaving"},
     {relay_outcome::kDown, "down"},
     {relay_outcome::kTurnedAway, "turned-away"},
+    {relay_outcome::kUnconfirmed, "unconfirmed"},
     {relay_outcome::kLost, "lost"},
     {relay_outcome::kDamaged, "damaged"},
     {relay_outcome::kTimedOut, "timed-out"},
@@ -41,26 +42,34 @@
 }  // namespace
 
 std::string call_header::ToText() const {
-  return fmt::format("{},{},{},{},{},{}", priority, static_cast<int>(repeat), nested ? 1 : 0,
-                     objective.count(), objective_left.count(), row);
+  return fmt::format("{},{},{},{},{},{},{},{},{},{}", priority, static_cast<int>(repeat),
+                     nested ? 1 : 0, objective.count(), objective_left.count(),
+                     static_cast<int>(repeated * kMilli), held ? 1 : 0, static_cast<int>(framing),
+                     length, row);
 }
 
 std::optional<call_header> call_header::Parse(std::string_view text) {
-  std::array<std::int64_t, 5> numbers{};
+  std::array<std::int64_t, 9> numbers{};
   if (!ParseNumbers(text, numbers) || numbers[0] < 0 || numbers[1] < 0 ||
-      numbers[1] > static_cast<int>(repeat_rule::kUpload)) {
+      numbers[1] > static_cast<int>(repeat_rule::kUpload) || numbers[7] < 0 ||
+      numbers[7] > static_cast<int>(body_framing::kUntilClose) || numbers[8] < 0) {
     return std::nullopt;
   }
-  const std::vector<std::string_view> parts = SplitText(text, ',', 6);
-  if (parts.size() != 6) {
+  constexpr std::size_t kParts = numbers.size() + 1;
+  const std::vector<std::string_view> parts = SplitText(text, ',', kParts);
+  if (parts.size() != kParts) {
     return std::nullopt;
   }
-  return call_header{.row = std::string(parts[5]),
+  return call_header{.row = std::string(parts.back()),
                      .priority = static_cast<std::uint32_t>(numbers[0]),
                      .repeat = static_cast<repeat_rule>(numbers[1]),
                      .nested = numbers[2] != 0,
                      .objective = duration(numbers[3]),
-                     .objective_left = duration(numbers[4])};
+                     .objective_left = duration(numbers[4]),
+                     .repeated = static_cast<double>(numbers[5]) / kMilli,
+                     .held = numbers[6] != 0,
+                     .framing = static_cast<body_framing>(numbers[7]),
+                     .length = static_cast<std::uint64_t>(numbers[8])};
 }
 
 std::string load_header::ToText() const {
@@ -100,13 +109,12 @@
 }
 
 bool SurelyNotRun(relay_outcome outcome) {
-  return outcome == relay_outcome::kFull || outcome == relay_outcome::kLeaving ||
-         outcome == relay_outcome::kDown || outcome == relay_outcome::kTurnedAway;
+  return outcome == relay_outcome::kTurnedAway || !ReachedBackend(outcome);
 }
 
 bool ReachedBackend(relay_outcome outcome) {
   return outcome != relay_outcome::kFull && outcome != relay_outcome::kLeaving &&
-         outcome != relay_outcome::kDown;
+         outcome != relay_outcome::kDown && outcome != relay_outcome::kUnconfirmed;
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/peer_headers.h
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "cuminferry_policy/cuminferry_policy.h"
+#include "cuminferry_relay/http/http_head.h"
 #include "cuminferry_table/cuminferry_table.h"
 
 namespace cuminferry {
@@ -25,6 +26,15 @@
   bool nested = false;
   duration objective{};
   duration objective_left{};
+  /** How likely this send is itself a repeat, or a call of a run that is one. */
+  double repeated = 0.0;
+  /** Run only once the entry has sent the body, which it does when it is told that
+      there is a slot. Until then the entry knows that the request hasn't run. */
+  bool held = false;
+  /** Framing of the body for the backend server; between nodes, a held request's
+      body comes in chunks, so that an empty one can be held back too. */
+  body_framing framing = body_framing::kNone;
+  std::uint64_t length = 0;
 
   std::string ToText() const;
   static std::optional<call_header> Parse(std::string_view text);
@@ -53,6 +63,8 @@
   kDown,
   /** The backend server turned the request away, unrun. */
   kTurnedAway,
+  /** No sign of the target's node, which had not been let run the request. */
+  kUnconfirmed,
   /** The connection was lost; the request may have run. */
   kLost,
   /** What came back is no answer; the request may have run. */
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -73,9 +73,12 @@
                                   .idle_time = kPeerIdleTime};
     const auto listen = [&](std::unique_ptr<http_server>& into, const endpoint& address,
                             const http_limits& limits, http_server::request_hook hook) {
+      // Other nodes wait to be told that a request may run.
+      const bool from_nodes = address == at.peer;
       auto server = http_server::Listen(board.loop, {.at = address,
                                                      .limits = limits,
                                                      .silence_limit = kSilenceLimit,
+                                                     .handler_continues = from_nodes,
                                                      .on_request = std::move(hook)});
       if (server.ok()) {
         into = std::move(*server);
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -31,6 +31,9 @@
 // An answer that takes longer is announced: the calling node tells a long run from
 // a connection or a node that went silent.
 constexpr duration kAnnounceAfter = std::chrono::milliseconds(50);
+// An entry that was told of a slot lets the request run within a round trip. One that
+// is gone must not hold the slot.
+constexpr duration kGrantLimit = std::chrono::milliseconds(400);
 // Weight of one answer in the part of answers that were successes.
 constexpr double kSuccessWeight = 0.04;
 
@@ -83,12 +86,17 @@
         announce_timer_(side.board.loop) {}
 
   void Begin();
-  void Start();
+  /** There is a slot for it. */
+  void OnSlot();
   void TurnAway(relay_outcome why);
   std::uint64_t id() const { return id_; }
 
  private:
+  void Start();
   void HookPeer();
+  void OnBody(std::string_view bytes);
+  void OnBodyEnd();
+  void ReleaseGrant();
   http_head RequestForBackend() const;
   bool IsAnswer(const http_head& head) const;
   void OnAnswerHead(http_head head);
@@ -115,6 +123,8 @@
   // What came of the body while the request waited.
   std::string early_body_;
   bool body_ended_ = false;
+  // It has a slot, and its entry was told so and has not let it run yet.
+  bool granted_ = false;
   bool running_ = false;
   bool committed_ = false;
   bool detached_ = false;
@@ -148,7 +158,7 @@
     const auto found = calls.find(*next);
     if (found != calls.end()) {
       const auto started = found->second;
-      started->Start();
+      started->OnSlot();
     }
   }
   ArmExpiry();
@@ -232,7 +242,7 @@
                                                 arrived_);
   switch (verdict) {
     case slot_verdict::kStart:
-      Start();
+      OnSlot();
       break;
     case slot_verdict::kWait:
       side_.ArmExpiry();
@@ -244,27 +254,8 @@
 }
 
 void serving_side::call::HookPeer() {
-  peer_->SetHooks({.on_body =
-                       [this](std::string_view bytes) {
-                         if (!backend_) {
-                           early_body_.append(bytes);
-                           if (early_body_.size() > tcp_connection::kHighWater) {
-                             peer_->PauseBody();
-                           }
-                           return;
-                         }
-                         backend_->SendBody(bytes);
-                         if (backend_->unsent() > tcp_connection::kHighWater) {
-                           peer_->PauseBody();
-                         }
-                       },
-                   .on_body_end =
-                       [this] {
-                         body_ended_ = true;
-                         if (backend_) {
-                           backend_->FinishBody();
-                         }
-                       },
+  peer_->SetHooks({.on_body = [this](std::string_view bytes) { OnBody(bytes); },
+                   .on_body_end = [this] { OnBodyEnd(); },
                    .on_client_gone = [this] { OnPeerGone(); },
                    .on_drained =
                        [this] {
@@ -274,10 +265,59 @@
                        }});
 }
 
+void serving_side::call::OnBody(std::string_view bytes) {
+  if (backend_) {
+    backend_->SendBody(bytes);
+    if (backend_->unsent() > tcp_connection::kHighWater) {
+      peer_->PauseBody();
+    }
+    return;
+  }
+  early_body_.append(bytes);
+  if (granted_) {
+    Start();
+  } else if (early_body_.size() > tcp_connection::kHighWater) {
+    peer_->PauseBody();
+  }
+}
+
+void serving_side::call::OnBodyEnd() {
+  body_ended_ = true;
+  if (backend_) {
+    backend_->FinishBody();
+  } else if (granted_) {
+    Start();
+  }
+}
+
+void serving_side::call::OnSlot() {
+  if (!about_.held) {
+    Start();
+    return;
+  }
+  granted_ = true;
+  deadline_timer_.StartOnce(kGrantLimit, [this] {
+    ReleaseGrant();
+    TurnAway(relay_outcome::kUnconfirmed);
+  });
+  peer_->SendContinue();
+}
+
+// The slot was not used.
+void serving_side::call::ReleaseGrant() {
+  if (std::exchange(granted_, false)) {
+    side_.gate.Release();
+  }
+}
+
 http_head serving_side::call::RequestForBackend() const {
   http_head head = peer_->request();
   head.RemoveConnectionFields();
   head.Remove(kCallField);
+  if (about_.held) {
+    head.framing = about_.framing;
+    head.length = about_.length;
+  }
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - side_.board.loop.Now());
   head.Set(side_.board.settings.headers.deadline,
@@ -286,9 +326,12 @@
 }
 
 void serving_side::call::Start() {
+  granted_ = false;
   running_ = true;
   started_ = side_.board.loop.Now();
   side_.board.causes.OnRunStart(about_.row, started_);
+  side_.board.running += 1.0;
+  side_.board.running_repeats += about_.repeated;
   const bool once = about_.repeat != repeat_rule::kIdempotent;
   std::weak_ptr<call> weak = weak_from_this();
   const auto with = [weak](auto action) {
@@ -421,6 +464,7 @@
 
 void serving_side::call::OnPeerGone() {
   if (!running_) {
+    ReleaseGrant();
     side_.gate.Remove(id_);
     End("caller_gone");
     return;
@@ -445,6 +489,8 @@
   deadline_timer_.Stop();
   const instant now = side_.board.loop.Now();
   side_.board.causes.OnRunEnd(about_.row, now);
+  side_.board.running -= 1.0;
+  side_.board.running_repeats -= about_.repeated;
   side_.gate.Finish(now - started_);
 }
 
--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "relay/relay_fleet.h"
 
 namespace cuminferry::testing {
@@ -8,6 +10,52 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Enough that some are placed on either of two targets.
+constexpr int kManyRequests = 12;
+
+/** Two nodes of one failure domain; in place of the second, something accepts connections, says no
+   more than `word` to each request, and ends them if it `dies`. */
+struct silent_peer {
+  relay_fleet fleet{2, 1};
+  std::vector<std::unique_ptr<tcp_connection>> accepted;
+  std::unique_ptr<tcp_listener> listener;
+
+  explicit silent_peer(std::string word = "", bool dies = false) {
+    fleet.PublishToAll(1);
+    fleet.StopNode(1);
+    auto listening = tcp_listener::Listen(
+        fleet.loop(), fleet.PeerAddress(1), seconds(60),
+        [this, word, dies](std::unique_ptr<tcp_connection> connection) {
+          accepted.push_back(std::move(connection));
+          const std::size_t at = accepted.size() - 1;
+          accepted.back()->SetHooks({.on_data =
+                                         [this, word, dies, at](std::string_view) {
+                                           if (dies) {
+                                             accepted[at]->ResetOnClose();
+                                             accepted[at].reset();
+                                           } else if (!word.empty()) {
+                                             accepted[at]->Write(word);
+                                           }
+                                         },
+                                     .on_end = [](connection_end) {},
+                                     .on_drained = {},
+                                     .on_connected = {}});
+        });
+    CPPUNIT_ASSERT(listening.ok());
+    listener = std::move(*listening);
+  }
+};
+
+/** Slots that the first node counts as taken. */
+unsigned SlotsRunning(relay_fleet& fleet) {
+  const auto page =
+      fleet.SendTo(fleet.SettingsOf(0).metrics, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n");
+  const std::string mark = "\ncuminferry_slots_running ";
+  CPPUNIT_ASSERT(fleet.RunUntil([&] { return page->Has(mark); }));
+  return static_cast<unsigned>(
+      std::stoul(page->bytes.substr(page->bytes.find(mark) + mark.size())));
+}
+
 }  // namespace
 
 class relay_failure_test : public CppUnit::TestFixture {
@@ -26,6 +74,12 @@
   CPPUNIT_TEST(Timeout_TargetSilent_IsAnsweredInTime);
   CPPUNIT_TEST(Safe_PeerSilent_GoesElsewhereSoon);
   CPPUNIT_TEST(Safe_LongRun_IsNotTakenForSilence);
+  CPPUNIT_TEST(Once_PeerSilent_RunsElsewhereOnce);
+  CPPUNIT_TEST(Once_PeerSilentOnceLet_EndsUnknown);
+  CPPUNIT_TEST(Once_PeerDiesBeforeItIsLet_RunsElsewhere);
+  CPPUNIT_TEST(Once_EntryNeverLetsIt_SlotIsFreeAgain);
+  CPPUNIT_TEST(Once_BodyHeldBack_ArrivesAsItWasSent);
+  CPPUNIT_TEST(Once_TurnedAwayWhileHeld_ConnectionIsKept);
   CPPUNIT_TEST(Client_LeavesSafeRequest_TargetIsToldSoon);
   CPPUNIT_TEST(Client_LeavesFiledPermit_TargetFinishes);
   CPPUNIT_TEST_SUITE_END();
@@ -254,6 +308,129 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.TotalRequests());
   }
 
+  // An instance is cut off just as a permit is sent there. Nobody knows whether it got the permit;
+  // the farmer is told "unknown" and may not file again. Its node was never let run it, so another
+  // may.
+  void Once_PeerSilent_RunsElsewhereOnce() {
+    silent_peer at;
+    for (int i = 0; i < kManyRequests; ++i) {
+      const instant began = at.fleet.loop().Now();
+      const auto result =
+          at.fleet.Send(0, relay_fleet::Post("/once/x", std::to_string(i), "permit"));
+      CPPUNIT_ASSERT(at.fleet.RunUntil([&] { return result->status() != 0; }));
+      CPPUNIT_ASSERT_EQUAL(200, result->status());
+      CPPUNIT_ASSERT(at.fleet.loop().Now() - began < milliseconds(400));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kManyRequests}, at.fleet.TotalRequests());
+    CPPUNIT_ASSERT(!at.accepted.empty());
+  }
+
+  // The other node was let run the permit and then went silent. Whether it ran is unknown: a second
+  // send could file it twice.
+  void Once_PeerSilentOnceLet_EndsUnknown() {
+    silent_peer at("HTTP/1.1 100 Continue\r\n\r\n");
+    std::vector<std::shared_ptr<client_result>> results;
+    for (int i = 0; i < kManyRequests; ++i) {
+      results.push_back(
+          at.fleet.Send(0, relay_fleet::Post("/short/x", std::to_string(i), "permit")));
+    }
+    CPPUNIT_ASSERT(at.fleet.RunUntil([&] {
+      return std::all_of(results.begin(), results.end(),
+                         [](const auto& result) { return result->status() != 0; });
+    }));
+    const auto unknown = std::count_if(results.begin(), results.end(),
+                                       [](const auto& result) { return result->status() == 504; });
+    CPPUNIT_ASSERT(unknown > 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kManyRequests},
+                         at.fleet.TotalRequests() + static_cast<std::uint64_t>(unknown));
+  }
+
+  void Once_PeerDiesBeforeItIsLet_RunsElsewhere() {
+    silent_peer at("", true);
+    for (int i = 0; i < kManyRequests; ++i) {
+      const auto result =
+          at.fleet.Send(0, relay_fleet::Post("/once/x", std::to_string(i), "permit"));
+      CPPUNIT_ASSERT(at.fleet.RunUntil([&] { return result->status() != 0; }));
+      CPPUNIT_ASSERT_EQUAL(200, result->status());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kManyRequests}, at.fleet.TotalRequests());
+    CPPUNIT_ASSERT(!at.accepted.empty());
+  }
+
+  // The entry is gone before it lets the request run. Slots held for such requests would be lost to
+  // everyone, one by one.
+  void Once_EntryNeverLetsIt_SlotIsFreeAgain() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    const auto result = fleet.SendTo(fleet.PeerAddress(0),
+                                     "POST /once/x HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+                                     "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n"
+                                     "Relay-Call: 0,0,0,1000000,1000000,0,1,1,6,once\r\n\r\n");
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("100 Continue"); }));
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("unconfirmed"); }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.TotalRequests());
+    CPPUNIT_ASSERT_EQUAL(0U, SlotsRunning(fleet));
+  }
+
+  // Between nodes a held body comes in chunks. A backend server that is sent another framing than
+  // the client's sees a request that nobody made.
+  void Once_BodyHeldBack_ArrivesAsItWasSent() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    fleet.StopTarget(0);
+    const std::string large(200'000, 'b');
+    const std::vector<std::string> requests{
+        relay_fleet::Post("/once/x", "1", "permit"), relay_fleet::Post("/once/x", "2", large),
+        relay_fleet::Post("/once/x", "3", ""),
+        "POST /once/x HTTP/1.1\r\nHost: h\r\nId: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "6\r\npermit\r\n0\r\n\r\n"};
+    std::vector<std::string> bodies;
+    fleet.target(1).on_request = [&](scripted_target::conversation& now) {
+      bodies.push_back(now.body);
+      now.connection.Write(scripted_target::Answer(now.request));
+    };
+    for (const std::string& request : requests) {
+      const auto result = fleet.Send(0, request);
+      CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+      CPPUNIT_ASSERT_EQUAL(200, result->status());
+    }
+    CPPUNIT_ASSERT(bodies == (std::vector<std::string>{"permit", large, "", "permit"}));
+    const std::vector<http_head>& heads = fleet.target(1).heads;
+    CPPUNIT_ASSERT(heads[0].framing == body_framing::kLength && heads[0].length == 6);
+    CPPUNIT_ASSERT(heads[1].framing == body_framing::kLength && heads[1].length == large.size());
+    CPPUNIT_ASSERT(heads[2].framing == body_framing::kLength && heads[2].length == 0);
+    CPPUNIT_ASSERT(heads[3].framing == body_framing::kChunked);
+    for (const http_head& head : heads) {
+      CPPUNIT_ASSERT(head.Find("Expect") == nullptr);
+    }
+  }
+
+  // A full node turns requests away whose bodies it has not asked for. Closing the connection each
+  // time would make every refusal cost a new one, when there is least to spare.
+  void Once_TurnedAwayWhileHeld_ConnectionIsKept() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    const std::string held =
+        "POST /once/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nInstance: other\r\n"
+        "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n"
+        "Relay-Call: 0,0,0,1000000,1000000,0,1,1,6,once\r\n\r\n";
+    fleet.StopTarget(1);
+    const auto result = std::make_shared<client_result>();
+    const auto peer = fleet.ConnectTo(fleet.PeerAddress(1), result);
+    // The backend server is down: the first try finds that out, the next are turned away at once.
+    peer->Write(held + "6\r\npermit\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("503"); }));
+    result->bytes.clear();
+    peer->Write(held);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("503"); }));
+    CPPUNIT_ASSERT(!result->Has("Connection: close"));
+    peer->Write("0\r\n\r\n");
+    result->bytes.clear();
+    peer->Write(held);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("503"); }));
+    CPPUNIT_ASSERT(!result->ended);
+  }
+
   // Farmers close the page. The backend server would go on working for nobody.
   void Client_LeavesSafeRequest_TargetIsToldSoon() {
     relay_fleet fleet(2);
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -85,6 +85,8 @@
   /** Sends text to any address of the fleet. */
   std::shared_ptr<client_result> SendTo(const endpoint& at, std::string_view text);
   std::unique_ptr<tcp_connection> Connect(int node, const std::shared_ptr<client_result>& into);
+  std::unique_ptr<tcp_connection> ConnectTo(const endpoint& at,
+                                            const std::shared_ptr<client_result>& into);
   static std::string Get(std::string_view path, std::string_view id);
   static std::string Post(std::string_view path, std::string_view id, std::string_view body);
 
@@ -109,8 +111,6 @@
   endpoint At(int node, std::uint16_t port) const;
   std::vector<service_instance> Instances() const;
   std::string DomainOf(int node) const;
-  std::unique_ptr<tcp_connection> ConnectTo(const endpoint& at,
-                                            const std::shared_ptr<client_result>& into);
 
   event_loop loop_;
   int block_;
--- a/tests/relay/repeat_budget_test.cpp
+++ b/tests/relay/repeat_budget_test.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(TakeOne_SilentNode_HasAFew);
   CPPUNIT_TEST(TakeOne_NestedWhenShort_LeavesSomeForWholeRequests);
   CPPUNIT_TEST(TakeOne_ManyNodesAllFailing_FleetKeepsTheBound);
+  CPPUNIT_TEST(TakeOne_ParentsRepeated_TheirCallsAreCharged);
+  CPPUNIT_TEST(TakeOne_LeafShedsHalf_MostOfTheBoundIsUsed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -36,7 +38,7 @@
   void TakeOne_NestedWhenShort_LeavesSomeForWholeRequests() {
     repeat_budget budget(kRatio, kAllowance, kWindow);
     for (int i = 0; i < 100; ++i) {
-      budget.OnFirstSend(kStart + milliseconds(i));
+      budget.OnFirstSend(0.0, kStart + milliseconds(i));
     }
     const instant now = kStart + milliseconds(100);
     while (budget.TakeOne(true, now)) {
@@ -44,6 +46,36 @@
     CPPUNIT_ASSERT(budget.TakeOne(false, now));
   }
 
+  // Requests that run again make their calls again. Nobody decides to repeat those, but the service
+  // below gets them twice, and with its own repeats it would get more than the fleet may send.
+  void TakeOne_ParentsRepeated_TheirCallsAreCharged() {
+    repeat_budget budget(kRatio, kAllowance, kWindow);
+    double repeats = 0.0;
+    constexpr int kSends = 4'000;
+    constexpr double kRepeatedParents = 0.1;
+    for (int i = 0; i < kSends; ++i) {
+      const instant now = kStart + milliseconds(5 * i);
+      budget.OnFirstSend(kRepeatedParents, now);
+      repeats += kRepeatedParents + (budget.TakeOne(false, now) ? 1.0 : 0.0);
+    }
+    CPPUNIT_ASSERT(repeats <= kRatio * kSends + kAllowance);
+  }
+
+  // The service at the end of the call graph turns half of its requests away. Each repeat that the
+  // bound allows and nobody sends is a reading that a farmer does not get.
+  void TakeOne_LeafShedsHalf_MostOfTheBoundIsUsed() {
+    repeat_budget budget(kRatio, kAllowance, kWindow);
+    int repeats = 0;
+    constexpr int kSends = 4'000;
+    for (int i = 0; i < kSends; ++i) {
+      const instant now = kStart + milliseconds(5 * i);
+      budget.OnFirstSend(0.0, now);
+      repeats += i % 2 == 0 && budget.TakeOne(false, now) ? 1 : 0;
+    }
+    constexpr double kMost = 0.75;
+    CPPUNIT_ASSERT(repeats >= kMost * kRatio * kSends);
+  }
+
   // A whole service fails, and every node would like to send each request once more. What each
   // node may add up to would double the load on a service that is down already.
   void TakeOne_ManyNodesAllFailing_FleetKeepsTheBound() {
@@ -61,7 +93,7 @@
       for (int step = 0; step < 4'000; ++step) {
         now += duration(gap);
         repeat_budget& budget = fleet[random.Below(nodes)];
-        budget.OnFirstSend(now);
+        budget.OnFirstSend(0.0, now);
         sends.push_back(now);
         if (budget.TakeOne(random.Below(2) == 0, now)) {
           repeats.push_back(now);
