Count repeats where they arrive, and send again at once what a backend server turned away unrun

Cause: each entry had a purse for each service. The node that calls a leaf most had nearly all of the bound, readings that clients send there had a sixteenth of a twentieth of it; what one node saved no other could use. A backend server that turns requests away at random was asked again over another node only. Change: the node beside a backend server counts first sends and repeats that reach it, from whatever node, allows the ratio of them and its part of the allowance, and answers 'no-repeats' otherwise. What was turned away unrun (not 421) it sends again itself, three sends at most.

--- a/modules/cuminferry_policy/retries/repeat_budget.cpp
+++ b/modules/cuminferry_policy/retries/repeat_budget.cpp
@@ -5,7 +5,7 @@
 namespace cuminferry {
 namespace {
 
-// Of the node's part of the allowance; the rest covers nodes that start anew
+// Of the target's part of the allowance; the rest covers nodes that start anew
 // with a full balance within one window.
 constexpr double kAllowancePart = 0.5;
 // Calls of repeated runs can't be refused. Where they alone exceed the bound, the node
@@ -17,10 +17,12 @@
 repeat_budget::repeat_budget(double ratio, double allowance, duration window)
     : ratio_(ratio), allowance_(allowance), window_(window), balance_(1.0 + kKeptForWhole) {}
 
-void repeat_budget::SetNodes(std::size_t nodes) { nodes_ = std::max<std::size_t>(1, nodes); }
+void repeat_budget::SetTargets(std::size_t targets) {
+  targets_ = std::max<std::size_t>(1, targets);
+}
 
 void repeat_budget::Refill(instant now) {
-  const double part = kAllowancePart * allowance_ / static_cast<double>(nodes_);
+  const double part = kAllowancePart * allowance_ / static_cast<double>(targets_);
   if (refilled_ != instant{}) {
     const double passed =
         static_cast<double>((now - refilled_).count()) / static_cast<double>(window_.count());
--- a/modules/cuminferry_policy/retries/repeat_budget.h
+++ b/modules/cuminferry_policy/retries/repeat_budget.h
@@ -1,34 +1,37 @@
 #pragma once
 
+#include <cstddef>
+
 #include "cuminferry_core/cuminferry_core.h"
 
 namespace cuminferry {
 
-/** One node's part of the bound on requests that reach a second target of a
-    service.
+/** One backend server's part of the bound on requests that reach its service more
+    than once.
 
     The bound is the fleet's: a ratio of the requests of the last seconds, and a
-    fixed allowance over all nodes. A node spends the ratio of its own requests
-    and its part of the allowance, so that the sum holds without agreement. The
-    calls of a request that runs again are repeats at the services further down,
-    too: they are charged as they are sent.
+    fixed allowance over all targets of the service. Each target's node counts what
+    reaches its own backend server and allows the ratio of that, and its part of
+    the allowance, so that the sum holds without agreement, and repeats that
+    different nodes want are paid from one purse. The calls of a request that runs
+    again are repeats at the services further down, too: they are charged as they
+    arrive.
 */
 class repeat_budget {
  public:
   /** Part of the allowed ratio that first sends earn. The rest covers calls of
-      repeated runs that are taken for others, and clients' requests that end
-      before they count. */
+      repeated runs that are taken for others. */
   static constexpr double kEarnedPart = 0.8;
 
   /** @param ratio      repeats allowed for each request
-      @param allowance  repeats allowed besides in one window, over all nodes
+      @param allowance  repeats allowed besides in one window, over all targets
       @param window     over which the bound holds */
   repeat_budget(double ratio, double allowance, duration window);
 
-  /** How many nodes share the allowance. */
-  void SetNodes(std::size_t nodes);
+  /** How many targets share the allowance. */
+  void SetTargets(std::size_t targets);
 
-  /** A request is sent for the first time.
+  /** A request came for the first time.
       @param repeated  how likely it is a call of a run that is itself a repeat:
                        such calls are repeats of their service, though nobody
                        decides on them, and later repeats have to wait for it */
@@ -49,7 +52,7 @@
   double ratio_;
   double allowance_;
   duration window_;
-  std::size_t nodes_ = 1;
+  std::size_t targets_ = 1;
   double balance_;
   instant refilled_{};
 };
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -125,7 +125,6 @@
       board.causes.OnCall(route->name, started);
       repeated = board.repeated_share();
     }
-    board.BudgetOf(record.service).OnFirstSend(repeated, started);
     Place();
   }
 
@@ -340,6 +339,7 @@
                             .nested = record.nested,
                             .objective = route->objective,
                             .objective_left = started + route->objective - now,
+                            .again = record.reached > 0,
                             .repeated = record.reached > 0 ? 1.0 : repeated,
                             .held = !released,
                             .framing = head.framing,
@@ -478,12 +478,8 @@
     if (!ReachedBackend(why)) {
       return true;
     }
-    if (record.reached >= route->attempts ||
-        !board.BudgetOf(record.service).TakeOne(record.nested, now)) {
-      return false;
-    }
-    board.metrics.OnRepeat(record.service);
-    return true;
+    // Whether a repeat is within the fleet's bound is for the target's node to say.
+    return record.reached < route->attempts;
   }
 
   duration ReturnTime(instant now) {
--- a/modules/cuminferry_relay/path/peer_headers.cpp
+++ b/modules/cuminferry_relay/path/peer_headers.cpp
@@ -12,11 +12,13 @@
 
 constexpr double kMilli = 1000.0;
 
-constexpr std::array<std::pair<relay_outcome, std::string_view>, 8> kOutcomes{{
+constexpr std::array<std::pair<relay_outcome, std::string_view>, 10> kOutcomes{{
     {relay_outcome::kFull, "full"},
     {relay_outcome::kLeaving, "leaving"},
     {relay_outcome::kDown, "down"},
+    {relay_outcome::kNoRepeats, "no-repeats"},
     {relay_outcome::kTurnedAway, "turned-away"},
+    {relay_outcome::kOtherInstance, "other-instance"},
     {relay_outcome::kUnconfirmed, "unconfirmed"},
     {relay_outcome::kLost, "lost"},
     {relay_outcome::kDamaged, "damaged"},
@@ -42,14 +44,14 @@
 }  // namespace
 
 std::string call_header::ToText() const {
-  return fmt::format("{},{},{},{},{},{},{},{},{},{}", priority, static_cast<int>(repeat),
+  return fmt::format("{},{},{},{},{},{},{},{},{},{},{}", priority, static_cast<int>(repeat),
                      nested ? 1 : 0, objective.count(), objective_left.count(),
                      static_cast<int>(repeated * kMilli), held ? 1 : 0, static_cast<int>(framing),
-                     length, row);
+                     length, again ? 1 : 0, row);
 }
 
 std::optional<call_header> call_header::Parse(std::string_view text) {
-  std::array<std::int64_t, 9> numbers{};
+  std::array<std::int64_t, 10> numbers{};
   if (!ParseNumbers(text, numbers) || numbers[0] < 0 || numbers[1] < 0 ||
       numbers[1] > static_cast<int>(repeat_rule::kUpload) || numbers[7] < 0 ||
       numbers[7] > static_cast<int>(body_framing::kUntilClose) || numbers[8] < 0) {
@@ -66,6 +68,7 @@
                      .nested = numbers[2] != 0,
                      .objective = duration(numbers[3]),
                      .objective_left = duration(numbers[4]),
+                     .again = numbers[9] != 0,
                      .repeated = static_cast<double>(numbers[5]) / kMilli,
                      .held = numbers[6] != 0,
                      .framing = static_cast<body_framing>(numbers[7]),
@@ -109,12 +112,14 @@
 }
 
 bool SurelyNotRun(relay_outcome outcome) {
-  return outcome == relay_outcome::kTurnedAway || !ReachedBackend(outcome);
+  return outcome == relay_outcome::kTurnedAway || outcome == relay_outcome::kOtherInstance ||
+         !ReachedBackend(outcome);
 }
 
 bool ReachedBackend(relay_outcome outcome) {
   return outcome != relay_outcome::kFull && outcome != relay_outcome::kLeaving &&
-         outcome != relay_outcome::kDown && outcome != relay_outcome::kUnconfirmed;
+         outcome != relay_outcome::kDown && outcome != relay_outcome::kUnconfirmed &&
+         outcome != relay_outcome::kNoRepeats;
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/peer_headers.h
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -26,6 +26,8 @@
   bool nested = false;
   duration objective{};
   duration objective_left{};
+  /** It may have come to a backend server of the service before. */
+  bool again = false;
   /** How likely this send is itself a repeat, or a call of a run that is one. */
   double repeated = 0.0;
   /** Run only once the entry has sent the body, which it does when it is told that
@@ -61,8 +63,12 @@
   kLeaving,
   /** No connection to the backend server. */
   kDown,
+  /** The bound on repeats is used up at this target. */
+  kNoRepeats,
   /** The backend server turned the request away, unrun. */
   kTurnedAway,
+  /** Another backend server than the one that was meant stands at the address. */
+  kOtherInstance,
   /** No sign of the target's node, which had not been let run the request. */
   kUnconfirmed,
   /** The connection was lost; the request may have run. */
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -20,7 +20,8 @@
     : loop(loop),
       settings(std::move(chosen)),
       random(random_source::FromMachine()),
-      log(loop, settings.instance) {}
+      log(loop, settings.instance),
+      repeats(settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window) {}
 
 void relay_board::SetTable(std::shared_ptr<const route_table> table) { table_ = std::move(table); }
 
@@ -34,6 +35,7 @@
   leaving_.clear();
   std::uint64_t own_revision = 0;
   std::uint32_t slots_of_service = 0;
+  std::size_t targets_of_service = 0;
   for (const service_instance& found : instances) {
     gone_.erase(found.id);
     const endpoint peer = PeerBeside(found.backend);
@@ -46,6 +48,7 @@
     }
     if (found.service == settings.service) {
       slots_of_service = std::max(slots_of_service, found.slots);
+      ++targets_of_service;
     }
     std::vector<published_target>& targets = by_service[found.service];
     if (found.leaving) {
@@ -74,32 +77,19 @@
   std::erase_if(clients_, [&](const auto& item) {
     return !peers.contains(item.first) && item.first != settings.peer;
   });
-  for (auto& [service, budget] : budgets_) {
-    budget.SetNodes(peers_.size() + 1);
-  }
+  targets_of_service_ = targets_of_service;
+  repeats.SetTargets(targets_of_service_);
 }
 
 target_picker& relay_board::PickerOf(const std::string& service) { return pickers_[service]; }
 
-repeat_budget& relay_board::BudgetOf(const std::string& service) {
-  auto found = budgets_.find(service);
-  if (found == budgets_.end()) {
-    found = budgets_
-                .emplace(service, repeat_budget(settings.repeat_ratio, settings.repeat_allowance,
-                                                settings.repeat_window))
-                .first;
-    found->second.SetNodes(peers_.size() + 1);
-  }
-  return found->second;
-}
-
 void relay_board::UseBoundsOf(const relay_settings& changed) {
   settings.repeat_ratio = changed.repeat_ratio;
   settings.repeat_allowance = changed.repeat_allowance;
   settings.repeat_window = changed.repeat_window;
   settings.grace = changed.grace;
-  // Made anew with the next request of each service.
-  budgets_.clear();
+  repeats = repeat_budget(settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window);
+  repeats.SetTargets(targets_of_service_);
 }
 
 endpoint relay_board::PeerBeside(const endpoint& backend) const {
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -44,7 +44,6 @@
 
   //============================================================================
   target_picker& PickerOf(const std::string& service);
-  repeat_budget& BudgetOf(const std::string& service);
   /** The node beside a backend server. */
   endpoint PeerBeside(const endpoint& backend) const;
   http_client& ClientFor(const endpoint& peer);
@@ -64,6 +63,9 @@
   std::uint64_t heard_revision = 0;
   endpoint heard_from;
 
+  /** Of the own backend server. */
+  repeat_budget repeats;
+
   entry_admission admission;
   domain_watch domains;
   row_causes causes;
@@ -86,13 +88,13 @@
  private:
   std::shared_ptr<const route_table> table_;
   std::map<std::string, target_picker> pickers_;
-  std::map<std::string, repeat_budget> budgets_;
   std::map<endpoint, std::unique_ptr<http_client>> clients_;
   std::vector<endpoint> peers_;
   std::set<std::string, std::less<>> serving_;
   std::set<std::string, std::less<>> leaving_;
   std::set<std::string, std::less<>> gone_;
   std::uint32_t own_slots_ = 0;
+  std::size_t targets_of_service_ = 0;
   watch_duty duty_;
 };
 
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -97,8 +97,8 @@
   found->second.runs->Observe(Seconds(ran));
 }
 
-void relay_metrics::OnRepeat(std::string_view service) {
-  state_->repeats.Add({{"service", std::string(service)}}).Increment();
+void relay_metrics::OnRepeat(std::string_view row) {
+  state_->repeats.Add({{"row", std::string(row)}}).Increment();
 }
 
 void relay_metrics::SetGauge(std::string_view name, double value) {
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -18,8 +18,8 @@
   void OnRequestEnd(std::string_view row, std::string_view outcome, duration took);
   /** A request of the own backend server ended, or was turned away. */
   void OnServed(std::string_view row, std::string_view outcome, duration waited, duration ran);
-  /** A request was sent to another target. */
-  void OnRepeat(std::string_view service);
+  /** A request of this row came to the own backend server again. */
+  void OnRepeat(std::string_view row);
 
   /** Sets a value that is read now. */
   void SetGauge(std::string_view name, double value);
--- /dev/null
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -0,0 +1,119 @@
+#include "cuminferry_relay/path/serving_board.h"
+
+#include <algorithm>
+
+#include "cuminferry_relay/path/serving_call.h"
+
+namespace cuminferry {
+namespace {
+
+// On the same instance: a connection that isn't there within this was refused or
+// found the backend server's accept queue full.
+constexpr duration kBackendConnectLimit = std::chrono::milliseconds(500);
+constexpr duration kBackendSilenceLimit = std::chrono::seconds(3);
+// Where a backend server doesn't say how long it keeps idle connections.
+constexpr duration kBackendIdleLimit = std::chrono::milliseconds(400);
+// A backend server that took no connection is left alone this long.
+constexpr duration kDownTime = std::chrono::milliseconds(200);
+// Until the own backend server is listed.
+constexpr std::uint32_t kAssumedSlots = 32;
+// Above all priorities, until a table says how many there are.
+constexpr double kNoLimit = 1'000.0;
+constexpr duration kExpiryPeriod = std::chrono::milliseconds(10);
+// Weight of one answer in the part of answers that were successes.
+constexpr double kSuccessWeight = 0.04;
+
+}  // namespace
+
+serving_board::serving_board(relay_board& node)
+    : node(node),
+      backend(node.loop, node.settings.backend,
+              {.connect_limit = kBackendConnectLimit,
+               .silence_limit = kBackendSilenceLimit,
+               .idle_limit = kBackendIdleLimit}),
+      gate(kAssumedSlots),
+      level(kNoLimit),
+      step_timer_(node.loop),
+      expiry_timer_(node.loop) {
+  step_timer_.StartPeriodic(admission_level::kPeriod, [this] { Step(); });
+}
+
+void serving_board::Step() {
+  if (node.table()) {
+    level.SetTop(node.table()->largest_priority() + 1.0);
+  }
+  const duration wait = gate.TakeLongestWait(node.loop.Now());
+  const double taken = static_cast<double>(gate.running()) / gate.limit();
+  level.Step(wait, taken, gate.service_time());
+  if (level.open() == was_open_) {
+    return;
+  }
+  was_open_ = level.open();
+  node.log.OnChange(was_open_ ? "level.opened" : "level.lowered", {{"level", ForLog(level.level())},
+                                                                   {"success", ForLog(success_)},
+                                                                   {"wait_us", wait.count()},
+                                                                   {"running", gate.running()},
+                                                                   {"waiting", gate.waiting()},
+                                                                   {"limit", gate.limit()}});
+}
+
+void serving_board::StartWaiting() {
+  while (const auto next = gate.StartNext(node.loop.Now())) {
+    const auto found = calls.find(*next);
+    if (found != calls.end()) {
+      const auto started = found->second;
+      started->OnSlot();
+    }
+  }
+  ArmExpiry();
+}
+
+void serving_board::ArmExpiry() {
+  const auto next = gate.next_expiry();
+  if (!next) {
+    expiry_timer_.Stop();
+    return;
+  }
+  const duration left = std::max<duration>(*next - node.loop.Now(), duration::zero());
+  expiry_timer_.StartOnce(std::max(left, kExpiryPeriod), [this] { OnExpiry(); });
+}
+
+void serving_board::OnExpiry() {
+  for (const std::uint64_t id : gate.TakeExpired(node.loop.Now())) {
+    const auto found = calls.find(id);
+    if (found != calls.end()) {
+      const auto expired = found->second;
+      expired->TurnAway(relay_outcome::kFull);
+    }
+  }
+  ArmExpiry();
+}
+
+void serving_board::OnBackendDown() { down_until_ = node.loop.Now() + kDownTime; }
+
+void serving_board::NoteOutcome(bool good) {
+  success_ += kSuccessWeight * ((good ? 1.0 : 0.0) - success_);
+}
+
+double serving_board::LevelOf(std::string_view row) const {
+  double lowest = level.level();
+  const double top = node.table() ? node.table()->largest_priority() + 1.0 : lowest;
+  for (const auto& [called, calls_per_run] : node.causes.CalledBy(row)) {
+    lowest = std::min(lowest, node.admission.Level(called, top, node.loop.Now()));
+  }
+  return lowest;
+}
+
+load_header serving_board::Load(std::string_view row) const {
+  return {.report = {.running = gate.running(),
+                     .waiting = gate.waiting(),
+                     .limit = gate.limit(),
+                     .service_time = gate.service_time(),
+                     .success = success_,
+                     .stopping = node.draining},
+          .level = LevelOf(row),
+          .from_clients = node.origins.ComesFromClients(row, node.service_count()),
+          .items_revision = node.items.complete_to()};
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/serving_board.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <unordered_map>
+
+#include "cuminferry_relay/http/http_client.h"
+#include "cuminferry_relay/path/relay_board.h"
+
+namespace cuminferry {
+
+class serving_call;
+
+/** What the requests at one backend server share: its slots and queue, its part of
+    the bound on repeats, and what its node tells of it. */
+class serving_board {
+ public:
+  explicit serving_board(relay_board& node);
+  serving_board(const serving_board&) = delete;
+  serving_board& operator=(const serving_board&) = delete;
+
+  //============================================================================
+  /** Starts the requests that wait, as far as there are slots. */
+  void StartWaiting();
+  /** Looks again when the next waiting request expires. */
+  void ArmExpiry();
+  /** A connection to the backend server was refused: it is left alone for a while. */
+  void OnBackendDown();
+  bool backend_down() const { return node.loop.Now() < down_until_; }
+  /** One answer of the backend server was, or was not, what was asked for. */
+  void NoteOutcome(bool good);
+
+  /** Ranks of this row are let in below this.
+      @see admission_level */
+  double LevelOf(std::string_view row) const;
+  /** What is told with an answer to a request of this row. */
+  load_header Load(std::string_view row) const;
+
+  relay_board& node;
+  http_client backend;
+  slot_gate gate;
+  admission_level level;
+  std::unordered_map<std::uint64_t, std::shared_ptr<serving_call>> calls;
+
+ private:
+  void Step();
+  void OnExpiry();
+
+  loop_timer step_timer_;
+  loop_timer expiry_timer_;
+  double success_ = 1.0;
+  instant down_until_{};
+  bool was_open_ = true;
+};
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cuminferry_relay/http/http_server.h"
+#include "cuminferry_relay/path/request_replay.h"
+#include "cuminferry_relay/path/serving_board.h"
+
+namespace cuminferry {
+
+/** One request at this node's backend server: waits for a slot, is run, and its
+    answer is checked and passed on to the calling node.
+
+    A request that the backend server turned away unrun is sent to it again where
+    the bound on repeats allows: servers that turn a part of their requests away at
+    random have room for the next.
+*/
+class serving_call : public std::enable_shared_from_this<serving_call> {
+ public:
+  /** Sends of one request to the backend server at most: of requests that are
+      turned away in one of two tries, seven in eight get through. */
+  static constexpr int kMostSends = 3;
+
+  serving_call(serving_board& board, std::uint64_t id, std::shared_ptr<server_exchange> peer,
+               call_header about);
+
+  void Begin();
+  /** There is a slot for it. */
+  void OnSlot();
+  /** Answers the calling node that no answer of the backend server comes. */
+  void TurnAway(relay_outcome why);
+
+ private:
+  bool MayTakeRepeat();
+  void HookPeer();
+  void OnBody(std::string_view bytes);
+  void OnBodyEnd();
+  void ReleaseGrant();
+  void Start();
+  void Send();
+  http_head RequestForBackend() const;
+  bool IsAnswer(const http_head& head) const;
+  void OnAnswerHead(http_head head);
+  std::optional<relay_outcome> Judge(const http_head& head) const;
+  void OnAnswerBody(std::string_view bytes);
+  void OnAnswerEnd();
+  bool SendAgain();
+  void OnBackendFailed(exchange_failure failure);
+  void OnPeerGone();
+  void OnDeadline();
+  void FreeSlot(bool ran);
+  void End(std::string_view result);
+  void LogEnd(std::string_view result, duration waited, duration took) const;
+
+  serving_board& board_;
+  std::uint64_t id_;
+  std::shared_ptr<server_exchange> peer_;
+  call_header about_;
+  std::string request_id_;
+  instant arrived_;
+  instant started_{};
+  instant deadline_{};
+  loop_timer deadline_timer_;
+  loop_timer announce_timer_;
+  request_replay body_;
+  bool body_ended_ = false;
+  // It has a slot, and its entry was told so and has not let it run yet.
+  bool granted_ = false;
+  bool running_ = false;
+  int sends_ = 0;
+  bool committed_ = false;
+  bool detached_ = false;
+  bool ended_ = false;
+  std::optional<relay_outcome> outcome_;
+  std::unique_ptr<client_exchange> backend_;
+  std::unique_ptr<client_exchange> finished_backend_;
+};
+
+}  // namespace cuminferry
--- a/modules/cuminferry_relay/path/serving_side.h
+++ b/modules/cuminferry_relay/path/serving_side.h
@@ -32,7 +32,6 @@
 
  private:
   struct state;
-  class call;
 
   std::unique_ptr<state> state_;
 };
--- a/tests/relay/overload_replay_test.cpp
+++ b/tests/relay/overload_replay_test.cpp
@@ -41,11 +41,21 @@
   int wasted = 0;
 };
 
+/** A leaf that turns a part of what it gets away at random. */
+struct shedding {
+  double share = 0.0;
+  duration begins{};
+  duration ends{};
+  /** Sends of one call to it at most. */
+  int sends = 3;
+};
+
 /** One leaf backend server whose slots all rows need, in virtual time: requests
     are admitted at their entry by the level that the leaf's gate tells. */
 class leaf_world {
  public:
-  explicit leaf_world(std::vector<row_load> rows) : rows_(std::move(rows)) {}
+  explicit leaf_world(std::vector<row_load> rows, double surge = 2.6, shedding shed = {})
+      : rows_(std::move(rows)), surge_(surge), shed_(shed) {}
 
   void Run() {
     for (std::size_t row = 0; row < rows_.size(); ++row) {
@@ -106,7 +116,7 @@
   void ScheduleArrival(std::size_t row) {
     const duration since = now_ - kStart;
     const bool surge = since >= kSurgeBegins && since < kSurgeEnds;
-    const double rate = rows_[row].per_second * (surge ? 2.6 : 1.0);
+    const double rate = rows_[row].per_second * (surge ? surge_ : 1.0);
     const double gap = -std::log(1.0 - random_.Fraction()) / rate * 1e6;
     At(now_ + duration(static_cast<duration::rep>(gap)), [this, row] {
       Arrive(row);
@@ -143,8 +153,29 @@
     }
   }
 
+  // As the leaf's node does: sends again what is turned away, as far as repeats allow.
+  bool TurnedAway(const request& of) {
+    const duration since = now_ - kStart;
+    if (since < shed_.begins || since >= shed_.ends) {
+      return false;
+    }
+    const bool nested = rows_[of.row].leaf_calls > 1;
+    for (int sends = 1; random_.Fraction() < shed_.share; ++sends) {
+      if (sends == shed_.sends || !budget_.TakeOne(nested, now_)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   void Begin(std::uint64_t id) {
     request& of = requests_[id];
+    budget_.OnFirstSend(0.0, now_);
+    if (TurnedAway(of)) {
+      gate_.Release();
+      Fail(id);
+      return;
+    }
     of.began = true;
     of.run_began = now_;
     const double part = 0.5 + random_.Fraction();
@@ -190,6 +221,8 @@
   }
 
   std::vector<row_load> rows_;
+  double surge_;
+  shedding shed_;
   random_source random_{11};
   instant now_ = kStart;
   std::uint64_t order_ = 0;
@@ -200,6 +233,7 @@
   slot_gate gate_{kSlots};
   admission_level level_{kTop};
   entry_admission admission_;
+  repeat_budget budget_{0.2, 48.0, seconds(10)};
   double busy_micros_ = 0.0;
 };
 
@@ -235,6 +269,8 @@
   CPPUNIT_TEST(Surge_LeafOverloaded_SlotsStayBusyWithWholeRequests);
   CPPUNIT_TEST(Surge_Over_MapsAreServedAgainWithinTwoSeconds);
   CPPUNIT_TEST(Calm_NoSurge_NothingIsTurnedAway);
+  CPPUNIT_TEST(Shedding_HalfTurnedAway_MostReadingsGetThrough);
+  CPPUNIT_TEST(Shedding_Over_MapsAreServedAgainWithinThreeSeconds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -283,6 +319,28 @@
       CPPUNIT_ASSERT_EQUAL(0, count.turned_away);
     }
   }
+
+  // The soil service turns away more than half of what it gets, at random, and says that it is
+  // well. Its node holds the slot already: sent again at once, most readings get through within the
+  // bound.
+  void Shedding_HalfTurnedAway_MostReadingsGetThrough() {
+    const auto reads_with = [](int sends) {
+      leaf_world world(Morning(), 1.0,
+                       {.share = 0.55, .begins = seconds(4), .ends = seconds(12), .sends = sends});
+      world.Run();
+      const row_count reads = world.Count("read", seconds(5), seconds(12));
+      return Share(reads.in_time, reads.offered);
+    };
+    CPPUNIT_ASSERT(reads_with(1) <= 0.5);
+    CPPUNIT_ASSERT(reads_with(3) >= 0.65);
+  }
+
+  void Shedding_Over_MapsAreServedAgainWithinThreeSeconds() {
+    leaf_world world(Morning(), 1.0, {.share = 0.55, .begins = seconds(4), .ends = seconds(10)});
+    world.Run();
+    const row_count maps = world.Count("map", seconds(13), kEnd - seconds(1));
+    CPPUNIT_ASSERT(Share(maps.in_time, maps.offered) >= 0.98);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(overload_replay_test);
--- a/tests/relay/repeat_budget_test.cpp
+++ b/tests/relay/repeat_budget_test.cpp
@@ -84,7 +84,7 @@
       const std::size_t nodes = 2 + random.Below(30);
       std::vector<repeat_budget> fleet(nodes, repeat_budget(kRatio, kAllowance, kWindow));
       for (repeat_budget& budget : fleet) {
-        budget.SetNodes(nodes);
+        budget.SetTargets(nodes);
       }
       std::deque<instant> sends;
       std::deque<instant> repeats;
