--- a/modules/cuminferry_policy/serving/admission_level.cpp
+++ b/modules/cuminferry_policy/serving/admission_level.cpp
@@ -1,14 +1,23 @@
 #include "cuminferry_policy/serving/admission_level.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminferry {
 
-void admission_level::Step(duration wait, double taken, duration service_time) {
-  const duration part(static_cast<duration::rep>(kAimPart * service_time.count()));
-  const duration aim = std::clamp(part, kLeastAim, kMostAim);
+duration admission_level::Aim(std::uint32_t slots, duration service_time) {
+  const double variance = static_cast<double>(kLoopDelay.count()) *
+                          static_cast<double>(service_time.count()) / std::max(1U, slots);
+  const duration aim(static_cast<duration::rep>(kAimDeviations * std::sqrt(variance)));
+  return std::clamp(aim, kLeastAim, kMostAim);
+}
+
+void admission_level::Step(duration wait, std::uint32_t taken, std::uint32_t slots,
+                           duration service_time) {
+  const duration aim = Aim(slots, service_time);
   const double over = static_cast<double>(wait.count()) / static_cast<double>(aim.count()) - 1.0;
-  const double free = std::max(0.0, kBusyShare - taken) / kBusyShare;
+  const double busy = static_cast<double>(taken) / std::max(1U, slots);
+  const double free = std::max(0.0, kBusyShare - busy) / kBusyShare;
   const double step = over > 0 ? -kFallPerStep * std::min(1.0, over)
                                : kRisePerStep * -over + kFreeRisePerStep * free;
   level_ = std::clamp(level_ + step, 0.0, top_);
--- a/modules/cuminferry_policy/serving/admission_level.h
+++ b/modules/cuminferry_policy/serving/admission_level.h
@@ -18,12 +18,17 @@
 */
 class admission_level {
  public:
-  /** Wait aimed at, in times of the backend server's own: long enough that slots
-      don't fall idle between arrivals, short against any objective. In the replay
-      of a surge of 1.5 times the slots, twice the service time keeps 92% of them
-      busy with whole requests, half of it 82%. */
-  static constexpr double kAimPart = 2.0;
-  static constexpr duration kLeastAim = std::chrono::milliseconds(35);
+  /** From a step until the load that it let in arrives, through some hops. */
+  static constexpr duration kLoopDelay = std::chrono::milliseconds(500);
+  /** Wait aimed at, in standard deviations of the wait that comes and goes within
+      the loop's delay by the chance of arrivals alone, sqrt(delay x service time /
+      slots): with less, slots fall idle before the level has risen. In the replay
+      of a surge of 1.5 times 23 slots, two (44 ms) keep 92% of them busy with whole
+      requests, half of one 82%. With more slots chance weighs less; a wait that
+      isn't needed is paid by every call, and callers hold slots of their own
+      meanwhile. */
+  static constexpr double kAimDeviations = 2.0;
+  static constexpr duration kLeastAim = std::chrono::milliseconds(20);
   static constexpr duration kMostAim = std::chrono::milliseconds(80);
   /** Period of Step(). */
   static constexpr duration kPeriod = std::chrono::milliseconds(100);
@@ -38,9 +43,12 @@
 
   /** One period passed.
       @param wait          longest wait of a request in it
-      @param taken         part of the slots that are taken now
+      @param taken         slots that are taken now
+      @param slots         of how many
       @param service_time  mean time in the backend server */
-  void Step(duration wait, double taken, duration service_time);
+  void Step(duration wait, std::uint32_t taken, std::uint32_t slots, duration service_time);
+  /** The wait that is aimed at. */
+  static duration Aim(std::uint32_t slots, duration service_time);
 
   /** Ranks lie below this; changes with the table's priorities. */
   void SetTop(double top);
--- a/modules/cuminferry_relay/path/serving_board.cpp
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -43,8 +43,7 @@
     level.SetTop(node.table()->largest_priority() + 1.0);
   }
   const duration wait = gate.TakeLongestWait(node.loop.Now());
-  const double taken = static_cast<double>(gate.running()) / gate.limit();
-  level.Step(wait, taken, gate.service_time());
+  level.Step(wait, gate.running(), gate.limit(), gate.service_time());
   if (level.open() == was_open_) {
     return;
   }
--- a/tests/relay/overload_replay_test.cpp
+++ b/tests/relay/overload_replay_test.cpp
@@ -215,8 +215,7 @@
     for (const std::uint64_t id : gate_.TakeExpired(now_)) {
       Fail(id);
     }
-    const double taken = static_cast<double>(gate_.running()) / gate_.limit();
-    level_.Step(gate_.TakeLongestWait(now_), taken, gate_.service_time());
+    level_.Step(gate_.TakeLongestWait(now_), gate_.running(), gate_.limit(), gate_.service_time());
     At(now_ + admission_level::kPeriod, [this] { StepLevel(); });
   }
 
