Send what one turn writes to a connection in one packet

Cause: a head, its body and its end were a write each: two or three system calls, and as many wake-ups of the other side. Change: a connection gathers writes up to 16 KB until the end of the loop's turn (libuv's prepare and check handles). Nothing waits longer than the turn. Ruled out: a profile of a node under load shows no hot place (largest: 4.7% in the kernel's wake-ups).

--- a/modules/cuminferry_relay/io/event_loop.cpp
+++ b/modules/cuminferry_relay/io/event_loop.cpp
@@ -17,9 +17,34 @@
   std::function<void()> hook;
 };
 
-event_loop::event_loop() { uv_loop_init(&loop_); }
+event_loop::event_loop() {
+  uv_loop_init(&loop_);
+  uv_prepare_init(&loop_, &before_wait_);
+  uv_check_init(&loop_, &after_wait_);
+  before_wait_.data = this;
+  after_wait_.data = this;
+  uv_prepare_start(&before_wait_,
+                   [](uv_prepare_t* handle) { static_cast<event_loop*>(handle->data)->EndTurn(); });
+  uv_check_start(&after_wait_,
+                 [](uv_check_t* handle) { static_cast<event_loop*>(handle->data)->EndTurn(); });
+  // These alone don't keep the loop running.
+  uv_unref(reinterpret_cast<uv_handle_t*>(&before_wait_));
+  uv_unref(reinterpret_cast<uv_handle_t*>(&after_wait_));
+}
+
+void event_loop::EndTurn() {
+  while (!turn_ends_.empty()) {
+    std::vector<std::function<void()>> hooks;
+    hooks.swap(turn_ends_);
+    for (const auto& hook : hooks) {
+      hook();
+    }
+  }
+}
 
 event_loop::~event_loop() {
+  uv_close(reinterpret_cast<uv_handle_t*>(&before_wait_), nullptr);
+  uv_close(reinterpret_cast<uv_handle_t*>(&after_wait_), nullptr);
   for (const auto& watch : signals_) {
     uv_close(reinterpret_cast<uv_handle_t*>(&watch->handle), nullptr);
   }
--- a/modules/cuminferry_relay/io/event_loop.h
+++ b/modules/cuminferry_relay/io/event_loop.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
+#include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
 
@@ -31,6 +33,10 @@
   /** Runs the hook each time the process receives this signal. */
   void OnSignal(int signal, std::function<void()> hook);
 
+  /** Runs the hook once, after the other callbacks of this turn and before the loop
+      waits again. Whatever the hook uses must last until then. */
+  void AtEndOfTurn(std::function<void()> hook) { turn_ends_.push_back(std::move(hook)); }
+
   /** Time since boot, suspended time included: a deadline that passed while
       the instance was suspended has passed. */
   instant Now() const { return boot_clock::Now(); }
@@ -40,7 +46,13 @@
  private:
   struct signal_watch;
 
+  void EndTurn();
+
   uv_loop_t loop_{};
+  // Before and after the loop waits: callbacks of timers and of sockets come there.
+  uv_prepare_t before_wait_{};
+  uv_check_t after_wait_{};
+  std::vector<std::function<void()>> turn_ends_;
   std::vector<std::unique_ptr<signal_watch>> signals_;
 };
 
--- a/modules/cuminferry_relay/io/tcp_connection.cpp
+++ b/modules/cuminferry_relay/io/tcp_connection.cpp
@@ -17,6 +17,8 @@
 // Connections that wait to be accepted. A full queue drops the opening packet,
 // and the client tries again only after a second.
 constexpr int kBacklog = 1024;
+// Small writes of one turn are gathered up to this size.
+constexpr std::size_t kGathered = 16 * 1024;
 
 std::array<char, kReadBuffer>& ReadBuffer() {
   // One for each thread: a loop hands out what it read before it reads on.
@@ -62,6 +64,7 @@
 }  // namespace
 
 struct tcp_connection::state {
+  event_loop* loop = nullptr;
   uv_tcp_t handle{};
   uv_connect_t connect{};
   uv_timer_t connect_timer{};
@@ -81,6 +84,8 @@
   bool reset_on_close = false;
   // Written before the connection was established.
   std::string early;
+  // Written in this turn of the loop.
+  std::string gathered;
 
   struct write_request {
     uv_write_t request{};
@@ -121,6 +126,7 @@
     if (closing) {
       return;
     }
+    SendGathered();
     closing = true;
     StopConnectTimer();
     const auto on_closed = [](uv_handle_t* tcp) { OnHandleClosed(static_cast<state*>(tcp->data)); };
@@ -197,6 +203,22 @@
       unsent += bytes.size();
       return;
     }
+    if (gathered.empty()) {
+      // This state is deleted after the turn in which it is closed.
+      loop->AtEndOfTurn([this] { SendGathered(); });
+    }
+    gathered.append(bytes);
+    if (gathered.size() >= kGathered) {
+      SendGathered();
+    }
+  }
+
+  void SendGathered() {
+    if (closing || ended || gathered.empty()) {
+      return;
+    }
+    const std::string whole = std::exchange(gathered, {});
+    std::string_view bytes = whole;
     if (unsent == 0) {
       uv_buf_t direct =
           uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
@@ -252,6 +274,7 @@
   auto* made = new state;
   std::unique_ptr<tcp_connection> connection(new tcp_connection(made));
   connection->SetHooks(std::move(hooks));
+  made->loop = &loop;
   made->silence_limit = silence_limit;
   uv_tcp_init(loop.raw(), &made->handle);
   made->handle.data = made;
@@ -294,6 +317,7 @@
   if (state_->closing || state_->ended) {
     return;
   }
+  state_->SendGathered();
   uv_shutdown(&state_->shutdown, state_->Stream(), [](uv_shutdown_t*, int) {});
 }
 
@@ -324,6 +348,7 @@
   void Accept() {
     auto* made = new tcp_connection::state;
     std::unique_ptr<tcp_connection> connection(new tcp_connection(made));
+    made->loop = loop;
     uv_tcp_init(loop->raw(), &made->handle);
     made->handle.data = made;
     if (uv_accept(reinterpret_cast<uv_stream_t*>(&handle), made->Stream()) != 0) {
--- a/modules/cuminferry_relay/io/tcp_connection.h
+++ b/modules/cuminferry_relay/io/tcp_connection.h
@@ -22,9 +22,10 @@
 
 /** One TCP connection of a loop.
 
-    Writes never block: what the kernel does not take is kept and counted in
-    unsent(), and OnDrained tells when little of it is left, so that a relay
-    stops reading from a fast side while the other is slow.
+    What is written within one turn of the loop goes out together at its end: a
+    head and its body in one packet, for one wake-up at the other side. Writes never
+    block: what the kernel does not take is kept and counted in unsent(), and OnDrained tells when
+   little of it is left, so that a relay stops reading from a fast side while the other is slow.
 
     The hooks are set by the one owner. A hook may destroy the connection.
 */
