Announce a run that follows a long wait; judge a row's level by its latest answers

Cause: a held request that waited longer than 50 ms was announced before its entry let it run, and not again. The entry expects a sign within 180 ms from then on, took the run for lost, cut it off while the backend server worked and ran it elsewhere. Change: announced anew when it starts. Cause: the level of a row was the mean of what each target told last. Change: one level for each row, the answers of the last 40 ms count. Relay and policy tests pass.

--- a/modules/cuminferry_policy/entry/entry_admission.cpp
+++ b/modules/cuminferry_policy/entry/entry_admission.cpp
@@ -1,42 +1,38 @@
 #include "cuminferry_policy/entry/entry_admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminferry {
 namespace {
 
-// A target that has not answered for so long says nothing of the row's load now.
-constexpr duration kForgetTarget = std::chrono::seconds(3);
+// Weight of an answer that comes together with others.
+constexpr double kLeastWeight = 0.02;
 
 double Seconds(duration span) { return static_cast<double>(span.count()) / 1e6; }
 
 }  // namespace
 
-void entry_admission::OnLevel(std::string_view row, std::string_view target, double level,
-                              bool from_clients, instant now) {
+void entry_admission::OnLevel(std::string_view row, double level, bool from_clients, instant now) {
   auto at = rows_.find(row);
   if (at == rows_.end()) {
-    at = rows_.emplace(std::string(row), row_state{}).first;
+    at = rows_.emplace(std::string(row), row_state{.level = level}).first;
   }
   row_state& state = at->second;
   state.from_clients = state.from_clients || from_clients;
-  std::erase_if(state.by_target,
-                [now](const auto& heard) { return now - heard.second.at > kForgetTarget; });
-  state.by_target[std::string(target)] = {.level = level, .at = now};
+  const double passed = Seconds(now - state.heard) / Seconds(kBlend);
+  const double weight = std::max(kLeastWeight, 1.0 - std::exp(-passed));
+  state.level += weight * (level - state.level);
+  state.heard = now;
 }
 
 double entry_admission::Level(std::string_view row, double top, instant now) const {
   const auto at = rows_.find(row);
-  if (at == rows_.end() || at->second.by_target.empty()) {
+  if (at == rows_.end()) {
     return top;
   }
-  // The mean over the targets: each carries its part of the row.
-  double sum = 0.0;
-  for (const auto& [target, heard] : at->second.by_target) {
-    const duration unconfirmed = std::max(duration::zero(), now - heard.at - kLevelAge);
-    sum += std::min(top, heard.level + kRecoveryPerSecond * Seconds(unconfirmed));
-  }
-  return sum / static_cast<double>(at->second.by_target.size());
+  const duration unconfirmed = std::max(duration::zero(), now - at->second.heard - kLevelAge);
+  return std::min(top, at->second.level + kRecoveryPerSecond * Seconds(unconfirmed));
 }
 
 double entry_admission::AdmittedShare(std::string_view row, std::uint32_t priority,
--- a/modules/cuminferry_policy/entry/entry_admission.h
+++ b/modules/cuminferry_policy/entry/entry_admission.h
@@ -12,7 +12,10 @@
 
     Answers a load that some backend server further down can't take: what would
     fail there after it has cost work on the way is refused here before it costs
-    any. The level of each row comes back on the answers of those who serve it.
+    any. The level of each row comes back on the answers of those who serve it. All
+    answers of a row count together, the latest most: in a large fleet a node hears
+    from one target every few seconds, and targets of one service tell much the same,
+    the state of what they call.
     @see admission_level
 */
 class entry_admission {
@@ -20,6 +23,8 @@
   /** Part of a row's requests that is let in whatever the level: keeps the level
       known and the row from starving. */
   static constexpr double kLeastShare = 0.06;
+  /** Answers of about this time make up the level. */
+  static constexpr duration kBlend = std::chrono::milliseconds(40);
   /** A level that nothing confirms rises by this much a second. */
   static constexpr double kRecoveryPerSecond = 1.0;
   /** A level older than this begins to rise. */
@@ -29,9 +34,8 @@
   static constexpr duration kShortestReturn = std::chrono::milliseconds(150);
   static constexpr duration kLongestReturn = std::chrono::milliseconds(900);
 
-  /** An answer of a target came with this level. */
-  void OnLevel(std::string_view row, std::string_view target, double level, bool from_clients,
-               instant now);
+  /** An answer to a request of this row came with this level. */
+  void OnLevel(std::string_view row, double level, bool from_clients, instant now);
 
   /** Whether a request may go on.
       @param draw  a number in [0, 1) drawn for this request */
@@ -48,13 +52,10 @@
                        instant now) const;
 
  private:
-  struct heard_level {
-    double level = 0.0;
-    instant at;
-  };
   struct row_state {
     bool from_clients = false;
-    std::map<std::string, heard_level, std::less<>> by_target;
+    double level = 0.0;
+    instant heard{};
   };
 
   double AdmittedShare(std::string_view row, std::uint32_t priority, instant now) const;
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -390,7 +390,7 @@
       return;
     }
     board.PickerOf(record.service).OnReport(record.target_id, load->report, now);
-    board.admission.OnLevel(route->name, record.target_id, load->level, load->from_clients, now);
+    board.admission.OnLevel(route->name, load->level, load->from_clients, now);
     if (load->items_revision > board.heard_revision) {
       board.heard_revision = load->items_revision;
       board.heard_from = target_peer;
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -62,7 +62,7 @@
     TurnAway(relay_outcome::kDown);
     return;
   }
-  announce_timer_.StartOnce(kAnnounceAfter, [this] { peer_->SendInterim(); });
+  Announce();
   const slot_verdict verdict = board_.gate.Offer({.id = id_,
                                                   .priority = about_.priority,
                                                   .nested = about_.nested,
@@ -83,6 +83,10 @@
   }
 }
 
+void serving_call::Announce() {
+  announce_timer_.StartOnce(kAnnounceAfter, [this] { peer_->SendInterim(); });
+}
+
 void serving_call::HookPeer() {
   peer_->SetHooks({.on_body = [this](std::string_view bytes) { OnBody(bytes); },
                    .on_body_end = [this] { OnBodyEnd(); },
@@ -177,6 +181,11 @@
   board_.node.causes.OnRunStart(about_.row, started_);
   board_.node.running += 1.0;
   board_.node.running_repeats += about_.repeated;
+  if (about_.held) {
+    // The entry counts on a sign anew from when it let the request run; the wait
+    // before was announced already.
+    Announce();
+  }
   Send();
   const duration left = deadline_ - started_ + kDeadlineSlack;
   deadline_timer_.StartOnce(std::max(left, kDeadlineSlack), [this] { OnDeadline(); });
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -34,6 +34,8 @@
 
  private:
   bool MayTakeRepeat();
+  /** Tells the calling node, if the answer takes longer, that there will be one. */
+  void Announce();
   void HookPeer();
   void OnBody(std::string_view bytes);
   void OnBodyEnd();
--- a/tests/relay/overload_replay_test.cpp
+++ b/tests/relay/overload_replay_test.cpp
@@ -187,7 +187,7 @@
     request& of = requests_[id];
     busy_micros_ += static_cast<double>((now_ - of.run_began).count());
     gate_.Finish(now_ - of.run_began);
-    admission_.OnLevel(rows_[of.row].name, "leaf", level_.level(), true, now_);
+    admission_.OnLevel(rows_[of.row].name, level_.level(), true, now_);
     if (--of.calls_left > 0) {
       Call(id);
     } else {
@@ -201,7 +201,7 @@
     row_count& count = CountOf(requests_[id]);
     ++count.turned_away;
     count.wasted += requests_[id].began ? 1 : 0;
-    admission_.OnLevel(rows_[requests_[id].row].name, "leaf", level_.level(), true, now_);
+    admission_.OnLevel(rows_[requests_[id].row].name, level_.level(), true, now_);
     requests_.erase(id);
   }
 
--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(Timeout_TargetSilent_IsAnsweredInTime);
   CPPUNIT_TEST(Safe_PeerSilent_GoesElsewhereSoon);
   CPPUNIT_TEST(Safe_LongRun_IsNotTakenForSilence);
+  CPPUNIT_TEST(Safe_LongRunAfterALongWait_IsNotTakenForSilence);
   CPPUNIT_TEST(Once_PeerSilent_RunsElsewhereOnce);
   CPPUNIT_TEST(Once_PeerSilentOnceLet_EndsUnknown);
   CPPUNIT_TEST(Once_PeerDiesBeforeItIsLet_RunsElsewhere);
@@ -308,6 +309,37 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.TotalRequests());
   }
 
+  // A request waits for a slot, is let run and then runs for long. Taken for lost after a moment
+  // without a word, it is cut off while the backend server works on it, and run again elsewhere.
+  void Safe_LongRunAfterALongWait_IsNotTakenForSilence() {
+    relay_fleet fleet(2);
+    fleet.PublishToAll(1);
+    fleet.StopTarget(0);
+    std::vector<std::unique_ptr<loop_timer>> later;
+    fleet.target(1).on_request = [&](scripted_target::conversation& now) {
+      later.push_back(std::make_unique<loop_timer>(fleet.loop()));
+      later.back()->StartOnce(milliseconds(350), [&connection = now.connection,
+                                                  answer = scripted_target::Answer(now.request)] {
+        connection.Write(answer);
+      });
+    };
+    // More than the slots of the one backend server.
+    constexpr int kRequests = 24;
+    std::vector<std::shared_ptr<client_result>> results;
+    for (int i = 0; i < kRequests; ++i) {
+      results.push_back(fleet.Send(0, relay_fleet::Get("/safe/x", std::to_string(i))));
+    }
+    CPPUNIT_ASSERT(fleet.RunUntil([&] {
+      return std::all_of(results.begin(), results.end(),
+                         [](const auto& result) { return result->status() != 0; });
+    }));
+    for (const auto& result : results) {
+      CPPUNIT_ASSERT_EQUAL(200, result->status());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kRequests}, fleet.TotalRequests());
+    CPPUNIT_ASSERT_EQUAL(0, fleet.target(1).closed_while_running);
+  }
+
   // An instance is cut off just as a permit is sent there. Nobody knows whether it got the permit;
   // the farmer is told "unknown" and may not file again. Its node was never let run it, so another
   // may.
--- a/tests/relay/row_learning_test.cpp
+++ b/tests/relay/row_learning_test.cpp
@@ -104,16 +104,16 @@
 
   void Admits_LevelWithinPriority_LetsAPartIn() {
     entry_admission admission;
-    admission.OnLevel("map", "x", 2.4, true, kStart);
+    admission.OnLevel("map", 2.4, true, kStart);
     CPPUNIT_ASSERT(admission.Admits("map", 2, 0.39, kStart));
     CPPUNIT_ASSERT(!admission.Admits("map", 2, 0.41, kStart));
-    admission.OnLevel("permit", "x", 2.4, true, kStart);
+    admission.OnLevel("permit", 2.4, true, kStart);
     CPPUNIT_ASSERT(admission.Admits("permit", 0, 0.99, kStart));
   }
 
   void Admits_LevelBelowPriority_KeepsALittle() {
     entry_admission admission;
-    admission.OnLevel("map", "x", 0.2, true, kStart);
+    admission.OnLevel("map", 0.2, true, kStart);
     CPPUNIT_ASSERT(admission.Admits("map", 2, entry_admission::kLeastShare - 0.01, kStart));
     CPPUNIT_ASSERT(!admission.Admits("map", 2, entry_admission::kLeastShare + 0.01, kStart));
   }
@@ -121,17 +121,17 @@
   // A row is refused, and so no answer tells that there is room again.
   void Admits_LevelUnconfirmed_Recovers() {
     entry_admission admission;
-    admission.OnLevel("map", "x", 1.0, true, kStart);
+    admission.OnLevel("map", 1.0, true, kStart);
     CPPUNIT_ASSERT(!admission.Admits("map", 2, 0.5, kStart + milliseconds(400)));
     CPPUNIT_ASSERT(admission.Admits("map", 2, 0.5, kStart + seconds(3)));
   }
 
   void ReturnAfter_MoreRefused_LaterAndSpread() {
     entry_admission admission;
-    admission.OnLevel("map", "x", 2.9, true, kStart);
+    admission.OnLevel("map", 2.9, true, kStart);
     const duration mild = admission.ReturnAfter("map", 2, 0.5, kStart);
     const duration mild_later = admission.ReturnAfter("map", 2, 0.9, kStart);
-    admission.OnLevel("map", "x", 2.0, true, kStart);
+    admission.OnLevel("map", 2.0, true, kStart);
     const duration severe = admission.ReturnAfter("map", 2, 0.5, kStart);
     CPPUNIT_ASSERT(mild < mild_later);
     CPPUNIT_ASSERT(mild < severe);
