Step the level by how late its effect shows

Cause: on the grown Quebec a request's calls reach the leaf half a second to a second after it was let in. The level fell by 1 a second, refused a whole row before any of it showed, and rose again: in every other two seconds 5,059 and 2,676 of some 9,300 were refused at the same load. Change: calls carry how long ago their cause was let in (the mean of what runs, as calls have no tie); steps are smaller in proportion where the loop takes longer than 500 ms. What runs is summed up in a class of its own. Ruled out: the level's age at the entries (mended before). Tests: a late load gets a third of the step; mean age.

--- a/modules/cuminferry_policy/serving/admission_level.h
+++ b/modules/cuminferry_policy/serving/admission_level.h
@@ -12,16 +12,19 @@
     first, a part at a time, and a row only when those below it are refused
     whole. The level falls in proportion to how far the wait is over its aim and
     rises slowly near full slots: the effect of a step shows only when requests
-    admitted before it have come down through the call graph, some hundred
-    milliseconds later. Where many slots are free it rises fast: the load that
-    lowered it is gone.
+    admitted before it have come down through the call graph. How long that takes is
+    seen from the age of what arrives; the longer, the smaller the steps, or the level
+    swings between refusing too many and too few. Where many slots are free it rises
+    fast: the load that lowered it is gone.
 */
 class admission_level {
  public:
-  /** From a step until the load that it let in arrives, through some hops. */
-  static constexpr duration kLoopDelay = std::chrono::milliseconds(500);
+  /** From a step until it is known at the entries, by the answers on the way. */
+  static constexpr duration kTellingDelay = std::chrono::milliseconds(300);
+  /** Steps are as below where they show within this; smaller where it takes longer. */
+  static constexpr duration kShortLoop = std::chrono::milliseconds(500);
   /** Wait aimed at, in standard deviations of the wait that comes and goes within
-      the loop's delay by the chance of arrivals alone, sqrt(delay x service time /
+      a short loop by the chance of arrivals alone, sqrt(loop x service time /
       slots): with less, slots fall idle before the level has risen. In the replay
       of a surge of 1.5 times 23 slots, two (44 ms) keep 92% of them busy with whole
       requests, half of one 82%. With more slots chance weighs less; a wait that
@@ -47,6 +50,10 @@
       @param slots         of how many
       @param service_time  mean time in the backend server */
   void Step(duration wait, std::uint32_t taken, std::uint32_t slots, duration service_time);
+  /** A request came that was let in, or whose cause was let in, so long ago. */
+  void OnArrival(duration age);
+  /** From a step until its effect shows here. */
+  duration loop_delay() const;
   /** The wait that is aimed at. */
   static duration Aim(std::uint32_t slots, duration service_time);
 
@@ -60,6 +67,8 @@
  private:
   double top_;
   double level_;
+  // Mean age of what arrives.
+  double age_micros_ = 0.0;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -50,6 +50,8 @@
   const http_route* route = nullptr;
   outbound_record record;
   instant started;
+  // When the request that caused this one was let in, as far as that is known.
+  instant entered;
   instant deadline;
   loop_timer timer;
   loop_timer silence_timer;
@@ -82,6 +84,7 @@
         client(std::move(client)),
         on_end(std::move(on_end)),
         started(board.loop.Now()),
+        entered(started),
         timer(board.loop),
         silence_timer(board.loop) {}
 
@@ -123,7 +126,8 @@
     record.service = ChooseService();
     if (record.nested && board.causes.AnyRunning()) {
       board.causes.OnCall(route->name, started);
-      repeated = board.repeated_share();
+      repeated = board.running.repeated_share();
+      entered = started - board.running.MeanAge(started);
     }
     Place();
   }
@@ -339,6 +343,7 @@
                             .nested = record.nested,
                             .objective = route->objective,
                             .objective_left = started + route->objective - now,
+                            .age = now - entered,
                             .again = record.reached > 0,
                             .repeated = record.reached > 0 ? 1.0 : repeated,
                             .held = !released,
--- a/modules/cuminferry_relay/path/peer_headers.cpp
+++ b/modules/cuminferry_relay/path/peer_headers.cpp
@@ -44,17 +44,18 @@
 }  // namespace
 
 std::string call_header::ToText() const {
-  return fmt::format("{},{},{},{},{},{},{},{},{},{},{}", priority, static_cast<int>(repeat),
+  return fmt::format("{},{},{},{},{},{},{},{},{},{},{},{}", priority, static_cast<int>(repeat),
                      nested ? 1 : 0, objective.count(), objective_left.count(),
                      static_cast<int>(repeated * kMilli), held ? 1 : 0, static_cast<int>(framing),
-                     length, again ? 1 : 0, row);
+                     length, again ? 1 : 0, age.count(), row);
 }
 
 std::optional<call_header> call_header::Parse(std::string_view text) {
-  std::array<std::int64_t, 10> numbers{};
+  std::array<std::int64_t, 11> numbers{};
   if (!ParseNumbers(text, numbers) || numbers[0] < 0 || numbers[1] < 0 ||
       numbers[1] > static_cast<int>(repeat_rule::kUpload) || numbers[7] < 0 ||
-      numbers[7] > static_cast<int>(body_framing::kUntilClose) || numbers[8] < 0) {
+      numbers[7] > static_cast<int>(body_framing::kUntilClose) || numbers[8] < 0 ||
+      numbers[10] < 0) {
     return std::nullopt;
   }
   constexpr std::size_t kParts = numbers.size() + 1;
@@ -68,6 +69,7 @@
                      .nested = numbers[2] != 0,
                      .objective = duration(numbers[3]),
                      .objective_left = duration(numbers[4]),
+                     .age = duration(numbers[10]),
                      .again = numbers[9] != 0,
                      .repeated = static_cast<double>(numbers[5]) / kMilli,
                      .held = numbers[6] != 0,
--- a/modules/cuminferry_relay/path/peer_headers.h
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -26,6 +26,8 @@
   bool nested = false;
   duration objective{};
   duration objective_left{};
+  /** Since the request, or the one that caused it, was let in. */
+  duration age{};
   /** It may have come to a backend server of the service before. */
   bool again = false;
   /** How likely this send is itself a repeat, or a call of a run that is one. */
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -69,11 +69,7 @@
   entry_admission admission;
   domain_watch domains;
   row_causes causes;
-  /** Runs of the own backend server, and how many of them are repeats. */
-  double running = 0.0;
-  double running_repeats = 0.0;
-  /** How likely a call of the own backend server is made by a repeat. */
-  double repeated_share() const { return running < 1.0 ? 0.0 : running_repeats / running; }
+  running_work running;
   row_origins origins;
 
   /** SIGTERM came: the process ends within its grace. */
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -63,6 +63,7 @@
     return;
   }
   Announce();
+  board_.level.OnArrival(about_.age);
   const slot_verdict verdict = board_.gate.Offer({.id = id_,
                                                   .priority = about_.priority,
                                                   .nested = about_.nested,
@@ -179,8 +180,7 @@
   running_ = true;
   started_ = board_.node.loop.Now();
   board_.node.causes.OnRunStart(about_.row, started_);
-  board_.node.running += 1.0;
-  board_.node.running_repeats += about_.repeated;
+  board_.node.running.OnStart(arrived_ - about_.age, about_.repeated);
   if (about_.held) {
     // The entry counts on a sign anew from when it let the request run; the wait
     // before was announced already.
@@ -369,8 +369,7 @@
   deadline_timer_.Stop();
   const instant now = board_.node.loop.Now();
   board_.node.causes.OnRunEnd(about_.row, now);
-  board_.node.running -= 1.0;
-  board_.node.running_repeats -= about_.repeated;
+  board_.node.running.OnEnd(arrived_ - about_.age, about_.repeated);
   if (ran) {
     board_.gate.Finish(now - started_);
   } else {
--- a/tests/relay/admission_level_test.cpp
+++ b/tests/relay/admission_level_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(Step_LoadGone_OpensWithinASecond);
   CPPUNIT_TEST(Step_FullSlotsWithoutWait_RisesSlowly);
   CPPUNIT_TEST(Aim_ManySlots_IsShort);
+  CPPUNIT_TEST(Step_LoadComesLate_StepsAreSmaller);
   CPPUNIT_TEST(SetTop_BeforeAnyTable_OpensToTheTablesTop);
   CPPUNIT_TEST_SUITE_END();
 
@@ -60,6 +61,21 @@
     CPPUNIT_ASSERT(level.level() - low <= admission_level::kRisePerStep + 1e-9);
   }
 
+  // Calls arrive a second after their requests were let in. Steps as large as in a quick graph
+  // refuse everything of a row before the first of them shows, and then let too much in: parents
+  // see every other two seconds refused beside free slots.
+  void Step_LoadComesLate_StepsAreSmaller() {
+    admission_level level(kTop);
+    for (int arrival = 0; arrival < 1'000; ++arrival) {
+      level.OnArrival(milliseconds(1'200));
+    }
+    for (int step = 0; step < 10; ++step) {
+      level.Step(milliseconds(900), 100, kSlots, kService);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kTop - 10 * admission_level::kFallPerStep / 3, level.level(),
+                                 0.01);
+  }
+
   // A request makes five calls, one after the other, to a service with 300 slots a server. Aiming
   // at the wait that 23 slots need, each call waits twice as long as it has to, its parents hold
   // their slots meanwhile, and the services above are full before this one is.
--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -397,7 +397,7 @@
     const auto result = fleet.SendTo(fleet.PeerAddress(0),
                                      "POST /once/x HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
                                      "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n"
-                                     "Relay-Call: 0,0,0,1000000,1000000,0,1,1,6,0,once\r\n\r\n");
+                                     "Relay-Call: 0,0,0,1000000,1000000,0,1,1,6,0,0,once\r\n\r\n");
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("100 Continue"); }));
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Has("unconfirmed"); }));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.TotalRequests());
@@ -445,7 +445,7 @@
     const std::string held =
         "POST /once/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nInstance: other\r\n"
         "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n"
-        "Relay-Call: 0,0,0,1000000,1000000,0,1,1,6,0,once\r\n\r\n";
+        "Relay-Call: 0,0,0,1000000,1000000,0,1,1,6,0,0,once\r\n\r\n";
     fleet.StopTarget(1);
     const auto result = std::make_shared<client_result>();
     const auto peer = fleet.ConnectTo(fleet.PeerAddress(1), result);
--- a/tests/relay/row_learning_test.cpp
+++ b/tests/relay/row_learning_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(ComesFromClients_CallersOfOneService_IsNot);
   CPPUNIT_TEST(ComesFromClients_CallersOfAllServices_Is);
   CPPUNIT_TEST(ComesFromClients_FewSeen_IsNot);
+  CPPUNIT_TEST(Work_RunsOfDifferentAge_CallsHaveTheMean);
   CPPUNIT_TEST(Admits_NoLevelKnown_LetsAllIn);
   CPPUNIT_TEST(Admits_LevelWithinPriority_LetsAPartIn);
   CPPUNIT_TEST(Admits_LevelBelowPriority_KeepsALittle);
@@ -97,6 +98,21 @@
     CPPUNIT_ASSERT(!origins.ComesFromClients("read", 4));
   }
 
+  void Work_RunsOfDifferentAge_CallsHaveTheMean() {
+    running_work work;
+    CPPUNIT_ASSERT(work.MeanAge(kStart) == duration::zero());
+    const instant now = kStart + seconds(2);
+    work.OnStart(now - milliseconds(100), 0.0);
+    work.OnStart(now - milliseconds(300), 1.0);
+    CPPUNIT_ASSERT(work.MeanAge(now) == milliseconds(200));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, work.repeated_share(), 1e-9);
+    work.OnEnd(now - milliseconds(300), 1.0);
+    CPPUNIT_ASSERT(work.MeanAge(now) == milliseconds(100));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, work.repeated_share(), 1e-9);
+    work.OnEnd(now - milliseconds(100), 0.0);
+    CPPUNIT_ASSERT(!work.any());
+  }
+
   void Admits_NoLevelKnown_LetsAllIn() {
     const entry_admission admission;
     CPPUNIT_ASSERT(admission.Admits("map", 2, 0.99, kStart));
