Write the soak's programs as paths that the linter can tell apart

Cause: two literals side by side in a list look like a missing comma (bugprone-suspicious-missing-comma). Ruled out: an exception for the line.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -293,12 +293,13 @@
         (std::filesystem::temp_directory_path() / ("cuminferry-soak-" + std::to_string(::getpid())))
             .string();
     std::filesystem::create_directories(folder);
+    const std::string programs = CUMINFERRY_BINARY_DIR;
     std::vector<trial::child_process> soaks;
     for (const kept_seed& kept : kSeeds) {
       const std::string seed = std::to_string(kept.seed);
       auto started = trial::child_process::Start(
-          {CUMINFERRY_BINARY_DIR "/tests/soak/cuminferry-soak", "--program",
-           CUMINFERRY_BINARY_DIR "/platform/cuminferry", "--seed", seed, "--folder", folder},
+          {programs + "/tests/soak/cuminferry-soak", "--program", programs + "/platform/cuminferry",
+           "--seed", seed, "--folder", folder},
           folder + "/" + seed + ".txt");
       CPPUNIT_ASSERT(started.ok());
       soaks.push_back(std::move(*started));
