--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -1,7 +1,6 @@
 #include "soak/soak_fleet.h"
 
 #include <spdlog/fmt/fmt.h>
-#include <unistd.h>
 
 #include <csignal>
 #include <filesystem>
@@ -43,18 +42,8 @@
 constexpr duration kGivesUp = milliseconds(40);
 constexpr double kGivesUpShare = 0.03;
 
-// Each run has loopback addresses of its own, so that runs beside each other
-// don't meet: 127.B.G.N with B from the process, G the group, N the number.
 enum class group : std::uint8_t { kNode, kPublished, kStore };
 
-endpoint At(group which, std::size_t number, std::uint16_t port) {
-  constexpr std::uint32_t kBlocks = 180;
-  const auto block = 64 + static_cast<std::uint32_t>(::getpid()) % kBlocks;
-  return {.address = (127U << 24) + (block << 16) + (static_cast<std::uint32_t>(which) << 8) +
-                     static_cast<std::uint32_t>(number) + 1,
-          .port = port};
-}
-
 std::string ServiceOf(std::size_t node) { return node % 2 == 0 ? "maps" : "permits"; }
 
 /** A row as clients know it. */
@@ -166,6 +155,16 @@
   //============================================================================
   // The fleet.
 
+  // Each run has loopback addresses of its own, so that runs beside each other
+  // don't meet: 127.B.G.N with B the run's block, G the group, N the number.
+  endpoint At(group which, std::size_t number, std::uint16_t port) const {
+    constexpr std::uint32_t kFirstBlock = 64;
+    const std::uint32_t block = kFirstBlock + options_.block % soak_options::kBlocks;
+    return {.address = (127U << 24) + (block << 16) + (static_cast<std::uint32_t>(which) << 8) +
+                       static_cast<std::uint32_t>(number) + 1,
+            .port = port};
+  }
+
   void MakeNode(std::size_t number) {
     auto node = std::make_unique<soak_node>();
     node->number = number;
@@ -188,7 +187,7 @@
   }
 
   void WriteSettings(std::size_t number, int allowance) {
-    const auto address = [number](std::uint16_t port) {
+    const auto address = [this, number](std::uint16_t port) {
       return At(group::kNode, number, port).ToString();
     };
     const json settings = {{"instance", fmt::format("node-{}", number)},
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -23,6 +23,10 @@
   int rounds = 1;
   /** Requests a second that clients send to each node. */
   double rate = 15.0;
+  /** Which block of loopback addresses it uses: runs beside each other need
+      different ones. */
+  std::uint32_t block = 0;
+  static constexpr std::uint32_t kBlocks = 180;
 };
 
 /** What came of it. */
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,4 +1,5 @@
-#include <csignal>
+#include <unistd.h>
+
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <filesystem>
@@ -18,6 +19,8 @@
       cxxopts::value<std::size_t>()->default_value("6"))(
       "rounds", "times that harm and planned work come", cxxopts::value<int>()->default_value("1"))(
       "rate", "requests a second to each node", cxxopts::value<double>()->default_value("15"))(
+      "block", "which of 180 blocks of loopback addresses; by the process's id if absent",
+      cxxopts::value<std::uint32_t>()->default_value(std::to_string(::getpid())))(
       "folder", "for settings and logs", cxxopts::value<std::string>())("help", "print this");
   try {
     const auto given = options.parse(argc, argv);
@@ -36,7 +39,8 @@
            .seed = seed,
            .nodes = given["nodes"].as<std::size_t>(),
            .rounds = given["rounds"].as<int>(),
-           .rate = given["rate"].as<double>()});
+           .rate = given["rate"].as<double>(),
+           .block = given["block"].as<std::uint32_t>()});
       for (const std::string& violation : result.violations) {
         std::cout << "  BROKEN " << violation << "\n";
       }
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -299,7 +299,7 @@
       const std::string seed = std::to_string(kept.seed);
       auto started = trial::child_process::Start(
           {programs + "/tests/soak/cuminferry-soak", "--program", programs + "/platform/cuminferry",
-           "--seed", seed, "--folder", folder},
+           "--seed", seed, "--block", std::to_string(soaks.size()), "--folder", folder},
           folder + "/" + seed + ".txt");
       CPPUNIT_ASSERT(started.ok());
       soaks.push_back(std::move(*started));
