Ask a backend server once for the one that stood there before

Cause: after a loss of power all backend servers come back as others, and lists tell of it seconds later. Change: the node remembers the id that its backend server disowned and turns requests for it away itself, unrun. Ruled out: larger purses at the start (a second loss of power within the window would break the bound). Test: five requests for the former one reached the backend server five times before, once after.

--- a/modules/cuminferry_relay/path/serving_board.h
+++ b/modules/cuminferry_relay/path/serving_board.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <functional>
+#include <string>
 #include <unordered_map>
 
 #include "cuminferry_relay/http/http_client.h"
@@ -26,6 +26,12 @@
   /** A connection to the backend server was refused: it is left alone for a while. */
   void OnBackendDown();
   bool backend_down() const { return node.loop.Now() < down_until_; }
+  /** The backend server said that it isn't the instance of this id. */
+  void OnOtherInstance(std::string_view expected) { not_here_ = expected; }
+  /** Whether an instance was found not to stand here: lists tell of a replaced
+      backend server seconds later, and each request that finds it out anew counts as
+      one that came to a backend server. */
+  bool IsNotHere(std::string_view expected) const { return expected == not_here_; }
   /** One answer of the backend server was, or was not, what was asked for. */
   void NoteOutcome(bool good);
 
@@ -48,6 +54,7 @@
   loop_timer step_timer_;
   loop_timer expiry_timer_;
   double success_ = 1.0;
+  std::string not_here_;
   instant down_until_{};
   bool was_open_ = true;
 };
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -54,7 +54,9 @@
     node.origins.OnArrival(about_.row, *caller);
   }
   const std::string* expected = request.Find(names.expected_instance);
-  if (node.stopping || (expected != nullptr && node.IsLeaving(*expected))) {
+  const bool gone =
+      expected != nullptr && (node.IsLeaving(*expected) || board_.IsNotHere(*expected));
+  if (node.stopping || gone) {
     TurnAway(relay_outcome::kLeaving);
     return;
   }
@@ -241,6 +243,9 @@
 std::optional<relay_outcome> serving_call::Judge(const http_head& head) const {
   const relay_header_names& names = board_.node.settings.headers;
   if (head.status == http_status::kMisdirectedRequest) {
+    if (const std::string* expected = peer_->request().Find(names.expected_instance)) {
+      board_.OnOtherInstance(*expected);
+    }
     return relay_outcome::kOtherInstance;
   }
   if (head.Find(names.not_executed) != nullptr) {
--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(Safe_LostAtEveryTarget_IsNotSaidToBeRefused);
   CPPUNIT_TEST(Once_TurnedAwayUnrun_IsRefusedWithAReturnTime);
   CPPUNIT_TEST(Once_OtherInstanceAtTheAddress_IsNeverRun);
+  CPPUNIT_TEST(Target_Replaced_IsAskedOnceForTheFormerOne);
   CPPUNIT_TEST(Target_Unreachable_RequestGoesElsewhere);
   CPPUNIT_TEST(Target_BackendDown_IsNotTriedByEachRequest);
   CPPUNIT_TEST(Timeout_TargetSilent_IsAnsweredInTime);
@@ -224,6 +225,32 @@
     CPPUNIT_ASSERT_EQUAL(503, result->status());
   }
 
+  // All instances lost power and came back as others, which the lists don't know yet. Each request
+  // that asks a backend server for the one before it uses up the bound on repeats, and soon nothing
+  // may be sent a second time, for seconds.
+  void Target_Replaced_IsAskedOnceForTheFormerOne() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    fleet.target(0).on_request = [](scripted_target::conversation& now) {
+      http_head other;
+      other.status = 421;
+      other.reason = "Other";
+      other.Set("Id", *now.request.Find("Id"));
+      other.framing = body_framing::kLength;
+      now.connection.Write(other.ToResponseText(false));
+    };
+    for (int i = 0; i < 5; ++i) {
+      const auto result = fleet.SendTo(
+          fleet.PeerAddress(0),
+          "GET /safe/x HTTP/1.1\r\nHost: h\r\nInstance: i-0\r\nId: " + std::to_string(i) +
+              "\r\nRelay-Call: 0,0,0,1000000,1000000,0,0,0,0,0,0,safe\r\n\r\n");
+      CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+      CPPUNIT_ASSERT_EQUAL(503, result->status());
+      CPPUNIT_ASSERT(result->Has(i == 0 ? "other-instance" : "leaving"));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.target(0).ids.size());
+  }
+
   void Target_Unreachable_RequestGoesElsewhere() {
     relay_fleet fleet(2);
     fleet.PublishToAll(1);
