--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -10,6 +10,27 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/** Lets backend servers answer each request after the same time. */
+class late_answers {
+ public:
+  late_answers(event_loop& loop, duration after) : loop_(loop), after_(after) {}
+
+  scripted_target::script script() {
+    return [this](scripted_target::conversation& now) {
+      timers_.push_back(std::make_unique<loop_timer>(loop_));
+      timers_.back()->StartOnce(
+          after_, [&connection = now.connection, answer = scripted_target::Answer(now.request)] {
+            connection.Write(answer);
+          });
+    };
+  }
+
+ private:
+  event_loop& loop_;
+  duration after_;
+  std::vector<std::unique_ptr<loop_timer>> timers_;
+};
+
 // Enough that some are placed on either of two targets.
 constexpr int kManyRequests = 12;
 
@@ -321,15 +342,9 @@
   void Safe_LongRun_IsNotTakenForSilence() {
     relay_fleet fleet(2);
     fleet.PublishToAll(1);
-    std::unique_ptr<loop_timer> later;
+    late_answers later(fleet.loop(), milliseconds(400));
     for (int node = 0; node < 2; ++node) {
-      fleet.target(node).on_request = [&](scripted_target::conversation& now) {
-        later = std::make_unique<loop_timer>(fleet.loop());
-        later->StartOnce(milliseconds(400), [&now_connection = now.connection,
-                                             answer = scripted_target::Answer(now.request)] {
-          now_connection.Write(answer);
-        });
-      };
+      fleet.target(node).on_request = later.script();
     }
     const auto result = fleet.Send(0, relay_fleet::Get("/safe/x", "1"));
     CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
@@ -343,14 +358,8 @@
     relay_fleet fleet(2);
     fleet.PublishToAll(1);
     fleet.StopTarget(0);
-    std::vector<std::unique_ptr<loop_timer>> later;
-    fleet.target(1).on_request = [&](scripted_target::conversation& now) {
-      later.push_back(std::make_unique<loop_timer>(fleet.loop()));
-      later.back()->StartOnce(milliseconds(350), [&connection = now.connection,
-                                                  answer = scripted_target::Answer(now.request)] {
-        connection.Write(answer);
-      });
-    };
+    late_answers later(fleet.loop(), milliseconds(350));
+    fleet.target(1).on_request = later.script();
     // More than the slots of the one backend server.
     constexpr int kRequests = 24;
     std::vector<std::shared_ptr<client_result>> results;
@@ -529,14 +538,8 @@
     relay_fleet fleet(2);
     fleet.PublishToAll(1);
     fleet.StopTarget(0);
-    std::vector<std::unique_ptr<loop_timer>> later;
-    fleet.target(1).on_request = [&](scripted_target::conversation& now) {
-      later.push_back(std::make_unique<loop_timer>(fleet.loop()));
-      later.back()->StartOnce(milliseconds(400), [&connection = now.connection,
-                                                  answer = scripted_target::Answer(now.request)] {
-        connection.Write(answer);
-      });
-    };
+    late_answers later(fleet.loop(), milliseconds(400));
+    fleet.target(1).on_request = later.script();
     // As many as the backend server has slots in use.
     constexpr int kRunning = 18;
     std::vector<std::shared_ptr<client_result>> running;
