Forget failures with time; leave a failure domain when it is nearly full

Answers of 500 after a restart counted as the server's own fault until its calls were learned. Besides, calls left their failure domain for a target only somewhat less full. Change: what failures weigh falls to a third in 3 s (recent_success); a slot weighs by the fourth power of the fill, and a crossing half of a service time in place of 0.3. Ruled out by the tests of the picker: 0.6 to 1.5 service times, with which requests wait beside free slots of another domain.

--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -35,6 +35,7 @@
 #include "cuminferry_policy/retries/retry_allowance.h"
 #include "cuminferry_policy/retries/retry_rule.h"
 #include "cuminferry_policy/serving/admission_level.h"
+#include "cuminferry_policy/serving/recent_success.h"
 #include "cuminferry_policy/serving/slot_gate.h"
 #include "cuminferry_policy/shares/limit_shares.h"
 #include "cuminferry_policy/targets/target_chooser.h"
--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -11,11 +11,14 @@
 // Time lost by a request that fails: what its retry waits and runs again, as a
 // multiple of the target's own time.
 constexpr double kFailureCost = 20.0;
-// A request to another failure domain: the way there and back, and a part of the
-// target's own time. What crosses between failure domains is paid for, and an
-// answer within its objective is worth no more for being earlier.
+// A request to another failure domain: the way there and back, and a multiple of the
+// time that the target there takes. What crosses between failure domains is paid for, and
+// an answer within its objective is worth no more for being earlier. As much as a full
+// target is dearer than an empty one (kFillWeight): requests leave their failure domain
+// once they would wait in it, or where a target in it is slow, not for a shorter queue of
+// running ones. With 0.3, every second call to a service at a third of its slots crossed.
 constexpr double kOtherDomainMicros = 3'000.0;
-constexpr double kOtherDomainPart = 0.3;
+constexpr double kOtherDomainPart = 0.5;
 // Each byte that crosses between failure domains is paid for, and on a narrow link
 // all others wait for it: an upload of 60 KB leaves its failure domain only to save
 // more than 0.12 s.
@@ -90,8 +93,8 @@
                                    kOtherDomainMicrosPerByte * wanted.bytes;
   const double stopping = fresh && state.report.stopping ? kStoppingPart * mean_service : 0.0;
   const double own_time = wanted.urgent ? service : kOwnTimePart * service;
-  return stopping + network + own_time + kFillWeight * mean_service * fill * fill + wait +
-         (1.0 / success - 1.0) * kFailureCost * mean_service;
+  return stopping + network + own_time + kFillWeight * mean_service * fill * fill * fill * fill +
+         wait + (1.0 / success - 1.0) * kFailureCost * mean_service;
 }
 
 std::optional<published_target> target_picker::Pick(const request& wanted, instant now,
--- a/modules/cuminferry_relay/path/serving_board.cpp
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -20,8 +20,6 @@
 // Above all priorities, until a table says how many there are.
 constexpr double kNoLimit = 1'000.0;
 constexpr duration kExpiryPeriod = std::chrono::milliseconds(10);
-// Weight of one answer in the part of answers that were successes.
-constexpr double kSuccessWeight = 0.04;
 
 }  // namespace
 
@@ -48,12 +46,13 @@
     return;
   }
   was_open_ = level.open();
-  node.log.OnChange(was_open_ ? "level.opened" : "level.lowered", {{"level", ForLog(level.level())},
-                                                                   {"success", ForLog(success_)},
-                                                                   {"wait_us", wait.count()},
-                                                                   {"running", gate.running()},
-                                                                   {"waiting", gate.waiting()},
-                                                                   {"limit", gate.limit()}});
+  node.log.OnChange(was_open_ ? "level.opened" : "level.lowered",
+                    {{"level", ForLog(level.level())},
+                     {"success", ForLog(success_.Share(node.loop.Now()))},
+                     {"wait_us", wait.count()},
+                     {"running", gate.running()},
+                     {"waiting", gate.waiting()},
+                     {"limit", gate.limit()}});
 }
 
 void serving_board::StartWaiting() {
@@ -90,9 +89,7 @@
 
 void serving_board::OnBackendDown() { down_until_ = node.loop.Now() + kDownTime; }
 
-void serving_board::NoteOutcome(bool good) {
-  success_ += kSuccessWeight * ((good ? 1.0 : 0.0) - success_);
-}
+void serving_board::NoteOutcome(bool good) { success_.Note(good, node.loop.Now()); }
 
 double serving_board::LevelOf(std::string_view row) const {
   double lowest = level.level();
@@ -108,7 +105,7 @@
                      .waiting = gate.waiting(),
                      .limit = gate.limit(),
                      .service_time = gate.service_time(),
-                     .success = success_,
+                     .success = success_.Share(node.loop.Now()),
                      .stopping = node.draining},
           .level = LevelOf(row),
           .from_clients = node.origins.ComesFromClients(row, node.service_count()),
--- a/modules/cuminferry_relay/path/serving_board.h
+++ b/modules/cuminferry_relay/path/serving_board.h
@@ -53,7 +53,7 @@
 
   loop_timer step_timer_;
   loop_timer expiry_timer_;
-  double success_ = 1.0;
+  recent_success success_;
   std::string not_here_;
   instant down_until_{};
   bool was_open_ = true;
