Learn how many requests a backend server should run at once

No constant is right for unseen servers: the knee lies at 60% to 100% of the slots or nowhere. Change: while requests wait, another number is tried in turns beside the one in use; what runs take with either, of their row's mean, says which answers more (slot_learning). It starts safe, and anew with each published number of slots and each start of the node.

--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -40,5 +40,6 @@
 #include "cuminferry_policy/serving/recent_success.h"
 #include "cuminferry_policy/serving/row_times.h"
 #include "cuminferry_policy/serving/slot_gate.h"
+#include "cuminferry_policy/serving/slot_learning.h"
 #include "cuminferry_policy/shares/limit_shares.h"
 #include "cuminferry_policy/targets/target_chooser.h"
--- a/modules/cuminferry_policy/serving/slot_gate.cpp
+++ b/modules/cuminferry_policy/serving/slot_gate.cpp
@@ -15,12 +15,17 @@
 
 }  // namespace
 
-slot_gate::slot_gate(std::uint32_t slots) : service_micros_(kAssumedServiceMicros) {
-  SetSlots(slots);
-}
+slot_gate::slot_gate(std::uint32_t slots)
+    : learning_(slots), service_micros_(kAssumedServiceMicros) {}
+
+void slot_gate::SetSlots(std::uint32_t slots) { learning_.SetSlots(slots); }
 
-void slot_gate::SetSlots(std::uint32_t slots) {
-  limit_ = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(kUsableShare * slots));
+void slot_gate::Learn(instant now) { learning_.Step(!queue_.empty(), now); }
+
+void slot_gate::OnRun(std::uint32_t began, double relative) {
+  if (began > 0) {
+    learning_.OnFullRun(began, relative);
+  }
 }
 
 duration slot_gate::service_time() const {
@@ -44,18 +49,18 @@
 
 duration slot_gate::ExpectedWait(instant give_up) const {
   const auto ahead = std::distance(queue_.begin(), queue_.upper_bound({give_up, kLastId}));
-  const double turns = static_cast<double>(ahead + 1) / limit_;
+  const double turns = static_cast<double>(ahead + 1) / limit();
   return duration(static_cast<duration::rep>(turns * service_micros_));
 }
 
 slot_verdict slot_gate::Offer(const slot_request& request, instant now) {
-  if (running_ < limit_ && queue_.empty()) {
+  if (running_ < limit() && queue_.empty()) {
     ++running_;
     return slot_verdict::kStart;
   }
   const instant give_up = LastUsefulStart(request, now);
   const duration expected = ExpectedWait(give_up);
-  if (waiting() >= limit_ * kQueuePerSlot || now + expected > give_up) {
+  if (waiting() >= limit() * kQueuePerSlot || now + expected > give_up) {
     longest_wait_ = std::max(longest_wait_, expected);
     return slot_verdict::kRefuse;
   }
@@ -72,7 +77,7 @@
 void slot_gate::Release() { running_ -= running_ > 0 ? 1 : 0; }
 
 std::optional<std::uint64_t> slot_gate::StartNext(instant now) {
-  if (running_ >= limit_ || queue_.empty()) {
+  if (running_ >= limit() || queue_.empty()) {
     return std::nullopt;
   }
   const std::uint64_t id = queue_.begin()->second;
--- a/modules/cuminferry_policy/serving/slot_gate.h
+++ b/modules/cuminferry_policy/serving/slot_gate.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_policy/serving/slot_learning.h"
 
 namespace cuminferry {
 
@@ -41,10 +42,6 @@
 */
 class slot_gate {
  public:
-  /** Share of the slots in use at most. Backend servers slow down by a third
-      when 95% or more are taken; health checks and new connections take slots
-      besides. */
-  static constexpr double kUsableShare = 0.93;
   /** A refusal within this share of its objective leaves the caller time to
       come back and still be in time. */
   static constexpr double kPromptShare = 1.0 / 8.0;
@@ -70,7 +67,16 @@
   /** Takes out a waiting request whose caller left; false where it doesn't wait. */
   bool Remove(std::uint64_t id);
 
+  /** Slots that the backend server is said to have. */
   void SetSlots(std::uint32_t slots);
+  /** How many may run, as the backend server's runs have told; to be called now and then.
+      @see slot_learning */
+  void Learn(instant now);
+  /** A run ended that took so much of its row's mean.
+      @param began  what limit_when_full() was as it began */
+  void OnRun(std::uint32_t began, double relative);
+  /** The limit, where all slots are taken; zero where some are free. */
+  std::uint32_t limit_when_full() const { return running_ >= limit() ? limit() : 0; }
 
   //============================================================================
   /** Longest wait of a request that started since the last call, that waits still, or
@@ -80,7 +86,7 @@
   duration TakeLongestWait(instant now);
   std::uint32_t running() const { return running_; }
   std::uint32_t waiting() const { return static_cast<std::uint32_t>(queue_.size()); }
-  std::uint32_t limit() const { return limit_; }
+  std::uint32_t limit() const { return learning_.limit(); }
   duration service_time() const;
   /** When the next waiting request expires. */
   std::optional<instant> next_expiry() const;
@@ -94,7 +100,7 @@
   instant LastUsefulStart(const slot_request& request, instant now) const;
   duration ExpectedWait(instant give_up) const;
 
-  std::uint32_t limit_ = 1;
+  slot_learning learning_;
   std::uint32_t running_ = 0;
   double service_micros_;
   duration longest_wait_{};
--- a/modules/cuminferry_relay/path/serving_board.cpp
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -35,6 +35,7 @@
 }
 
 void serving_board::Step() {
+  gate.Learn(node.loop.Now());
   const duration wait = gate.TakeLongestWait(node.loop.Now());
   level.Step(wait, gate.running(), gate.limit(), gate.service_time());
   if (level.open() == was_open_) {
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -185,6 +185,7 @@
   granted_ = false;
   running_ = true;
   started_ = board_.node.loop.Now();
+  limit_when_full_ = board_.gate.limit_when_full();
   board_.node.causes.OnRunStart(about_.row, started_);
   board_.node.running.OnStart(arrived_ - about_.age, about_.repeated);
   board_.node.demand.OnRunStart(board_.node.causes.CalledBy(about_.row), about_.stands_for);
@@ -382,8 +383,13 @@
   board_.node.causes.OnRunEnd(about_.row, started_, now);
   board_.node.running.OnEnd(arrived_ - about_.age, about_.repeated);
   if (ran) {
-    board_.gate.Finish(now - started_);
-    board_.times.OnRun(about_.row, now - started_);
+    const duration took = now - started_;
+    const duration mean = board_.times.MeanOf(about_.row, took);
+    board_.gate.Finish(took);
+    board_.gate.OnRun(limit_when_full_,
+                      static_cast<double>(took.count()) /
+                          static_cast<double>(std::max(mean, duration(1)).count()));
+    board_.times.OnRun(about_.row, took);
   } else {
     board_.gate.Release();
   }
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -63,6 +63,8 @@
   std::string request_id_;
   instant arrived_;
   instant started_{};
+  // Of the gate, as it began to run; zero where slots were free.
+  std::uint32_t limit_when_full_ = 0;
   instant deadline_{};
   loop_timer deadline_timer_;
   loop_timer announce_timer_;
--- a/tests/relay/overload_replay_test.cpp
+++ b/tests/relay/overload_replay_test.cpp
@@ -312,7 +312,7 @@
       wasted += count.wasted;
       offered += count.offered;
     }
-    const double capacity = 1e6 / kLeafRun.count() * slot_gate::kUsableShare * kSlots;
+    const double capacity = 1e6 / kLeafRun.count() * slot_learning::kFirstShare * kSlots;
     CPPUNIT_ASSERT(useful / 8.0 >= 0.88 * capacity);
     CPPUNIT_ASSERT(Share(wasted, offered) <= 0.01);
   }
@@ -332,7 +332,7 @@
       const row_count count = world.Count(row.name, kSurgeBegins + seconds(5), kSurgeEnds);
       useful += count.in_time * row.leaf_calls;
     }
-    const double capacity = 1e6 / kLeafRun.count() * slot_gate::kUsableShare * kSlots;
+    const double capacity = 1e6 / kLeafRun.count() * slot_learning::kFirstShare * kSlots;
     CPPUNIT_ASSERT(useful / 5.0 >= 0.9 * capacity);
   }
 
