Don't let a target that is passed over speak for those that carry its load

Cause: a target that loses a third of its answers gets few requests, so its slots are free and it tells an open level; the limits that entries know are a mean over all answers. Change: limits that come from a target with less than 0.85 of the best one's successes are not counted (target_picker::IsPassedOver). Where all fail alike they count.

--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -136,6 +136,18 @@
   return best->target;
 }
 
+bool target_picker::IsPassedOver(std::string_view id, instant now) const {
+  const auto found = targets_.find(id);
+  if (found == targets_.end() || !IsFresh(found->second, now)) {
+    return false;
+  }
+  double best = 0.0;
+  for (const auto& [other, state] : targets_) {
+    best = std::max(best, IsFresh(state, now) ? state.report.success : 0.0);
+  }
+  return found->second.report.success < kPassedOverShare * best;
+}
+
 bool target_picker::IsDoubtful(std::string_view id, instant now) const {
   const auto found = targets_.find(id);
   return found == targets_.end() || found->second.failures > 0 ||
--- a/modules/cuminferry_policy/placement/target_picker.h
+++ b/modules/cuminferry_policy/placement/target_picker.h
@@ -60,6 +60,9 @@
   static constexpr duration kLongestRest = std::chrono::seconds(2);
   /** A target that was not heard from for so long may have gone silent since. */
   static constexpr duration kDoubtAfter = std::chrono::seconds(1);
+  /** A target with less than this part of the best one's successes is passed over: the
+      cost of its failures is then several times its run time. */
+  static constexpr double kPassedOverShare = 0.85;
   /** An older report counts as unknown. */
   static constexpr duration kReportAge = std::chrono::seconds(2);
 
@@ -83,6 +86,10 @@
   /** The target to send to; none where all were tried. */
   std::optional<published_target> Pick(const request& wanted, instant now, random_source& random);
 
+  /** Whether the target fails so much more than the best one that it is passed over. Its
+      slots are free, and it must not speak for those that carry its load: told that there
+      was room, entries let in twice what one well target of three could carry. */
+  bool IsPassedOver(std::string_view id, instant now) const;
   /** Whether nothing tells that the target can be reached now. */
   bool IsDoubtful(std::string_view id, instant now) const;
 
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -405,8 +405,11 @@
     if (!load) {
       return;
     }
-    board.PickerOf(record.service).OnReport(record.target_id, load->report, now);
-    board.admission.OnAnswer(route->name, load->limit, load->from_clients, now);
+    target_picker& picker = board.PickerOf(record.service);
+    picker.OnReport(record.target_id, load->report, now);
+    const bool counts = !picker.IsPassedOver(record.target_id, now);
+    board.admission.OnAnswer(route->name, counts ? load->limit : std::nullopt, load->from_clients,
+                             now);
     if (load->items_revision > board.heard_revision) {
       board.heard_revision = load->items_revision;
       board.heard_from = target_peer;
--- a/tests/relay/target_picker_test.cpp
+++ b/tests/relay/target_picker_test.cpp
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(Pick_LargeBody_StaysUnlessItsDomainIsFull);
   CPPUNIT_TEST(Sizes_OfARow_FollowItsRequests);
   CPPUNIT_TEST(Pick_TargetFailsHalf_GetsLittle);
+  CPPUNIT_TEST(IsPassedOver_FailsMoreThanTheBest_ItIs);
+  CPPUNIT_TEST(IsPassedOver_AllFailAlike_NoneIs);
   CPPUNIT_TEST(Pick_Unreachable_RestsThenIsTriedByOneRequest);
   CPPUNIT_TEST(Pick_AllResting_IsStillTried);
   CPPUNIT_TEST(Pick_Stopping_NotBesideFreeSlots);
@@ -97,6 +99,27 @@
     CPPUNIT_ASSERT(Picks(picker, "far") >= 90);
   }
 
+  // One of two targets loses a third of its answers. Few requests go there, its slots are free, and
+  // it says so: entries that believed it let in twice what the other could carry.
+  void IsPassedOver_FailsMoreThanTheBest_ItIs() {
+    target_report ill = Report(0, milliseconds(20));
+    ill.success = 0.7;
+    const target_picker picker = Two(ill, Report(23, milliseconds(20)));
+    CPPUNIT_ASSERT(picker.IsPassedOver("near", kStart));
+    CPPUNIT_ASSERT(!picker.IsPassedOver("far", kStart));
+    CPPUNIT_ASSERT(!picker.IsPassedOver("near", kStart + seconds(3)));
+  }
+
+  void IsPassedOver_AllFailAlike_NoneIs() {
+    target_report ill = Report(0, milliseconds(20));
+    ill.success = 0.45;
+    target_report as_ill = ill;
+    as_ill.success = 0.42;
+    const target_picker picker = Two(ill, as_ill);
+    CPPUNIT_ASSERT(!picker.IsPassedOver("near", kStart));
+    CPPUNIT_ASSERT(!picker.IsPassedOver("far", kStart));
+  }
+
   // An instance loses power and is still listed. Each request that is sent there waits for a
   // connection that never comes about.
   void Pick_Unreachable_RestsThenIsTriedByOneRequest() {
