Let news of a limiting service count for all rows that it limits

Cause: each row had a limit of its own, known from its own answers. With one leaf target of three left a twentieth of the load may come, an entry hears of a booking every two seconds, and the unconfirmed limit doubles meanwhile. Change: what is told of a service counts for all rows that it limits, whichever row's answer brings it; a node's own calls to the service bring it all the while (entry_admission).

--- a/modules/cuminferry_policy/entry/entry_admission.cpp
+++ b/modules/cuminferry_policy/entry/entry_admission.cpp
@@ -25,16 +25,14 @@
   if (!told) {
     return;
   }
-  const row_limit& limit = *told;
-  if (state.heard == instant{}) {
-    state.limit.share = limit.share;
-  }
-  const double passed = Seconds(now - state.heard) / Seconds(kBlend);
-  const double weight = std::max(kLeastWeight, 1.0 - std::exp(-passed));
-  state.limit.share += weight * (limit.share - state.limit.share);
-  state.limit.cost = limit.cost;
-  state.limit.service = limit.service;
-  state.heard = now;
+  state.cost = told->cost;
+  state.service = told->service;
+  service_state& service = services_[told->service];
+  const bool first = service.heard == instant{};
+  const double passed = Seconds(now - service.heard) / Seconds(kBlend);
+  const double weight = first ? 1.0 : std::max(kLeastWeight, 1.0 - std::exp(-passed));
+  service.share += weight * (told->share - service.share);
+  service.heard = now;
 }
 
 void entry_admission::OnRequest(std::string_view row, std::uint32_t priority, instant now) {
@@ -48,9 +46,13 @@
   return state.rate * std::exp(-Seconds(now - state.asked) / Seconds(kRateTime));
 }
 
-double entry_admission::ShareOf(const row_state& state, instant now) {
-  const duration unconfirmed = std::max(duration::zero(), now - state.heard - kLimitAge);
-  return std::min(1.0, state.limit.share * std::exp2(Seconds(unconfirmed) / Seconds(kDoubling)));
+double entry_admission::ShareOf(const row_state& state, instant now) const {
+  const auto at = services_.find(state.service);
+  if (at == services_.end()) {
+    return 1.0;
+  }
+  const duration unconfirmed = std::max(duration::zero(), now - at->second.heard - kLimitAge);
+  return std::min(1.0, at->second.share * std::exp2(Seconds(unconfirmed) / Seconds(kDoubling)));
 }
 
 row_limit entry_admission::Limit(std::string_view row, instant now) const {
@@ -58,14 +60,13 @@
   if (at == rows_.end()) {
     return {};
   }
-  row_limit limit = at->second.limit;
-  limit.share = ShareOf(at->second, now);
-  return limit;
+  const row_state& state = at->second;
+  return {.share = ShareOf(state, now), .cost = state.cost, .service = state.service};
 }
 
 std::optional<double> entry_admission::ShareInForce(std::string_view row, instant now) const {
   const auto at = rows_.find(row);
-  return at == rows_.end() || at->second.heard == instant{}
+  return at == rows_.end() || !services_.contains(at->second.service)
              ? std::nullopt
              : std::optional<double>(ShareOf(at->second, now));
 }
@@ -84,10 +85,10 @@
   double alike = 0.0;
   double behind = 0.0;
   for (const auto& [name, other] : rows_) {
-    if (other.limit.service != own.limit.service) {
+    if (other.service != own.service) {
       continue;
     }
-    const double asked = RateOf(other, now) * Seconds(other.limit.cost);
+    const double asked = RateOf(other, now) * Seconds(other.cost);
     double& sum = other.priority < own.priority    ? ahead
                   : other.priority == own.priority ? alike
                                                    : behind;
--- a/modules/cuminferry_policy/entry/entry_admission.h
+++ b/modules/cuminferry_policy/entry/entry_admission.h
@@ -19,9 +19,10 @@
     same service, the most important are let in first, by the load that each of them asks
     of it here, until the part that may come is used up; rows of one priority alike.
 
-    All answers of a row count together, the latest most: in a large fleet a node hears
-    from one target every few seconds, and targets of one service tell much the same,
-    the state of what they call.
+    What is told of a limiting service counts for all rows that it limits, whichever row's
+    answer brings it, the latest most. Where little of a row is let in, its own answers
+    come every few seconds; calls of the own backend server that lead to the same service
+    bring news of it all the while.
     @see admission_level
 */
 class entry_admission {
@@ -72,10 +73,16 @@
   duration ReturnAfter(std::string_view row, duration objective, double draw, instant now) const;
 
  private:
+  /** What is known of a service that limits some row. */
+  struct service_state {
+    double share = 1.0;
+    instant heard{};
+  };
   struct row_state {
     bool from_clients = false;
-    row_limit limit;
-    instant heard{};
+    // The service that limits it; empty where none was told.
+    std::string service;
+    duration cost{};
     std::uint32_t priority = 0;
     // Requests a second at `asked`.
     double rate = 0.0;
@@ -84,9 +91,10 @@
 
   row_state& StateOf(std::string_view row);
   static double RateOf(const row_state& state, instant now);
-  static double ShareOf(const row_state& state, instant now);
+  double ShareOf(const row_state& state, instant now) const;
 
   std::map<std::string, row_state, std::less<>> rows_;
+  std::map<std::string, service_state, std::less<>> services_;
 };
 
 }  // namespace cuminferry
--- a/tests/relay/entry_admission_test.cpp
+++ b/tests/relay/entry_admission_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(Limit_AnswersTogether_AreBlended);
   CPPUNIT_TEST(Limit_NothingHeardForLong_Opens);
   CPPUNIT_TEST(Limit_LittleLetInAndSeldomHeard_StaysLow);
+  CPPUNIT_TEST(Limit_NewsByAnotherRow_CountsForAllOfTheService);
   CPPUNIT_TEST(Limit_ToldByANodeThatKnowsNoCauses_IsKept);
   CPPUNIT_TEST(AdmittedShare_RowsOfOneService_MostImportantFirst);
   CPPUNIT_TEST(AdmittedShare_RowsOfOnePriority_AreServedAlike);
@@ -98,6 +99,21 @@
     CPPUNIT_ASSERT(admission.Limit("map", kStart + seconds(2)).share < 0.15);
   }
 
+  // Two of three leaf targets are gone, and of bookings so few are let in that an entry hears of
+  // one every two seconds. Its own server's calls to the leaf are answered all the while. Going by
+  // the bookings' answers alone, it let in two or three times what may come, and they failed
+  // halfway.
+  void Limit_NewsByAnotherRow_CountsForAllOfTheService() {
+    entry_admission admission;
+    admission.OnAnswer("booking", Limit(0.6), true, kStart);
+    for (int answer = 0; answer < 20; ++answer) {
+      admission.OnAnswer("roster", Limit(0.1), false, kStart + milliseconds(100) * answer);
+    }
+    const instant now = kStart + seconds(2);
+    CPPUNIT_ASSERT(admission.Limit("booking", now).share < 0.12);
+    CPPUNIT_ASSERT(admission.Limit("booking", now).cost == milliseconds(100));
+  }
+
   // A node was started anew beside a booking server and doesn't know yet that bookings call a
   // service that is full. Told that it has room, the entries let in more than can end.
   void Limit_ToldByANodeThatKnowsNoCauses_IsKept() {
