Tell for which service a request is refused, and what a node takes its rows to call

request.end of a refusal now names the service (limited_by), explain prints it, and two gauges stand at each node: cuminferry_limit_known by row, cuminferry_calls_per_run by row and called row. What a node tells as a row's limit moved from the relay into policy (LimitToTell), so that it can be played in virtual time; it decides as before.

--- a/extras/ctl/commands/explain_command.cpp
+++ b/extras/ctl/commands/explain_command.cpp
@@ -167,7 +167,9 @@
       words += ": " + MeaningOf(TextOf(line, "why"));
     }
     if (line.contains("level")) {
-      words += " (level " + TextOf(line, "level") + ")";
+      words += " (level " + TextOf(line, "level");
+      words += line.contains("limited_by") ? ", limited by " + TextOf(line, "limited_by") : "";
+      words += ")";
     }
     return words + DescribeCustomer(line);
   }
--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -33,6 +33,7 @@
 #include "cuminferry_policy/customers/limit_messages.h"
 #include "cuminferry_policy/entry/call_demand.h"
 #include "cuminferry_policy/entry/entry_admission.h"
+#include "cuminferry_policy/entry/limit_to_tell.h"
 #include "cuminferry_policy/entry/request_rank.h"
 #include "cuminferry_policy/entry/row_causes.h"
 #include "cuminferry_policy/entry/row_limit.h"
--- a/modules/cuminferry_policy/entry/row_causes.cpp
+++ b/modules/cuminferry_policy/entry/row_causes.cpp
@@ -194,6 +194,14 @@
   return found;
 }
 
+std::vector<std::string> row_causes::called_rows() const {
+  std::vector<std::string> names;
+  for (const auto& [name, called] : called_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 bool row_causes::IsKnown(std::string_view row) const {
   return called_.empty() || windows_read_ >= kKnownWindows || !CalledBy(row).empty();
 }
--- a/modules/cuminferry_policy/entry/row_causes.h
+++ b/modules/cuminferry_policy/entry/row_causes.h
@@ -55,6 +55,10 @@
   double CallsPerRun(std::string_view row, std::string_view called) const;
   /** The rows that runs of `row` call, with the calls a run. */
   std::map<std::string, double> CalledBy(std::string_view row) const;
+  /** Rows that ran here, the first kMostRows. */
+  const std::vector<std::string>& rows() const { return rows_; }
+  /** Rows that the backend server called. */
+  std::vector<std::string> called_rows() const;
   /** Whether it is known which rows runs of `row` call; false in the first seconds of a
       node whose backend server makes calls. */
   bool IsKnown(std::string_view row) const;
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -262,11 +262,14 @@
   if (!board.log.Wants(result != "answered" || late || record.placements > 1)) {
     return;
   }
-  std::optional<double> share;
   if (result == "refused" && route != nullptr) {
-    share = board.admission.AdmittedShare(route->name, rank, board.loop.Now());
+    const instant now = board.loop.Now();
+    record.level = board.admission.AdmittedShare(route->name, rank, now);
+    if (*record.level < 1.0) {
+      record.limited_by = board.admission.Limit(route->name, now).service;
+    }
   }
-  record.WriteEnd(board.log, result, took, share);
+  record.WriteEnd(board.log, result, took);
 }
 
 outbound_call::outbound_call() = default;
--- a/modules/cuminferry_relay/path/outbound_record.cpp
+++ b/modules/cuminferry_relay/path/outbound_record.cpp
@@ -17,8 +17,7 @@
                                         {"reached", reached}});
 }
 
-void outbound_record::WriteEnd(decision_log& log, std::string_view result, duration took,
-                               std::optional<double> level) const {
+void outbound_record::WriteEnd(decision_log& log, std::string_view result, duration took) const {
   nlohmann::ordered_json detail{{"id", request_id}, {"result", result}, {"us", took.count()}};
   if (!row.empty()) {
     detail["row"] = row;
@@ -44,6 +43,9 @@
   if (level) {
     detail["level"] = ForLog(*level);
   }
+  if (!limited_by.empty()) {
+    detail["limited_by"] = limited_by;
+  }
   log.OnRequest("request.end", std::move(detail));
 }
 
--- a/modules/cuminferry_relay/path/outbound_record.h
+++ b/modules/cuminferry_relay/path/outbound_record.h
@@ -35,15 +35,17 @@
   bool limit_alone = false;
   /** How old the copy of what is published was, where that ended it. */
   std::optional<duration> copy_age;
+  /** Part of its row's requests of its rank that is let in, where it was refused. */
+  std::optional<double> level;
+  /** The service that limits its row, where it was refused for that. */
+  std::string limited_by;
   /** Why it ended without an answer of a backend server. */
   std::string reason;
 
   /** A try that brought no answer of the backend server. */
   void WriteTry(decision_log& log, relay_outcome why) const;
-  /** The request's end, after decision_log::Wants().
-      @param level  the row's level, where it was refused */
-  void WriteEnd(decision_log& log, std::string_view result, duration took,
-                std::optional<double> level) const;
+  /** The request's end, after decision_log::Wants(). */
+  void WriteEnd(decision_log& log, std::string_view result, duration took) const;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <set>
+#include <utility>
 
 namespace cuminferry {
 namespace {
@@ -60,7 +61,7 @@
                                              "Requests with a customer's key, by outcome.")};
   std::set<std::string, std::less<>> named_customers;
   std::map<std::string, prometheus::Counter*, std::less<>> by_customer;
-  std::map<std::string, prometheus::Gauge*, std::less<>> gauges;
+  std::map<std::pair<std::string, labels>, prometheus::Gauge*> gauges;
   std::map<std::string, row_counters, std::less<>> by_row;
   std::map<std::string, served_counters, std::less<>> by_served_row;
 };
@@ -121,14 +122,14 @@
   counter->Increment();
 }
 
-void relay_metrics::SetGauge(std::string_view name, double value) {
-  prometheus::Gauge*& gauge = state_->gauges[std::string(name)];
+void relay_metrics::SetGauge(std::string_view name, const labels& of, double value) {
+  prometheus::Gauge*& gauge = state_->gauges[{std::string(name), of}];
   if (gauge == nullptr) {
     gauge = &prometheus::BuildGauge()
                  .Name(std::string(name))
                  .Help("State at the time of reading.")
                  .Register(state_->registry)
-                 .Add({});
+                 .Add(of);
   }
   gauge->Set(value);
 }
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -31,8 +32,12 @@
   /** A request of a customer ended so: let in, over its limit, or with a key that may be stale. */
   void OnCustomer(std::string_view customer, std::string_view outcome);
 
+  using labels = std::map<std::string, std::string>;
+
   /** Sets a value that is read now. */
-  void SetGauge(std::string_view name, double value);
+  void SetGauge(std::string_view name, double value) { SetGauge(name, {}, value); }
+  /** The same for one of several, told apart by its labels. */
+  void SetGauge(std::string_view name, const labels& of, double value);
 
   std::string ToText() const;
 
--- a/modules/cuminferry_relay/path/serving_board.cpp
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -88,21 +88,10 @@
 void serving_board::NoteOutcome(bool good) { success_.Note(good, node.loop.Now()); }
 
 std::optional<row_limit> serving_board::LimitOf(std::string_view row) const {
-  if (!node.causes.IsKnown(row)) {
-    return std::nullopt;
-  }
-  row_limit lowest{.share = level.share(),
-                   .cost = times.MeanOf(row, gate.service_time()),
-                   .service = node.settings.service};
-  for (const auto& [called, calls_per_run] : node.causes.CalledBy(row)) {
-    row_limit further = node.admission.Limit(called, node.loop.Now());
-    if (further.share < lowest.share) {
-      const double cost = calls_per_run * static_cast<double>(further.cost.count());
-      further.cost = duration(static_cast<duration::rep>(cost));
-      lowest = std::move(further);
-    }
-  }
-  return lowest;
+  const row_limit own{.share = level.share(),
+                      .cost = times.MeanOf(row, gate.service_time()),
+                      .service = node.settings.service};
+  return LimitToTell(row, own, node.causes, node.admission, node.loop.Now());
 }
 
 load_header serving_board::Load(std::string_view row) const {
--- a/modules/cuminferry_relay/path/serving_board.h
+++ b/modules/cuminferry_relay/path/serving_board.h
@@ -36,8 +36,7 @@
   /** One answer of the backend server was, or was not, what was asked for. */
   void NoteOutcome(bool good);
 
-  /** What limits requests of this row: the own slots, or a service that they call.
-      Nothing while it isn't known whom they call. */
+  /** @see LimitToTell */
   std::optional<row_limit> LimitOf(std::string_view row) const;
   /** What is told with an answer to a request of this row. */
   load_header Load(std::string_view row) const;
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -48,6 +48,14 @@
   metrics.SetGauge("cuminferry_slots_running", board.gate.running());
   metrics.SetGauge("cuminferry_slots_limit", board.gate.limit());
   metrics.SetGauge("cuminferry_queue", board.gate.waiting());
+  const row_causes& causes = board.node.causes;
+  for (const std::string& row : causes.rows()) {
+    metrics.SetGauge("cuminferry_limit_known", {{"row", row}}, causes.IsKnown(row) ? 1.0 : 0.0);
+    for (const std::string& called : causes.called_rows()) {
+      metrics.SetGauge("cuminferry_calls_per_run", {{"row", row}, {"called", called}},
+                       causes.CallsPerRun(row, called));
+    }
+  }
 }
 
 }  // namespace cuminferry
--- a/tests/table/explain_command_test.cpp
+++ b/tests/table/explain_command_test.cpp
@@ -12,7 +12,7 @@
 constexpr char kEntryLog[] =
     R"(12.1 node-a {"time_us":2000,"instance":"node-a","event":"request.turned_away","id":"9c41","row":"permit","service":"permits","target":"i-7","why":"full","placements":1,"reached":0}
 cut off line {"time_us":2100,"instance":"node-a","event":"requ
-{"time_us":9000,"instance":"node-a","event":"request.end","id":"9c41","result":"refused","us":7000,"row":"permit","table":12,"why":"full","level":0.5}
+{"time_us":9000,"instance":"node-a","event":"request.end","id":"9c41","result":"refused","us":7000,"row":"permit","table":12,"why":"full","level":0.5,"limited_by":"permits"}
 {"time_us":3000,"instance":"node-a","event":"request.end","id":"other","result":"answered","us":10}
 )";
 constexpr char kServingLog[] =
