Let a full backend server be told before its node knows whom it calls

Cause: a node tells no limit while it doesn't know which rows its rows call, 50 windows of 0.1 s once anything was taken for a call. A node that has just started takes clients' requests for calls until it hears that clients send the row, so that even the leaf, which calls nobody, kept silent.

Class: what isn't known was said to be nothing, also where something was known. While causes are unknown the own slots are told where they are lower than what the caller has in force (it tells that with the call); they never raise it, which is why nothing was told before. And what was counted of a row before it was heard that clients send it is taken out again.

--- a/modules/cuminferry_policy/entry/limit_to_tell.cpp
+++ b/modules/cuminferry_policy/entry/limit_to_tell.cpp
@@ -5,10 +5,11 @@
 namespace cuminferry {
 
 std::optional<row_limit> LimitToTell(std::string_view row, const row_limit& own,
+                                     const std::optional<double>& in_force,
                                      const row_causes& causes, const entry_admission& admission,
                                      instant now) {
   if (!causes.IsKnown(row)) {
-    return std::nullopt;
+    return own.share < in_force.value_or(1.0) ? std::optional<row_limit>(own) : std::nullopt;
   }
   row_limit lowest = own;
   for (const auto& [called, calls_per_run] : causes.CalledBy(row)) {
--- a/modules/cuminferry_policy/entry/limit_to_tell.h
+++ b/modules/cuminferry_policy/entry/limit_to_tell.h
@@ -12,11 +12,17 @@
 
 /** What a target's node tells with an answer of what limits its row: its own backend server's
     slots, or a service that runs of the row call, whichever has the least room.
+
+    While it isn't known whom the row calls, a node speaks for its own slots only: that they are
+    full is told, that they are free is not. A full service that kept silent for the first
+    seconds after a start was sent all that clients asked for, and nearly all of it failed.
     @param own        limit by the own slots
+    @param in_force   part of the row that the asking node lets in, if it knows a limit
     @param causes     which rows the own backend server calls
     @param admission  what limits those
-    @return nothing while it isn't known whom the row calls */
+    @return nothing where nothing is known that is lower than what is in force */
 std::optional<row_limit> LimitToTell(std::string_view row, const row_limit& own,
+                                     const std::optional<double>& in_force,
                                      const row_causes& causes, const entry_admission& admission,
                                      instant now);
 
--- a/modules/cuminferry_policy/entry/row_causes.cpp
+++ b/modules/cuminferry_policy/entry/row_causes.cpp
@@ -174,6 +174,13 @@
   pending_.back().calls[std::string(called)] += 1.0;
 }
 
+void row_causes::OnSentByClients(std::string_view row) {
+  const auto taken_for_calls = called_.find(row);
+  if (taken_for_calls != called_.end()) {
+    called_.erase(taken_for_calls);
+  }
+}
+
 double row_causes::CallsPerRun(std::string_view row, std::string_view called) const {
   const auto at = called_.find(called);
   const auto found = std::find(rows_.begin(), rows_.end(), row);
--- a/modules/cuminferry_policy/entry/row_causes.h
+++ b/modules/cuminferry_policy/entry/row_causes.h
@@ -50,6 +50,8 @@
   void OnRunEnd(std::string_view row, instant started, instant now);
   /** The backend server calls this row. */
   void OnCall(std::string_view called, instant now);
+  /** Clients send this row: what was taken for calls to it were their requests. */
+  void OnSentByClients(std::string_view row);
 
   /** Calls to `called` in one run of `row`; zero where it is no cause of them. */
   double CallsPerRun(std::string_view row, std::string_view called) const;
--- a/modules/cuminferry_relay/path/outbound_answer.cpp
+++ b/modules/cuminferry_relay/path/outbound_answer.cpp
@@ -57,6 +57,9 @@
   const bool counts = !picker.IsPassedOver(record.target_id, now);
   board.admission.OnAnswer(route->name, counts ? load->limit : std::nullopt, load->from_clients,
                            now);
+  if (load->from_clients) {
+    board.causes.OnSentByClients(route->name);
+  }
   if (load->items_revision > board.heard_revision) {
     board.heard_revision = load->items_revision;
     board.heard_from = target_peer;
--- a/modules/cuminferry_relay/path/serving_board.cpp
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -87,21 +87,22 @@
 
 void serving_board::NoteOutcome(bool good) { success_.Note(good, node.loop.Now()); }
 
-std::optional<row_limit> serving_board::LimitOf(std::string_view row) const {
+std::optional<row_limit> serving_board::LimitOf(std::string_view row,
+                                                const std::optional<double>& in_force) const {
   const row_limit own{.share = level.share(),
                       .cost = times.MeanOf(row, gate.service_time()),
                       .service = node.settings.service};
-  return LimitToTell(row, own, node.causes, node.admission, node.loop.Now());
+  return LimitToTell(row, own, in_force, node.causes, node.admission, node.loop.Now());
 }
 
-load_header serving_board::Load(std::string_view row) const {
+load_header serving_board::Load(std::string_view row, const std::optional<double>& in_force) const {
   return {.report = {.running = gate.running(),
                      .waiting = gate.waiting(),
                      .limit = gate.limit(),
                      .service_time = gate.service_time(),
                      .success = success_.Share(node.loop.Now()),
                      .stopping = node.draining},
-          .limit = LimitOf(row),
+          .limit = LimitOf(row, in_force),
           .from_clients = node.origins.ComesFromClients(row, node.service_count()),
           .items_revision = node.items.changed_at()};
 }
--- a/modules/cuminferry_relay/path/serving_board.h
+++ b/modules/cuminferry_relay/path/serving_board.h
@@ -36,10 +36,9 @@
   /** One answer of the backend server was, or was not, what was asked for. */
   void NoteOutcome(bool good);
 
-  /** @see LimitToTell */
-  std::optional<row_limit> LimitOf(std::string_view row) const;
-  /** What is told with an answer to a request of this row. */
-  load_header Load(std::string_view row) const;
+  /** What is told with an answer to a request of this row.
+      @param in_force  part of the row that the asking node lets in, if it knows a limit */
+  load_header Load(std::string_view row, const std::optional<double>& in_force) const;
 
   relay_board& node;
   http_client backend;
@@ -51,6 +50,8 @@
  private:
   void Step();
   void OnExpiry();
+  std::optional<row_limit> LimitOf(std::string_view row,
+                                   const std::optional<double>& in_force) const;
 
   loop_timer step_timer_;
   loop_timer expiry_timer_;
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -290,7 +290,7 @@
   }
   head.RemoveConnectionFields();
   head.Remove(kOutcomeField);
-  head.Set(kLoadField, board_.Load(about_.row).ToText());
+  head.Set(kLoadField, board_.Load(about_.row, about_.share).ToText());
   committed_ = true;
   body_.Drop();
   announce_timer_.Stop();
@@ -412,7 +412,7 @@
     http_head head =
         MakeAnswer(SurelyNotRun(why) ? http_status::kUnavailable : http_status::kBadGateway);
     head.Set(kOutcomeField, std::string(ToText(why)));
-    head.Set(kLoadField, board_.Load(about_.row).ToText());
+    head.Set(kLoadField, board_.Load(about_.row, about_.share).ToText());
     peer_->Answer(std::move(head), "");
   }
   End(ToText(why));
--- a/tests/relay/call_graph_world.cpp
+++ b/tests/relay/call_graph_world.cpp
@@ -242,10 +242,13 @@
   const row_limit own{.share = at.level.share(),
                       .cost = at.times.MeanOf(row, at.gate.service_time()),
                       .service = at.service};
-  const auto limit = LimitToTell(row, own, at.causes, at.admission, now_);
+  const auto limit = LimitToTell(row, own, made->share, at.causes, at.admission, now_);
   const bool from_clients = at.origins.ComesFromClients(row, services_.size());
   After(kWay, [this, made, limit, from_clients, served] {
     made->from->admission.OnAnswer(made->row->name, limit, from_clients, now_);
+    if (from_clients) {
+      made->from->causes.OnSentByClients(made->row->name);
+    }
     made->on_end(served);
   });
 }
