Count runs that broke off apart from whole ones when learning who calls a full service

Cause: calls a run are fitted over the windows of the last 30 s. Under overload most lookups end with their first failed call; later, with less let in, few runs make all of theirs. Many runs with few calls and few runs with many differ by a number that is there all the while, and so are uploads: up to 3.8 calls of the leaf were laid to each.

Class: an average over unlike cases (runs cut short beside whole runs), read as a constant.

A row's whole runs and those that broke off have a number each; what a row is said to call is that of whole runs where it is known well.

CallsPerRun_RunsBreakOffAtFirst_UploadsAreNoCause fails with all runs counted alike.

--- a/modules/cuminferry_policy/entry/row_causes.cpp
+++ b/modules/cuminferry_policy/entry/row_causes.cpp
@@ -16,32 +16,40 @@
 constexpr double kLeastWindows = 4.0;
 // Windows after which a row that is no cause is known to be none.
 constexpr double kKnownWindows = 50.0;
-constexpr std::size_t kNone = row_causes::kMostRows;
+constexpr std::size_t kNone = row_causes::kMostKinds;
 
 }  // namespace
 
-std::size_t row_causes::IndexOf(std::string_view row, bool add) {
+std::size_t row_causes::RowIndex(std::string_view row) const {
   const auto found = std::find(rows_.begin(), rows_.end(), row);
-  if (found != rows_.end()) {
-    return static_cast<std::size_t>(found - rows_.begin());
-  }
-  if (!add || rows_.size() >= kMostRows) {
+  return found == rows_.end() ? kNone : static_cast<std::size_t>(found - rows_.begin());
+}
+
+std::size_t row_causes::KindIndex(std::size_t row, bool whole) const {
+  const auto found = std::find_if(kinds_.begin(), kinds_.end(), [&](const run_kind& kind) {
+    return kind.row == row && kind.whole == whole;
+  });
+  return found == kinds_.end() ? kNone : static_cast<std::size_t>(found - kinds_.begin());
+}
+
+std::size_t row_causes::AddKind(std::size_t row, bool whole) {
+  if (kinds_.size() >= kMostKinds) {
     return kNone;
   }
-  rows_.emplace_back(row);
-  for (by_row& line : squares_) {
+  kinds_.push_back({.row = row, .whole = whole});
+  for (by_kind& line : squares_) {
     line.push_back(0.0);
   }
-  squares_.emplace_back(rows_.size(), 0.0);
+  squares_.emplace_back(kinds_.size(), 0.0);
   for (window& each : pending_) {
     each.runs.push_back(0.0);
   }
   for (auto& [name, called] : called_) {
     called.products.push_back(0.0);
     called.fitted.push_back(0.0);
-    called.caused.push_back(0.0);
+    called.caused.resize(rows_.size());
   }
-  return rows_.size() - 1;
+  return kinds_.size() - 1;
 }
 
 void row_causes::Advance(instant now) {
@@ -50,10 +58,10 @@
     // The first, or after a time in which nothing came, which tells nothing.
     pending_.clear();
     pending_from_ = now;
-    pending_.emplace_back().runs.resize(rows_.size());
+    pending_.emplace_back().runs.resize(kinds_.size());
   }
   while (now >= pending_from_ + kWindow * static_cast<std::int64_t>(pending_.size())) {
-    pending_.emplace_back().runs.resize(rows_.size());
+    pending_.emplace_back().runs.resize(kinds_.size());
     if (pending_.size() > kMostPending) {
       ReadOldest();
     }
@@ -73,8 +81,8 @@
     return;
   }
   windows_read_ = kKept * windows_read_ + 1.0;
-  for (std::size_t i = 0; i < rows_.size(); ++i) {
-    for (std::size_t j = 0; j < rows_.size(); ++j) {
+  for (std::size_t i = 0; i < kinds_.size(); ++i) {
+    for (std::size_t j = 0; j < kinds_.size(); ++j) {
       squares_[i][j] = kKept * squares_[i][j] + oldest.runs[i] * oldest.runs[j];
     }
   }
@@ -82,7 +90,7 @@
     const auto at = oldest.calls.find(name);
     const double calls = at == oldest.calls.end() ? 0.0 : at->second;
     called.square = kKept * called.square + calls * calls;
-    for (std::size_t i = 0; i < rows_.size(); ++i) {
+    for (std::size_t i = 0; i < kinds_.size(); ++i) {
       called.products[i] = kKept * called.products[i] + calls * oldest.runs[i];
     }
     FindCauses(called);
@@ -90,14 +98,14 @@
 }
 
 // Least squares without negative numbers, by coordinate descent.
-void row_causes::Fit(const called_row& called, std::size_t without, by_row& calls) const {
-  for (std::size_t i = 0; i < rows_.size(); ++i) {
-    if (i == without) {
+void row_causes::Fit(const called_row& called, std::size_t without_row, by_kind& calls) const {
+  for (std::size_t i = 0; i < kinds_.size(); ++i) {
+    if (kinds_[i].row == without_row) {
       calls[i] = 0.0;
       continue;
     }
     double rest = called.products[i];
-    for (std::size_t j = 0; j < rows_.size(); ++j) {
+    for (std::size_t j = 0; j < kinds_.size(); ++j) {
       rest -= j == i ? 0.0 : squares_[i][j] * calls[j];
     }
     calls[i] = std::max(0.0, rest / (squares_[i][i] + kRidge));
@@ -105,11 +113,11 @@
 }
 
 // Sum over windows of the square of the calls that the fit doesn't explain.
-double row_causes::Unexplained(const called_row& called, const by_row& calls) const {
+double row_causes::Unexplained(const called_row& called, const by_kind& calls) const {
   double sum = called.square;
-  for (std::size_t i = 0; i < rows_.size(); ++i) {
+  for (std::size_t i = 0; i < kinds_.size(); ++i) {
     double along = -2.0 * called.products[i];
-    for (std::size_t j = 0; j < rows_.size(); ++j) {
+    for (std::size_t j = 0; j < kinds_.size(); ++j) {
       along += squares_[i][j] * calls[j];
     }
     sum += calls[i] * along;
@@ -123,43 +131,68 @@
   }
   const double with_all = Unexplained(called, called.fitted);
   const double mean = with_all / std::max(1.0, windows_read_);
-  for (std::size_t i = 0; i < rows_.size(); ++i) {
-    called.caused[i] = 0.0;
-    if (called.fitted[i] < kLeastCalls || windows_read_ < kLeastWindows) {
+  for (std::size_t row = 0; row < rows_.size(); ++row) {
+    called.caused[row] = 0.0;
+    const double calls = CallsOf(row, called, mean);
+    if (calls < kLeastCalls || windows_read_ < kLeastWindows) {
       continue;
     }
-    by_row others = called.fitted;
+    by_kind others = called.fitted;
     for (int round = 0; round < kRoundsAnew; ++round) {
-      Fit(called, i, others);
+      Fit(called, row, others);
     }
     if (Unexplained(called, others) - with_all > kLeastEvidence * mean) {
-      called.caused[i] = called.fitted[i];
+      called.caused[row] = calls;
     }
   }
 }
 
+// Of whole runs where that is known well, else of those that are known better.
+double row_causes::CallsOf(std::size_t row, const called_row& called,
+                           double mean_unexplained) const {
+  const std::size_t whole = KindIndex(row, true);
+  const std::size_t broken_off = KindIndex(row, false);
+  if (broken_off == kNone) {
+    return called.fitted[whole];
+  }
+  const double calls = called.fitted[whole];
+  const bool known = calls * calls * squares_[whole][whole] > kLeastEvidence * mean_unexplained;
+  return known || squares_[whole][whole] >= squares_[broken_off][broken_off]
+             ? calls
+             : called.fitted[broken_off];
+}
+
 void row_causes::OnRunStart(std::string_view row, instant now) {
   Advance(now);
-  if (IndexOf(row, true) != kNone) {
+  if (RowIndex(row) == kNone && kinds_.size() < kMostKinds) {
+    rows_.emplace_back(row);
+    AddKind(rows_.size() - 1, true);
+  }
+  if (RowIndex(row) != kNone) {
     starts_.insert(now);
   }
 }
 
-void row_causes::OnRunEnd(std::string_view row, instant started, instant now) {
+void row_causes::OnRunEnd(std::string_view row, instant started, instant now, bool whole) {
   Advance(now);
-  const std::size_t index = IndexOf(row, false);
+  const std::size_t row_index = RowIndex(row);
   const auto running = starts_.find(started);
-  if (index == kNone || running == starts_.end()) {
+  if (row_index == kNone || running == starts_.end()) {
     return;
   }
   starts_.erase(running);
+  std::size_t index = KindIndex(row_index, whole);
+  index = index == kNone ? AddKind(row_index, whole) : index;
+  if (index == kNone) {
+    return;
+  }
   // A run that began and ended at one moment fell into one window.
-  const double whole = std::max(ToSeconds(now - started), 1e-6);
+  const double length = std::max(ToSeconds(now - started), 1e-6);
   instant began = pending_from_;
   for (window& each : pending_) {
     const instant ended = began + kWindow;
     const duration within = std::min(now, ended) - std::max(started, began);
-    each.runs[index] += std::max(0.0, ToSeconds(within)) / whole;
+    each.runs[index] += std::max(0.0, ToSeconds(within)) / length;
     began = ended;
   }
 }
@@ -167,9 +200,10 @@
 void row_causes::OnCall(std::string_view called, instant now) {
   Advance(now);
   if (called_.find(called) == called_.end()) {
-    const by_row none(rows_.size(), 0.0);
-    called_.emplace(std::string(called),
-                    called_row{.products = none, .fitted = none, .caused = none});
+    const by_kind none(kinds_.size(), 0.0);
+    called_.emplace(
+        std::string(called),
+        called_row{.products = none, .fitted = none, .caused = by_row(rows_.size(), 0.0)});
   }
   pending_.back().calls[std::string(called)] += 1.0;
 }
@@ -183,11 +217,8 @@
 
 double row_causes::CallsPerRun(std::string_view row, std::string_view called) const {
   const auto at = called_.find(called);
-  const auto found = std::find(rows_.begin(), rows_.end(), row);
-  if (at == called_.end() || found == rows_.end()) {
-    return 0.0;
-  }
-  return at->second.caused[static_cast<std::size_t>(found - rows_.begin())];
+  const std::size_t index = RowIndex(row);
+  return at == called_.end() || index == kNone ? 0.0 : at->second.caused[index];
 }
 
 std::map<std::string, double> row_causes::CalledBy(std::string_view row) const {
--- a/modules/cuminferry_policy/entry/row_causes.h
+++ b/modules/cuminferry_policy/entry/row_causes.h
@@ -23,6 +23,11 @@
     one however long it took: counted by its time, lookups that wait in a surge seem to
     call less, and the calls that are then missing are laid to whatever else ran.
 
+    Runs that broke off have made only some of their calls, and are counted apart from whole
+    ones. Counted alike, many failed runs with a call or two and later a few whole ones with
+    all of theirs leave a difference that whatever runs all the while seems to explain:
+    uploads were refused for a full service that they never use.
+
     A row that the fit does nearly as well without is not taken for a cause. Uploads
     that merely run beside lookups were refused for the sake of a service that they
     never use: 35% of them served at three times the usual load.
@@ -42,12 +47,14 @@
   /** A cause is one without which the squares of what is left unexplained grow by this
       many times their mean: four standard errors, as windows side by side are alike. */
   static constexpr double kLeastEvidence = 16.0;
-  /** Rows learned of, the first that run; a table's other rows don't run here. */
-  static constexpr std::size_t kMostRows = 32;
+  /** Kinds of runs that are learned of, whole ones and broken off ones of the first rows that
+      run; a table's other rows don't run here. */
+  static constexpr std::size_t kMostKinds = 32;
 
   void OnRunStart(std::string_view row, instant now);
-  /** @param started  as told to OnRunStart() */
-  void OnRunEnd(std::string_view row, instant started, instant now);
+  /** @param started  as told to OnRunStart()
+      @param whole    it made all its calls: it did not fail and was not broken off */
+  void OnRunEnd(std::string_view row, instant started, instant now, bool whole);
   /** The backend server calls this row. */
   void OnCall(std::string_view called, instant now);
   /** Clients send this row: what was taken for calls to it were their requests. */
@@ -57,7 +64,7 @@
   double CallsPerRun(std::string_view row, std::string_view called) const;
   /** The rows that runs of `row` call, with the calls a run. */
   std::map<std::string, double> CalledBy(std::string_view row) const;
-  /** Rows that ran here, the first kMostRows. */
+  /** Rows that ran here, as far as they are learned of. */
   const std::vector<std::string>& rows() const { return rows_; }
   /** Rows that the backend server called. */
   std::vector<std::string> called_rows() const;
@@ -66,40 +73,50 @@
   bool IsKnown(std::string_view row) const;
 
  private:
-  /** Numbers a row, by the row's index. */
+  /** Runs of a row that made all their calls, or those that broke off. */
+  struct run_kind {
+    std::size_t row = 0;
+    bool whole = true;
+  };
+  /** A number for each kind of run, or each row, by its index. */
+  using by_kind = std::vector<double>;
   using by_row = std::vector<double>;
 
   struct window {
     /** Parts of runs that fell into it. */
-    by_row runs;
+    by_kind runs;
     std::map<std::string, double, std::less<>> calls;
   };
   struct called_row {
     /** Sum over windows of the square of the calls. */
     double square = 0.0;
-    /** Sum over windows of calls times each row's runs. */
-    by_row products;
+    /** Sum over windows of calls times each kind of runs. */
+    by_kind products;
     /** Calls a run that fit best. */
-    by_row fitted;
-    /** The same of rows that are causes; zero for the others. */
+    by_kind fitted;
+    /** Calls a run of rows that are causes; zero for the others. */
     by_row caused;
   };
 
-  std::size_t IndexOf(std::string_view row, bool add);
+  std::size_t RowIndex(std::string_view row) const;
+  std::size_t KindIndex(std::size_t row, bool whole) const;
+  std::size_t AddKind(std::size_t row, bool whole);
   void Advance(instant now);
   void ReadOldest();
-  void Fit(const called_row& called, std::size_t without, by_row& calls) const;
-  double Unexplained(const called_row& called, const by_row& calls) const;
+  void Fit(const called_row& called, std::size_t without_row, by_kind& calls) const;
+  double Unexplained(const called_row& called, const by_kind& calls) const;
   void FindCauses(called_row& called) const;
+  double CallsOf(std::size_t row, const called_row& called, double mean_unexplained) const;
 
   std::vector<std::string> rows_;
+  std::vector<run_kind> kinds_;
   std::multiset<instant> starts_;
   // The newest last; the first began at pending_from_.
   std::deque<window> pending_;
   instant pending_from_{};
   double windows_read_ = 0.0;
-  // Sum over windows of the products of two rows' runs.
-  std::vector<by_row> squares_;
+  // Sum over windows of the products of the runs of two kinds.
+  std::vector<by_kind> squares_;
   std::map<std::string, called_row, std::less<>> called_;
 };
 
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -280,9 +280,9 @@
 
 void serving_call::OnAnswerHead(http_head head) {
   outcome_ = Judge(head);
+  failed_ = head.status >= http_status::kFirstServerError;
   // A failure below fails the request here: no fault of this backend server.
-  const bool own_fault = head.status >= http_status::kFirstServerError &&
-                         board_.node.causes.IsKnown(about_.row) &&
+  const bool own_fault = failed_ && board_.node.causes.IsKnown(about_.row) &&
                          board_.node.causes.CalledBy(about_.row).empty();
   board_.NoteOutcome(!outcome_ && !own_fault);
   if (outcome_ || detached_) {
@@ -312,7 +312,11 @@
   if (outcome_ == relay_outcome::kTurnedAway && SendAgain()) {
     return;
   }
-  FreeSlot(!outcome_);
+  if (outcome_) {
+    FreeSlot(run_end::kBrokenOff);
+  } else {
+    FreeSlot(failed_ ? run_end::kFailure : run_end::kSuccess);
+  }
   if (outcome_) {
     TurnAway(*outcome_);
     return;
@@ -335,7 +339,7 @@
 
 void serving_call::OnBackendFailed(exchange_failure failure) {
   finished_backend_ = std::move(backend_);
-  FreeSlot(false);
+  FreeSlot(run_end::kBrokenOff);
   board_.NoteOutcome(false);
   if (failure == exchange_failure::kNotSent) {
     board_.OnBackendDown();
@@ -360,7 +364,7 @@
   }
   backend_->Cancel();
   finished_backend_ = std::move(backend_);
-  FreeSlot(true);
+  FreeSlot(run_end::kFailure);
   TurnAway(relay_outcome::kTimedOut);
 }
 
@@ -379,22 +383,22 @@
   }
   backend_->Cancel();
   finished_backend_ = std::move(backend_);
-  FreeSlot(false);
+  FreeSlot(run_end::kBrokenOff);
   End("caller_gone");
 }
 
-// Only whole runs tell how long a run takes: what was turned away at once would make
-// it look short, and waits with it.
-void serving_call::FreeSlot(bool ran) {
+// Runs that were broken off don't tell how long a run takes: what was turned away at once
+// would make it look short, and waits with it.
+void serving_call::FreeSlot(run_end how) {
   if (!running_) {
     return;
   }
   running_ = false;
   deadline_timer_.Stop();
   const instant now = board_.node.loop.Now();
-  board_.node.causes.OnRunEnd(about_.row, started_, now);
+  board_.node.causes.OnRunEnd(about_.row, started_, now, how == run_end::kSuccess);
   board_.node.running.OnEnd(arrived_ - about_.age, about_.repeated);
-  if (ran) {
+  if (how != run_end::kBrokenOff) {
     const duration took = now - started_;
     const duration mean = board_.times.MeanOf(about_.row, took);
     board_.gate.Finish(took);
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -34,6 +34,15 @@
 
  private:
   bool MayTakeRepeat();
+  /** How a run in the backend server ended. */
+  enum class run_end : std::uint8_t {
+    kSuccess,
+    /** It answered that it failed, or ran until its deadline. */
+    kFailure,
+    /** It was cancelled, or brought no answer. */
+    kBrokenOff,
+  };
+
   bool KeyIsStale() const;
   /** Tells the calling node, if the answer takes longer, that there will be one. */
   void Announce();
@@ -53,7 +62,7 @@
   void OnBackendFailed(exchange_failure failure);
   void OnPeerGone();
   void OnDeadline();
-  void FreeSlot(bool ran);
+  void FreeSlot(run_end how);
   void End(std::string_view result);
   void LogEnd(std::string_view result, duration waited, duration took) const;
 
@@ -81,6 +90,8 @@
   bool detached_ = false;
   bool ended_ = false;
   std::optional<relay_outcome> outcome_;
+  // The backend server answered that it failed.
+  bool failed_ = false;
   std::unique_ptr<client_exchange> backend_;
   std::unique_ptr<client_exchange> finished_backend_;
 };
--- a/tests/relay/limit_to_tell_test.cpp
+++ b/tests/relay/limit_to_tell_test.cpp
@@ -19,7 +19,7 @@
   row_causes causes;
   causes.OnRunStart("roster", kStart);
   causes.OnCall("read", kStart + milliseconds(1));
-  causes.OnRunEnd("roster", kStart, kStart + milliseconds(30));
+  causes.OnRunEnd("roster", kStart, kStart + milliseconds(30), true);
   return causes;
 }
 
--- a/tests/relay/row_learning_test.cpp
+++ b/tests/relay/row_learning_test.cpp
@@ -19,10 +19,17 @@
   explicit side_by_side(row_causes& causes, std::uint64_t seed = 3)
       : causes_(causes), random_(seed) {}
 
+  struct lookup_load {
+    double per_second = 60.0;
+    /** Part of their calls that fail; a lookup ends with the first of them. */
+    double calls_fail = 0.0;
+  };
+  void SetLookups(const lookup_load& load) { lookups_ = load; }
+
   /** Plays on for so long, with lookups that take `lookup_time`. */
   void Run(duration span, duration lookup_time) {
     for (const instant end = now_ + span; now_ < end; now_ += kStep) {
-      if (random_.Fraction() < kLookups * kStepSeconds) {
+      if (random_.Fraction() < lookups_.per_second * kStepSeconds) {
         Start("lookup", lookup_time);
       }
       if (random_.Fraction() < kUploads * kStepSeconds) {
@@ -38,11 +45,11 @@
     instant started;
     duration takes;
     int calls = 0;
+    bool failed = false;
   };
 
   static constexpr duration kStep = milliseconds(2);
   static constexpr double kStepSeconds = 0.002;
-  static constexpr double kLookups = 60.0;
   static constexpr double kUploads = 8.0;
   static constexpr duration kUploadTime = milliseconds(140);
   static constexpr int kCalls = 5;
@@ -59,12 +66,13 @@
       if (each.row == "lookup" && each.calls < kCalls && due) {
         ++each.calls;
         causes_.OnCall("feed", now_);
+        each.failed = lookups_.calls_fail > 0.0 && random_.Fraction() < lookups_.calls_fail;
       }
     }
     std::erase_if(running_, [this](const run& each) {
-      const bool ends = now_ >= each.started + each.takes;
+      const bool ends = each.failed || now_ >= each.started + each.takes;
       if (ends) {
-        causes_.OnRunEnd(each.row, each.started, now_);
+        causes_.OnRunEnd(each.row, each.started, now_, !each.failed);
       }
       return ends;
     });
@@ -72,6 +80,7 @@
 
   row_causes& causes_;
   random_source random_;
+  lookup_load lookups_;
   instant now_ = kStart;
   std::vector<run> running_;
 };
@@ -82,6 +91,7 @@
   CPPUNIT_TEST_SUITE(row_learning_test);
   CPPUNIT_TEST(CallsPerRun_TwoRowsSideBySide_AreToldApart);
   CPPUNIT_TEST(CallsPerRun_LookupsWaitInASurge_UploadsAreNoCause);
+  CPPUNIT_TEST(CallsPerRun_RunsBreakOffAtFirst_UploadsAreNoCause);
   CPPUNIT_TEST(IsKnown_FirstSeconds_OnlyWhatIsACause);
   CPPUNIT_TEST(Demand_RunsWaitForTheirCalls_CallsStandForWhatIsWanted);
   CPPUNIT_TEST(Demand_RunsThatStandForOthers_AreCountedWithThem);
@@ -123,6 +133,24 @@
     }
   }
 
+  // Guards against causes learned from runs that broke off: uploads refused for a service that they
+  // never use, for as long as that is remembered.
+  void CallsPerRun_RunsBreakOffAtFirst_UploadsAreNoCause() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      row_causes causes;
+      side_by_side world(causes, seed);
+      world.SetLookups({.per_second = 300.0, .calls_fail = 0.7});
+      world.Run(seconds(8), milliseconds(100));
+      CPPUNIT_ASSERT(causes.CalledBy("upload").empty());
+      world.SetLookups({.per_second = 60.0, .calls_fail = 0.02});
+      for (int second = 0; second < 10; ++second) {
+        world.Run(seconds(1), milliseconds(100));
+        CPPUNIT_ASSERT(causes.CalledBy("upload").empty());
+      }
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(5.0, causes.CallsPerRun("lookup", "feed"), 0.7);
+    }
+  }
+
   // A node starts anew. Until it has seen enough, it must not say that its rows call nobody.
   void IsKnown_FirstSeconds_OnlyWhatIsACause() {
     row_causes causes;
@@ -156,7 +184,7 @@
     row_causes causes;
     causes.OnCall("feed", kStart);
     causes.OnRunStart("lookup", kStart + seconds(1));
-    causes.OnRunEnd("lookup", kStart + seconds(1), kStart + seconds(2));
+    causes.OnRunEnd("lookup", kStart + seconds(1), kStart + seconds(2), true);
     CPPUNIT_ASSERT(causes.CalledBy("lookup").empty());
   }
 
