Don't take a row for one that calls nobody while its runs break off beside calls

Cause: each node on the way learns anew whom its rows call, and windows are read once the runs in them have ended, a second or two into overload. Until then it passes nothing on; and after 50 windows a row for which no cause was found counts as one that calls nobody and is told to be free. Entries go by the latest answer, so that one such node of four opens the row for all.

Runs of a row that calls nobody don't break off while others do. So a row that breaks off (a tenth of its runs), beside a backend server that makes calls, none of them laid to it, is taken to make the mean number of calls of all runs, where its callers hold it back anyway or know nothing; where they know it to be free nothing is told. A leaf, which makes no calls, is not touched.

--- a/modules/cuminferry_policy/entry/limit_to_tell.h
+++ b/modules/cuminferry_policy/entry/limit_to_tell.h
@@ -16,6 +16,9 @@
     While it isn't known whom the row calls, a node speaks for its own slots only: that they are
     full is told, that they are free is not. A full service that kept silent for the first
     seconds after a start was sent all that clients asked for, and nearly all of it failed.
+    A row whose runs break off is then taken to call what the backend server calls, as the mean
+    of all runs has it, unless its callers know it to be free: one of several nodes that takes
+    such a row for one that calls nobody opens it for all entries.
     @param own        limit by the own slots
     @param in_force   part of the row that the asking node lets in, if it knows a limit
     @param causes     which rows the own backend server calls
--- a/modules/cuminferry_policy/entry/row_causes.cpp
+++ b/modules/cuminferry_policy/entry/row_causes.cpp
@@ -41,6 +41,7 @@
     line.push_back(0.0);
   }
   squares_.emplace_back(kinds_.size(), 0.0);
+  runs_.push_back(0.0);
   for (window& each : pending_) {
     each.runs.push_back(0.0);
   }
@@ -82,6 +83,7 @@
   }
   windows_read_ = kKept * windows_read_ + 1.0;
   for (std::size_t i = 0; i < kinds_.size(); ++i) {
+    runs_[i] = kKept * runs_[i] + oldest.runs[i];
     for (std::size_t j = 0; j < kinds_.size(); ++j) {
       squares_[i][j] = kKept * squares_[i][j] + oldest.runs[i] * oldest.runs[j];
     }
@@ -168,6 +170,7 @@
     rows_.emplace_back(row);
     AddKind(rows_.size() - 1, true);
   }
+  runs_begun_ += 1.0;
   if (RowIndex(row) != kNone) {
     starts_.insert(now);
   }
@@ -199,12 +202,16 @@
 
 void row_causes::OnCall(std::string_view called, instant now) {
   Advance(now);
-  if (called_.find(called) == called_.end()) {
+  auto found = called_.find(called);
+  if (found == called_.end()) {
     const by_kind none(kinds_.size(), 0.0);
-    called_.emplace(
-        std::string(called),
-        called_row{.products = none, .fitted = none, .caused = by_row(rows_.size(), 0.0)});
+    found = called_
+                .emplace(std::string(called),
+                         called_row{
+                             .products = none, .fitted = none, .caused = by_row(rows_.size(), 0.0)})
+                .first;
   }
+  found->second.calls += 1.0;
   pending_.back().calls[std::string(called)] += 1.0;
 }
 
@@ -232,6 +239,28 @@
   return found;
 }
 
+bool row_causes::BreaksOff(std::string_view row) const {
+  const std::size_t index = RowIndex(row);
+  const std::size_t broken_off = KindIndex(index, false);
+  if (broken_off == kNone) {
+    return false;
+  }
+  const double all = runs_[broken_off] + runs_[KindIndex(index, true)];
+  return runs_[broken_off] > kBreaksOff * all;
+}
+
+bool row_causes::MayCallUnseen(std::string_view row) const {
+  return !called_.empty() && CalledBy(row).empty() && BreaksOff(row);
+}
+
+std::map<std::string, double> row_causes::CalledByAnyRun() const {
+  std::map<std::string, double> found;
+  for (const auto& [name, called] : called_) {
+    found.emplace(name, called.calls / std::max(1.0, runs_begun_));
+  }
+  return found;
+}
+
 std::vector<std::string> row_causes::called_rows() const {
   std::vector<std::string> names;
   for (const auto& [name, called] : called_) {
--- a/modules/cuminferry_policy/entry/row_causes.h
+++ b/modules/cuminferry_policy/entry/row_causes.h
@@ -50,6 +50,9 @@
   /** Kinds of runs that are learned of, whole ones and broken off ones of the first rows that
       run; a table's other rows don't run here. */
   static constexpr std::size_t kMostKinds = 32;
+  /** A row breaks off where this part of its runs does: more than a backend server's own
+      errors are in calm times. */
+  static constexpr double kBreaksOff = 0.1;
 
   void OnRunStart(std::string_view row, instant now);
   /** @param started  as told to OnRunStart()
@@ -64,6 +67,11 @@
   double CallsPerRun(std::string_view row, std::string_view called) const;
   /** The rows that runs of `row` call, with the calls a run. */
   std::map<std::string, double> CalledBy(std::string_view row) const;
+  /** Whether runs of `row` break off although none of the calls that the backend server makes
+      are laid to them: they may make some all the same. */
+  bool MayCallUnseen(std::string_view row) const;
+  /** Calls that the backend server has made for each run, of whatever row. */
+  std::map<std::string, double> CalledByAnyRun() const;
   /** Rows that ran here, as far as they are learned of. */
   const std::vector<std::string>& rows() const { return rows_; }
   /** Rows that the backend server called. */
@@ -92,6 +100,8 @@
     double square = 0.0;
     /** Sum over windows of calls times each kind of runs. */
     by_kind products;
+    /** Since the start. */
+    double calls = 0.0;
     /** Calls a run that fit best. */
     by_kind fitted;
     /** Calls a run of rows that are causes; zero for the others. */
@@ -106,6 +116,7 @@
   void Fit(const called_row& called, std::size_t without_row, by_kind& calls) const;
   double Unexplained(const called_row& called, const by_kind& calls) const;
   void FindCauses(called_row& called) const;
+  bool BreaksOff(std::string_view row) const;
   double CallsOf(std::size_t row, const called_row& called, double mean_unexplained) const;
 
   std::vector<std::string> rows_;
@@ -115,6 +126,10 @@
   std::deque<window> pending_;
   instant pending_from_{};
   double windows_read_ = 0.0;
+  // Since the start.
+  double runs_begun_ = 0.0;
+  // Sum over windows of the runs.
+  by_kind runs_;
   // Sum over windows of the products of the runs of two kinds.
   std::vector<by_kind> squares_;
   std::map<std::string, called_row, std::less<>> called_;
--- a/tests/relay/limit_to_tell_test.cpp
+++ b/tests/relay/limit_to_tell_test.cpp
@@ -23,6 +23,28 @@
   return causes;
 }
 
+/** A node whose rows break off with a call of a row that is limited; too early to lay calls to
+ * rows. */
+row_causes BreakingOff() {
+  row_causes causes;
+  for (int run = 0; run < 20; ++run) {
+    const instant began = kStart + run * milliseconds(10);
+    causes.OnRunStart("index", began);
+    causes.OnCall("roster", began + milliseconds(1));
+    causes.OnRunEnd("index", began, began + milliseconds(5), false);
+  }
+  // The windows before are read.
+  causes.OnRunStart("index", kStart + milliseconds(300));
+  return causes;
+}
+
+/** What limits the row that is called. */
+entry_admission Further(double share) {
+  entry_admission admission;
+  admission.OnAnswer("roster", Own(share), false, kStart);
+  return admission;
+}
+
 }  // namespace
 
 class limit_to_tell_test : public CppUnit::TestFixture {
@@ -31,6 +53,9 @@
   CPPUNIT_TEST(LimitToTell_CausesUnknownAndLowerInForce_TellsNothing);
   CPPUNIT_TEST(LimitToTell_CausesUnknownAndOwnSlotsFree_TellsNothing);
   CPPUNIT_TEST(LimitToTell_CallsWereRequestsOfClients_TellsTheOwn);
+  CPPUNIT_TEST(LimitToTell_RowBreaksOffForNoKnownCall_TellsWhatLimitsThoseMade);
+  CPPUNIT_TEST(LimitToTell_RowBreaksOffButIsKnownToBeFree_TellsNothing);
+  CPPUNIT_TEST(LimitToTell_LeafBreaksOff_TellsThatItsSlotsAreFree);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -58,6 +83,31 @@
     CPPUNIT_ASSERT(causes.IsKnown("roster"));
     CPPUNIT_ASSERT(LimitToTell("roster", Own(1.0), {}, causes, {}, kStart) == Own(1.0));
   }
+
+  // Guards against one of several nodes that has not found the cause and opens the row for all.
+  void LimitToTell_RowBreaksOffForNoKnownCall_TellsWhatLimitsThoseMade() {
+    const row_causes causes = BreakingOff();
+    CPPUNIT_ASSERT(causes.CalledBy("index").empty());
+    const auto told = LimitToTell("index", Own(1.0), {}, causes, Further(0.5), kStart);
+    CPPUNIT_ASSERT(told.has_value());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, told->share, 1e-9);
+  }
+
+  // Guards against a restarted node that has rows refused for a service that they never use.
+  void LimitToTell_RowBreaksOffButIsKnownToBeFree_TellsNothing() {
+    CPPUNIT_ASSERT(!LimitToTell("index", Own(1.0), 1.0, BreakingOff(), Further(0.5), kStart));
+  }
+
+  // Guards against a leaf whose runs fail of themselves and that can never say that it has room.
+  void LimitToTell_LeafBreaksOff_TellsThatItsSlotsAreFree() {
+    row_causes causes;
+    for (int run = 0; run < 20; ++run) {
+      const instant began = kStart + run * milliseconds(10);
+      causes.OnRunStart("roster", began);
+      causes.OnRunEnd("roster", began, began + milliseconds(5), false);
+    }
+    CPPUNIT_ASSERT(LimitToTell("roster", Own(1.0), 0.3, causes, {}, kStart) == Own(1.0));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(limit_to_tell_test);
