Take one instance for each address: the one listed last, unless it is said not to be there

What is left of the seconds after a return goes into them, and every sum over instances counts twice: slots of a service, parts of the limits of customers, parts of the allowance of repeats, homes of customers.

Cause: the list was taken at its word for each id. An address has one backend server; the list may have two for it, in two ways: an entry that has not run out yet, and an entry listed anew by a late renewal.

Class: two records of one thing, both believed.

instance_list now gives one instance for each address, the one that was created last; where its node or its backend server (421) says that it is not there, the other one, at all nodes that hear so, and at that node itself, or it would turn the right one away as gone. Others are counted (superseded in instances.changed). Where all are said not to be there the last one is tried: a node that stops says so, too.

Ruled out: going by the list alone (a late renewal would put a running backend server out of service until it runs out), and resting ids that turned a request away (64 nodes find out for 64 ids).

--- a/modules/cuminferry_fleet/replica/instance_list.cpp
+++ b/modules/cuminferry_fleet/replica/instance_list.cpp
@@ -29,22 +29,56 @@
       continue;
     }
     changed = changed || !(known->second.instance == found);
-    known->second = {.instance = std::move(found), .listed = true};
+    known->second.instance = std::move(found);
+    known->second.listed = true;
   }
-  return Expire(now) || changed;
+  changed = Expire(now) || changed;
+  if (changed) {
+    ChooseAtAddresses();
+  }
+  return changed;
 }
 
 bool instance_list::Expire(instant now) {
   if (now < keep_missing_until_) {
     return false;
   }
-  return std::erase_if(entries_, [](const auto& item) { return !item.second.listed; }) > 0;
+  if (std::erase_if(entries_, [](const auto& item) { return !item.second.listed; }) == 0) {
+    return false;
+  }
+  ChooseAtAddresses();
+  return true;
+}
+
+bool instance_list::OnNotThere(std::string_view id) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.not_there) {
+    return false;
+  }
+  found->second.not_there = true;
+  const std::string before = at_address_.at(found->second.instance.backend);
+  ChooseAtAddresses();
+  return at_address_.at(found->second.instance.backend) != before;
+}
+
+void instance_list::ChooseAtAddresses() {
+  // Where all are said not to be there, a node may only have been leaving itself.
+  const auto rank = [](const entry& of) { return std::pair(!of.not_there, of.instance.created); };
+  at_address_.clear();
+  for (const auto& [id, known] : entries_) {
+    std::string& chosen = at_address_[known.instance.backend];
+    if (chosen.empty() || rank(entries_.at(chosen)) < rank(known)) {
+      chosen = id;
+    }
+  }
 }
 
 std::vector<service_instance> instance_list::All() const {
   std::vector<service_instance> all;
   for (const auto& [id, known] : entries_) {
-    all.push_back(known.instance);
+    if (at_address_.at(known.instance.backend) == id) {
+      all.push_back(known.instance);
+    }
   }
   return all;
 }
--- a/modules/cuminferry_fleet/replica/instance_list.h
+++ b/modules/cuminferry_fleet/replica/instance_list.h
@@ -15,6 +15,11 @@
     servers live: right after its return a list without them would leave whole
     services without targets. So an entry that is missing then is kept for as
     long as live backend servers need to be listed again.
+
+    Entries of backend servers that ended without a word stand until they run out, beside those
+    of the next ones at the same addresses. Only one can be there. Were all counted, half of the
+    requests would go to ids that are gone, and parts of limits would be halved. It is the one
+    that was listed last, unless a node said that another stands there.
 */
 class instance_list {
  public:
@@ -32,17 +37,28 @@
   /** Drops kept entries whose time is over. Returns whether anything changed. */
   bool Expire(instant now);
 
-  /** All that may get requests or are leaving, in the order of their ids. */
+  /** A node turned a request away, as this instance is not, or no longer, beside it. Returns
+      whether another one is taken for the one at that address from now on. */
+  bool OnNotThere(std::string_view id);
+
+  /** All that may get requests or are leaving, one for each address, in the order of their ids. */
   std::vector<service_instance> All() const;
+  /** How many more are listed at the addresses of these. */
+  std::size_t superseded() const { return entries_.size() - at_address_.size(); }
   const service_instance* Find(std::string_view id) const;
 
  private:
   struct entry {
     service_instance instance;
     bool listed = true;
+    bool not_there = false;
   };
 
+  void ChooseAtAddresses();
+
   std::map<std::string, entry, std::less<>> entries_;
+  // Ids of those that are taken to be there.
+  std::map<endpoint, std::string> at_address_;
   instant keep_missing_until_{};
 };
 
--- a/modules/cuminferry_fleet/replica/service_instance.h
+++ b/modules/cuminferry_fleet/replica/service_instance.h
@@ -19,6 +19,8 @@
   bool leaving = false;
   /** It runs slower than usual for so long after the entry was written. */
   duration cold_for{};
+  /** The publisher's counter when the entry was first listed. */
+  std::uint64_t created = 0;
   /** The publisher's counter at the entry's last change. */
   std::uint64_t revision = 0;
 
--- a/modules/cuminferry_relay/path/outbound_answer.cpp
+++ b/modules/cuminferry_relay/path/outbound_answer.cpp
@@ -143,6 +143,9 @@
   if (why == relay_outcome::kFull) {
     board.PickerOf(record.service).OnFull(record.target_id, now);
   }
+  if (why == relay_outcome::kLeaving || why == relay_outcome::kOtherInstance) {
+    board.on_not_there(record.target_id);
+  }
   record.WriteTry(board.log, why);
   const bool may_repeat = SurelyNotRun(why) || route->repeat == repeat_rule::kIdempotent;
   if (detached || client->client_gone()) {
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -71,6 +71,8 @@
 
   customer_limits limits;
   customer_homes homes;
+  /** A node, or its backend server, said that this instance is not beside it. */
+  std::function<void(std::string_view id)> on_not_there;
   /** Calls back once a home of the customer has answered, or none did. */
   std::function<void(const std::string& customer, std::function<void()> on_told)> ask_home;
 
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -73,6 +73,11 @@
     board.ask_home = [this](const std::string& customer, std::function<void()> on_told) {
       limits.Ask(customer, std::move(on_told));
     };
+    board.on_not_there = [this](std::string_view id) {
+      if (instances.OnNotThere(id)) {
+        ApplyInstances();
+      }
+    };
   }
 
   absl::Status Listen() {
@@ -223,6 +228,7 @@
     }
     board.log.OnChange("instances.changed", {{"listed", all.size()},
                                              {"leaving", leaving},
+                                             {"superseded", instances.superseded()},
                                              {"own_slots", board.own_slots()},
                                              {"items_revision", board.items.complete_to()}});
     serving.OnBoardChanged();
--- a/modules/cuminferry_relay/path/serving_board.cpp
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -85,6 +85,11 @@
 
 void serving_board::OnBackendDown() { down_until_ = node.loop.Now() + kDownTime; }
 
+void serving_board::OnOtherInstance(std::string_view expected) {
+  not_here_ = expected;
+  node.on_not_there(expected);
+}
+
 void serving_board::NoteOutcome(bool good) { success_.Note(good, node.loop.Now()); }
 
 std::optional<row_limit> serving_board::LimitOf(std::string_view row,
--- a/modules/cuminferry_relay/path/serving_board.h
+++ b/modules/cuminferry_relay/path/serving_board.h
@@ -28,7 +28,7 @@
   void OnBackendDown();
   bool backend_down() const { return node.loop.Now() < down_until_; }
   /** The backend server said that it isn't the instance of this id. */
-  void OnOtherInstance(std::string_view expected) { not_here_ = expected; }
+  void OnOtherInstance(std::string_view expected);
   /** Whether an instance was found not to stand here: lists tell of a replaced
       backend server seconds later, and each request that finds it out anew counts as
       one that came to a backend server. */
