Count a request that a leaving target turned away at the next one

Cause: a request that was placed before counts as no work at its next target, as the first one counted it. A target that is leaving, or an id that is gone, turns requests away before it counts them, so that what went there first, half of all then, was counted nowhere.

The entry now tells that a request was counted, not that it was placed, and knows it from why it was turned away.

--- a/modules/cuminferry_relay/path/outbound_answer.cpp
+++ b/modules/cuminferry_relay/path/outbound_answer.cpp
@@ -137,6 +137,7 @@
   const instant now = board.loop.Now();
   outcome = why;
   may_have_run = may_have_run || !SurelyNotRun(why);
+  counted_before = counted_before || WasCounted(why);
   if (ReachedBackend(why)) {
     ++record.reached;
   }
--- a/modules/cuminferry_relay/path/outbound_placement.cpp
+++ b/modules/cuminferry_relay/path/outbound_placement.cpp
@@ -167,7 +167,7 @@
                           .repeated = record.reached > 0 ? 1.0 : repeated,
                           .stands_for = stands_for,
                           .share = board.admission.ShareInForce(route->name, now),
-                          .placed_before = record.placements > 1,
+                          .counted_before = counted_before,
                           .key_left = KeyLeft(now),
                           .held = !released,
                           .framing = head.framing,
--- a/modules/cuminferry_relay/path/outbound_state.h
+++ b/modules/cuminferry_relay/path/outbound_state.h
@@ -125,6 +125,8 @@
   double repeated = 0.0;
   // Requests of its row that it stands for.
   double stands_for = 1.0;
+  // A target's node has counted it among what was asked of its service.
+  bool counted_before = false;
   // Some try's fate is unknown.
   bool may_have_run = false;
   bool detached = false;
--- a/modules/cuminferry_relay/path/peer_headers.cpp
+++ b/modules/cuminferry_relay/path/peer_headers.cpp
@@ -58,7 +58,7 @@
                      static_cast<int>(repeat), nested ? 1 : 0, objective.count(),
                      objective_left.count(), static_cast<int>(repeated * kMilli), held ? 1 : 0,
                      static_cast<int>(framing), length, again ? 1 : 0, age.count(),
-                     static_cast<int>(stands_for * kMilli), placed_before ? 1 : 0,
+                     static_cast<int>(stands_for * kMilli), counted_before ? 1 : 0,
                      share ? static_cast<int>(*share * kMilli) : kUnknownShare,
                      key_left ? key_left->count() : kNoKey, row);
 }
@@ -88,7 +88,7 @@
       .repeated = static_cast<double>(numbers[5]) / kMilli,
       .stands_for = static_cast<double>(numbers[11]) / kMilli,
       .share = ShareOf(numbers[13]),
-      .placed_before = numbers[12] != 0,
+      .counted_before = numbers[12] != 0,
       .key_left = numbers[14] < 0 ? std::nullopt : std::optional<duration>(duration(numbers[14])),
       .held = numbers[6] != 0,
       .framing = static_cast<body_framing>(numbers[7]),
@@ -145,6 +145,11 @@
          !ReachedBackend(outcome);
 }
 
+bool WasCounted(relay_outcome outcome) {
+  return outcome != relay_outcome::kLeaving && outcome != relay_outcome::kDown &&
+         outcome != relay_outcome::kUnconfirmed;
+}
+
 bool ReachedBackend(relay_outcome outcome) {
   return outcome != relay_outcome::kFull && outcome != relay_outcome::kLeaving &&
          outcome != relay_outcome::kDown && outcome != relay_outcome::kUnconfirmed &&
--- a/modules/cuminferry_relay/path/peer_headers.h
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -40,8 +40,8 @@
   double stands_for = 1.0;
   /** What the entry knows to be let in of its row, if anything. @see row_limit */
   std::optional<double> share;
-  /** Another target's node has turned it away before: it is counted there. */
-  bool placed_before = false;
+  /** Another target's node has counted it among what is asked of the service. */
+  bool counted_before = false;
   /** It carries a customer's key, which may be withdrawn: it must not begin to run later than
       this from now. */
   std::optional<duration> key_left;
@@ -105,5 +105,7 @@
 bool SurelyNotRun(relay_outcome outcome);
 /** The request came as far as the backend server. */
 bool ReachedBackend(relay_outcome outcome);
+/** The target's node has counted the request among what is asked of its backend server. */
+bool WasCounted(relay_outcome outcome);
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -71,7 +71,7 @@
   }
   Announce();
   const duration run_time = board_.times.MeanOf(about_.row, board_.gate.service_time());
-  const double counted = about_.placed_before ? 0.0 : about_.stands_for;
+  const double counted = about_.counted_before ? 0.0 : about_.stands_for;
   const duration work(static_cast<duration::rep>(counted * static_cast<double>(run_time.count())));
   board_.level.OnArrival(about_.age, work, about_.share);
   const slot_verdict verdict = board_.gate.Offer({.id = id_,
--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -67,6 +67,46 @@
   }
 };
 
+/** Three nodes of one failure domain; in place of the last two, something turns each request away
+    and keeps what it was told of it. */
+struct leaving_peers {
+  relay_fleet fleet{3, 1};
+  std::vector<std::unique_ptr<tcp_connection>> accepted;
+  std::vector<std::unique_ptr<tcp_listener>> listeners;
+  std::vector<call_header> told;
+
+  leaving_peers() {
+    fleet.PublishToAll(1);
+    for (int node = 1; node < 3; ++node) {
+      fleet.StopNode(node);
+      auto listening = tcp_listener::Listen(
+          fleet.loop(), fleet.PeerAddress(node), seconds(60),
+          [this](std::unique_ptr<tcp_connection> connection) {
+            accepted.push_back(std::move(connection));
+            tcp_connection& from = *accepted.back();
+            from.SetHooks(
+                {.on_data = [this, &from](std::string_view bytes) { Answer(from, bytes); },
+                 .on_end = [](connection_end) {},
+                 .on_drained = {},
+                 .on_connected = {}});
+          });
+      CPPUNIT_ASSERT(listening.ok());
+      listeners.push_back(std::move(*listening));
+    }
+  }
+
+  void Answer(tcp_connection& from, std::string_view bytes) {
+    const std::string mark = std::string(kCallField) + ": ";
+    const auto at = bytes.find(mark);
+    if (at == std::string_view::npos) {
+      return;
+    }
+    const std::string_view field = bytes.substr(at + mark.size());
+    told.push_back(call_header::Parse(field.substr(0, field.find("\r\n"))).value());
+    from.Write("HTTP/1.1 503 Away\r\nRelay-Outcome: leaving\r\nContent-Length: 0\r\n\r\n");
+  }
+};
+
 /** A signed answer of 500. */
 std::string Failure(const http_head& request, std::string_view body = "broken") {
   std::string text = scripted_target::Answer(request, body);
@@ -134,6 +174,7 @@
   CPPUNIT_TEST(Once_TurnedAwayUnrun_IsRefusedWithAReturnTime);
   CPPUNIT_TEST(Once_OtherInstanceAtTheAddress_IsNeverRun);
   CPPUNIT_TEST(Target_Replaced_IsAskedOnceForTheFormerOne);
+  CPPUNIT_TEST(Target_LeftBeforeItCounted_NextOneCounts);
   CPPUNIT_TEST(Target_Unreachable_RequestGoesElsewhere);
   CPPUNIT_TEST(Target_BackendDown_IsNotTriedByEachRequest);
   CPPUNIT_TEST(Timeout_TargetSilent_IsAnsweredInTime);
@@ -367,6 +408,20 @@
     CPPUNIT_ASSERT_EQUAL(503, result->status());
   }
 
+  // Guards against load that no target counts: all that was sent to one that is gone first.
+  void Target_LeftBeforeItCounted_NextOneCounts() {
+    leaving_peers peers;
+    for (int i = 0; i < kManyRequests; ++i) {
+      const auto result = peers.fleet.Send(0, relay_fleet::Get("/safe/x", std::to_string(i)));
+      CPPUNIT_ASSERT(peers.fleet.RunUntil([&] { return result->status() != 0; }));
+      CPPUNIT_ASSERT_EQUAL(200, result->status());
+    }
+    CPPUNIT_ASSERT(peers.told.size() >= 2);
+    for (const call_header& about : peers.told) {
+      CPPUNIT_ASSERT(!about.counted_before);
+    }
+  }
+
   // All instances lost power and came back as others, which the lists don't know yet. Each request
   // that asks a backend server for the one before it uses up the bound on repeats, and soon nothing
   // may be sent a second time, for seconds.
