--- a/modules/cuminferry_policy/entry/row_causes.cpp
+++ b/modules/cuminferry_policy/entry/row_causes.cpp
@@ -239,6 +239,13 @@
   return found;
 }
 
+bool row_causes::IsCause(std::string_view row) const {
+  const std::size_t index = RowIndex(row);
+  return index != kNone && std::any_of(called_.begin(), called_.end(), [index](const auto& called) {
+           return called.second.caused[index] > 0.0;
+         });
+}
+
 bool row_causes::BreaksOff(std::string_view row) const {
   const std::size_t index = RowIndex(row);
   const std::size_t broken_off = KindIndex(index, false);
@@ -250,7 +257,7 @@
 }
 
 bool row_causes::MayCallUnseen(std::string_view row) const {
-  return !called_.empty() && CalledBy(row).empty() && BreaksOff(row);
+  return !called_.empty() && !IsCause(row) && BreaksOff(row);
 }
 
 std::map<std::string, double> row_causes::CalledByAnyRun() const {
@@ -270,7 +277,7 @@
 }
 
 bool row_causes::IsKnown(std::string_view row) const {
-  return called_.empty() || windows_read_ >= kKnownWindows || !CalledBy(row).empty();
+  return called_.empty() || windows_read_ >= kKnownWindows || IsCause(row);
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/entry/row_causes.h
+++ b/modules/cuminferry_policy/entry/row_causes.h
@@ -67,6 +67,8 @@
   double CallsPerRun(std::string_view row, std::string_view called) const;
   /** The rows that runs of `row` call, with the calls a run. */
   std::map<std::string, double> CalledBy(std::string_view row) const;
+  /** Whether runs of `row` call any row. */
+  bool IsCause(std::string_view row) const;
   /** Whether runs of `row` break off although none of the calls that the backend server makes
       are laid to them: they may make some all the same. */
   bool MayCallUnseen(std::string_view row) const;
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -282,8 +282,8 @@
   outcome_ = Judge(head);
   failed_ = head.status >= http_status::kFirstServerError;
   // A failure below fails the request here: no fault of this backend server.
-  const bool own_fault = failed_ && board_.node.causes.IsKnown(about_.row) &&
-                         board_.node.causes.CalledBy(about_.row).empty();
+  const row_causes& causes = board_.node.causes;
+  const bool own_fault = failed_ && causes.IsKnown(about_.row) && !causes.IsCause(about_.row);
   board_.NoteOutcome(!outcome_ && !own_fault);
   if (outcome_ || detached_) {
     return;
