--- a/tests/relay/restart_replay_test.cpp
+++ b/tests/relay/restart_replay_test.cpp
@@ -1,73 +1,16 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "relay/call_graph_world.h"
+#include "relay/restart_load.h"
 
 namespace cuminferry::testing {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr duration kEnd = seconds(20);
 // Longer than any request of a client lasts.
 constexpr duration kRest = seconds(4);
 
-std::vector<graph_service> Services() {
-  return {{.name = "calendar", .nodes = 6, .slots = 62},
-          {.name = "bookings", .nodes = 4, .slots = 86},
-          {.name = "documents", .nodes = 3, .slots = 140},
-          {.name = "protection", .nodes = 1, .slots = 21}};
-}
-
-// One of three backend servers of the leaf is left. A read needs four answers of it, a booking
-// eight: together twice what it has slots for; bookings alone fill it. Uploads need none.
-std::vector<graph_row> Rows() {
-  return {{.name = "read",
-           .service = "calendar",
-           .priority = 2,
-           .per_second = 210,
-           .work = milliseconds(120),
-           .called = "status",
-           .calls = 1,
-           .objective = milliseconds(1'500),
-           .deadline = milliseconds(1'000)},
-          {.name = "booking",
-           .service = "bookings",
-           .priority = 0,
-           .per_second = 70,
-           .work = milliseconds(160),
-           .called = "index",
-           .calls = 2,
-           .objective = milliseconds(1'500),
-           .deadline = milliseconds(1'200)},
-          {.name = "upload",
-           .service = "documents",
-           .priority = 1,
-           .per_second = 40,
-           .work = milliseconds(140),
-           .objective = milliseconds(800),
-           .deadline = seconds(3)},
-          {.name = "status",
-           .service = "bookings",
-           .work = milliseconds(15),
-           .called = "index",
-           .calls = 1,
-           .objective = seconds(1),
-           .deadline = milliseconds(2'500)},
-          {.name = "index",
-           .service = "documents",
-           .work = milliseconds(15),
-           .called = "roster",
-           .calls = 4,
-           .objective = milliseconds(800),
-           .deadline = seconds(2)},
-          {.name = "roster",
-           .service = "protection",
-           .work = milliseconds(30),
-           .objective = milliseconds(300),
-           .deadline = milliseconds(700)}};
-}
-
 }  // namespace
 
 class restart_replay_test : public CppUnit::TestFixture {
