--- a/tests/relay/restart_load.h
+++ b/tests/relay/restart_load.h
@@ -7,6 +7,11 @@
 
 namespace cuminferry::testing {
 
+/** Requests that clients send until then are judged. */
+inline constexpr duration kEnd = std::chrono::seconds(20);
+/** Longer than any request of a client lasts. */
+inline constexpr duration kRest = std::chrono::seconds(4);
+
 /** A call graph four services deep whose leaf is full, for starts of all nodes. */
 inline std::vector<graph_service> Services() {
   return {{.name = "calendar", .nodes = 6, .slots = 62},
--- a/tests/relay/restart_settling_test.cpp
+++ b/tests/relay/restart_settling_test.cpp
@@ -7,10 +7,6 @@
 
 using std::chrono::seconds;
 
-constexpr duration kEnd = seconds(20);
-// Longer than any request of a client lasts.
-constexpr duration kRest = seconds(4);
-
 }  // namespace
 
 class restart_settling_test : public CppUnit::TestFixture {
