Tell the end of a backend server from the loss of a connection, in logs and metrics

The record can't tell its hypotheses apart: an end, a reset and a cut path all count as lost. After a run's connection broke the node now tries one new connection: refused at once, the backend server has ended. backend.ended names the end and the ids of the runs that it took along, cuminferry_backend_ends_total and cuminferry_runs_ended_total count. What is done with a lost run is as before.

Ruled out: taking any broken connection for an end (resets and cut paths break single ones), and the platform's list (an entry runs out two seconds later).

--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -59,6 +59,13 @@
                                            "Requests sent to a further target, by service.")};
   family_of_counters& customers{MakeCounters(registry, "cuminferry_customer_requests_total",
                                              "Requests with a customer's key, by outcome.")};
+  prometheus::Counter& backend_ends{
+      MakeCounters(registry, "cuminferry_backend_ends_total",
+                   "Times that the own backend server ended while it ran requests.")
+          .Add({})};
+  prometheus::Counter& runs_ended{MakeCounters(registry, "cuminferry_runs_ended_total",
+                                               "Runs that ended with the own backend server.")
+                                      .Add({})};
   std::set<std::string, std::less<>> named_customers;
   std::map<std::string, prometheus::Counter*, std::less<>> by_customer;
   std::map<std::pair<std::string, labels>, prometheus::Gauge*> gauges;
@@ -84,6 +91,11 @@
   found->second.times->Observe(ToSeconds(took));
 }
 
+void relay_metrics::OnBackendEnd(std::size_t runs) {
+  state_->backend_ends.Increment();
+  state_->runs_ended.Increment(static_cast<double>(runs));
+}
+
 void relay_metrics::OnServed(std::string_view row, std::string_view outcome, duration waited,
                              duration ran) {
   const std::string key = std::string(row) + "\n" + std::string(outcome);
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -32,6 +32,9 @@
   /** A request of a customer ended so: let in, over its limit, or with a key that may be stale. */
   void OnCustomer(std::string_view customer, std::string_view outcome);
 
+  /** The own backend server ended, and that many runs with it. */
+  void OnBackendEnd(std::size_t runs);
+
   using labels = std::map<std::string, std::string>;
 
   /** Sets a value that is read now. */
--- a/modules/cuminferry_relay/path/serving_board.cpp
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -18,6 +18,8 @@
 constexpr duration kDownTime = std::chrono::milliseconds(200);
 // Until the own backend server is listed.
 constexpr std::uint32_t kAssumedSlots = 32;
+// Of the runs that an end of the backend server took along, so that the line stays short.
+constexpr std::size_t kIdsInLine = 32;
 constexpr duration kExpiryPeriod = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -30,7 +32,9 @@
                .idle_limit = kBackendIdleLimit}),
       gate(kAssumedSlots),
       step_timer_(node.loop),
-      expiry_timer_(node.loop) {
+      expiry_timer_(node.loop),
+      end_watch_(node.loop, node.settings.backend, node.random.Next(),
+                 [this](const backend_end_watch::finding& found) { OnLossesJudged(found); }) {
   step_timer_.StartPeriodic(admission_level::kPeriod, [this] { Step(); });
 }
 
@@ -90,7 +94,32 @@
   node.on_not_there(expected);
 }
 
-void serving_board::NoteOutcome(bool good) { success_.Note(good, node.loop.Now()); }
+void serving_board::OnRunLost(const std::string& request_id) {
+  lost_.push_back(request_id);
+  end_watch_.OnConnectionLost();
+}
+
+void serving_board::OnLossesJudged(const backend_end_watch::finding& found) {
+  const std::vector<std::string> lost = std::exchange(lost_, {});
+  if (!found.has_ended) {
+    node.log.OnChange("backend.connections_lost", {{"runs", lost.size()}});
+    return;
+  }
+  node.metrics.OnBackendEnd(lost.size());
+  node.log.OnChange(
+      "backend.ended",
+      {{"end", found.end},
+       {"runs", lost.size()},
+       {"ids", std::vector(lost.begin(), lost.begin() + static_cast<std::ptrdiff_t>(
+                                                            std::min(lost.size(), kIdsInLine)))}});
+}
+
+void serving_board::NoteOutcome(bool good) {
+  if (good) {
+    end_watch_.OnAnswer();
+  }
+  success_.Note(good, node.loop.Now());
+}
 
 std::optional<row_limit> serving_board::LimitOf(std::string_view row,
                                                 const std::optional<double>& in_force) const {
--- a/modules/cuminferry_relay/path/serving_board.h
+++ b/modules/cuminferry_relay/path/serving_board.h
@@ -3,8 +3,10 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "cuminferry_relay/http/http_client.h"
+#include "cuminferry_relay/path/backend_end_watch.h"
 #include "cuminferry_relay/path/relay_board.h"
 
 namespace cuminferry {
@@ -36,6 +38,9 @@
   /** One answer of the backend server was, or was not, what was asked for. */
   void NoteOutcome(bool good);
 
+  /** The connection of a run was lost before its answer began. */
+  void OnRunLost(const std::string& request_id);
+
   /** What is told with an answer to a request of this row.
       @param in_force  part of the row that the asking node lets in, if it knows a limit */
   load_header Load(std::string_view row, const std::optional<double>& in_force) const;
@@ -49,6 +54,7 @@
 
  private:
   void Step();
+  void OnLossesJudged(const backend_end_watch::finding& found);
   void OnExpiry();
   std::optional<row_limit> LimitOf(std::string_view row,
                                    const std::optional<double>& in_force) const;
@@ -56,6 +62,9 @@
   loop_timer step_timer_;
   loop_timer expiry_timer_;
   recent_success success_;
+  backend_end_watch end_watch_;
+  // Ids of the requests whose runs were lost since the last finding.
+  std::vector<std::string> lost_;
   std::string not_here_;
   instant down_until_{};
   bool was_open_ = true;
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -351,6 +351,9 @@
     End("cut_short");
     return;
   }
+  if (failure == exchange_failure::kBroken) {
+    board_.OnRunLost(request_id_);
+  }
   TurnAway(failure == exchange_failure::kDamaged ? relay_outcome::kDamaged : relay_outcome::kLost);
 }
 
