--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -353,6 +353,11 @@
   RunUntil([&] { return loop_.Now() >= end; }, span + seconds(1));
 }
 
+void relay_fleet::StartTarget(int node) {
+  targets_[static_cast<std::size_t>(node)] =
+      std::make_unique<scripted_target>(loop_, At(node, kBackendPort));
+}
+
 std::uint64_t relay_fleet::TotalRequests() const {
   std::uint64_t total = 0;
   for (const auto& target : targets_) {
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -110,6 +110,8 @@
   bool Watches(int node) const { return watches_.at(static_cast<std::size_t>(node)); }
   /** How many nodes watch the platform themselves. */
   int CountWatching() const { return static_cast<int>(std::ranges::count(watches_, true)); }
+  /** A new backend server at the address of one that was stopped. */
+  void StartTarget(int node);
   void StopTarget(int node) { targets_[static_cast<std::size_t>(node)].reset(); }
   void StopNode(int node) { nodes_[static_cast<std::size_t>(node)].reset(); }
   std::uint64_t TotalRequests() const;
