Find the request that ends the targets that run it, and run it no more

Callers saw a service of four gone for three seconds, again and again: a request that ends each target that runs it was sent to another one with all that had run beside it, and each repeat of its client was a new request at each entry.

Cause: nothing was remembered of a request past its attempt, and an end was taken for a lost connection. Class: a retry that assumes that a failure is the target's and not the request's.

A request is known by a digest (BLAKE2b) of method, host, path, customer and body; a body is digested only where a suspect has the same place, or where its run broke. What is blocked gets 503 without a time to come back, 502 where it may have run.

Ruled out: counting ends alone (innocents reach three, too: a third of the neighbours meet the guilty one at the next target); a home for each suspect without a lane (two suspects there, one end: both blamed); a broadcast from the node beside the end (7,000 messages); the item exchange (news goes down its tree only).

Two of its tests now send ordinary requests first: the bound on repeats rightly refused the last neighbours of a fleet that had seen none.

--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -12,6 +12,7 @@
     - entry/     what is refused where it enters, for the sake of services further down
     - retries/   how often a call may be tried again
     - claims/    at most once for non-idempotent calls
+    - suspects/  which request ends the backend servers that run it
     - shares/    each node's part of a fleet-wide limit
 
     May use cuminferry_core and cuminferry_table.
@@ -53,4 +54,8 @@
 #include "cuminferry_policy/serving/slot_gate.h"
 #include "cuminferry_policy/serving/slot_learning.h"
 #include "cuminferry_policy/shares/limit_shares.h"
+#include "cuminferry_policy/suspects/request_digest.h"
+#include "cuminferry_policy/suspects/suspect_book.h"
+#include "cuminferry_policy/suspects/suspect_event.h"
+#include "cuminferry_policy/suspects/suspect_lane.h"
 #include "cuminferry_policy/targets/target_chooser.h"
--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -114,6 +114,9 @@
   if (open.empty()) {
     return std::nullopt;
   }
+  if (wanted.same_for) {
+    return Same(open, *wanted.same_for)->target;
+  }
   const double mean_service = MeanServiceTime(now);
   const std::size_t compared = std::min(open.size(), kCompared);
   target_state* best = nullptr;
@@ -136,6 +139,15 @@
   return best->target;
 }
 
+// Highest random weight: where a target comes or goes, only its own requests move.
+target_picker::target_state* target_picker::Same(const std::vector<target_state*>& among,
+                                                 std::uint64_t number) {
+  const auto weight = [number](const target_state* one) {
+    return random_source(DigestOf(one->target.id) ^ number).Next();
+  };
+  return *std::ranges::max_element(among, {}, weight);
+}
+
 bool target_picker::IsPassedOver(std::string_view id, instant now) const {
   const auto found = targets_.find(id);
   if (found == targets_.end() || !IsFresh(found->second, now)) {
--- a/modules/cuminferry_policy/placement/target_picker.h
+++ b/modules/cuminferry_policy/placement/target_picker.h
@@ -81,6 +81,9 @@
     /** Failure domains that can't be reached now: targets there are taken only
         where no others are left. */
     std::function<bool(std::string_view)> cut_off = [](std::string_view) { return false; };
+    /** Where set, all nodes choose the same target for requests with this number, so that no
+        two of them run at the same time. */
+    std::optional<std::uint64_t> same_for = std::nullopt;
   };
 
   /** The target to send to; none where all were tried. */
@@ -117,6 +120,7 @@
     instant rests_until{};
   };
 
+  static target_state* Same(const std::vector<target_state*>& among, std::uint64_t number);
   double MeanServiceTime(instant now) const;
   double Cost(const target_state& state, const request& wanted, double mean_service,
               instant now) const;
--- /dev/null
+++ b/modules/cuminferry_policy/suspects/request_digest.cpp
@@ -0,0 +1,65 @@
+#include "cuminferry_policy/suspects/request_digest.h"
+
+#include <sodium.h>
+
+#include <cstring>
+
+#include "cuminferry_core/cuminferry_core.h"
+
+namespace cuminferry {
+namespace {
+
+void Add(crypto_generichash_state& state, std::string_view part) {
+  const std::uint64_t length = part.size();
+  std::array<unsigned char, sizeof(length)> prefix{};
+  std::memcpy(prefix.data(), &length, sizeof(length));
+  crypto_generichash_update(&state, prefix.data(), prefix.size());
+  crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(part.data()), length);
+}
+
+}  // namespace
+
+request_digest request_digest::Of(const request_parts& parts) {
+  crypto_generichash_state state;
+  crypto_generichash_init(&state, nullptr, 0, kBytes);
+  Add(state, parts.method);
+  Add(state, parts.host);
+  Add(state, parts.path);
+  Add(state, parts.customer);
+  Add(state, parts.body.substr(0, kBodyBytes));
+  Add(state, parts.is_longer ? "longer" : "whole");
+  request_digest digest;
+  crypto_generichash_final(&state, digest.bytes_.data(), kBytes);
+  return digest;
+}
+
+std::optional<request_digest> request_digest::Parse(std::string_view text) {
+  request_digest digest;
+  std::size_t read = 0;
+  const int failed = sodium_hex2bin(digest.bytes_.data(), kBytes, text.data(), text.size(), nullptr,
+                                    &read, nullptr);
+  if (failed != 0 || read != kBytes || text.size() != 2 * kBytes) {
+    return std::nullopt;
+  }
+  return digest;
+}
+
+std::string request_digest::ToText() const {
+  std::string text(2 * kBytes + 1, '\0');
+  sodium_bin2hex(text.data(), text.size(), bytes_.data(), kBytes);
+  text.pop_back();
+  return text;
+}
+
+std::uint64_t request_digest::number() const {
+  std::uint64_t number = 0;
+  std::memcpy(&number, bytes_.data(), sizeof(number));
+  return number;
+}
+
+std::uint64_t PlaceOf(const request_parts& parts) {
+  constexpr std::uint64_t kMix = 0x9E3779B97F4A7C15;
+  return (DigestOf(parts.host) * kMix ^ DigestOf(parts.path)) * kMix ^ DigestOf(parts.customer);
+}
+
+}  // namespace cuminferry
--- /dev/null
+++ b/modules/cuminferry_policy/suspects/suspect_book.cpp
@@ -0,0 +1,236 @@
+#include "cuminferry_policy/suspects/suspect_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminferry {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+
+// A clearing is told for as long as ends that it annuls may still be on their way.
+constexpr duration kClearingKept = std::chrono::seconds(10);
+
+// How long a request is blocked after so many ends. Each trial may cost a backend server again.
+duration BlockTime(std::size_t ends) {
+  switch (ends) {
+    case 0:
+    case 1:
+    case 2:
+      return minutes(1);
+    case 3:
+      return minutes(10);
+    case 4:
+      return hours(1);
+    default:
+      return hours(24);
+  }
+}
+
+}  // namespace
+
+instant suspect_book::record::last_end() const {
+  instant last{};
+  for (const auto& [number, end] : ends) {
+    last = std::max(last, end.at);
+  }
+  return last;
+}
+
+bool suspect_book::record::was_alone() const {
+  return std::ranges::any_of(ends, [](const auto& item) { return item.second.alone; });
+}
+
+std::optional<instant> suspect_book::BlockedUntil(const record& of) {
+  const bool found_out = of.ends.size() >= kEndsToBlock || of.was_alone();
+  return found_out ? std::optional(of.last_end() + BlockTime(of.ends.size())) : std::nullopt;
+}
+
+// A trial follows a block: what led to it is remembered for that long besides.
+instant suspect_book::ForgottenAt(const record& of) {
+  if (of.ends.empty()) {
+    return of.cleared_at + kClearingKept;
+  }
+  return BlockedUntil(of).value_or(of.last_end()) + kSuspicionTime;
+}
+
+// The order of events plays no part: each counts once.
+void suspect_book::Toggle(const request_digest& digest, std::uint64_t number) {
+  checksum_ ^= DigestOf(digest.ToText()) + number * 0x9E3779B97F4A7C15;
+}
+
+bool suspect_book::Apply(const suspect_event& event, instant now) {
+  const instant at = now - duration(std::max<std::int64_t>(0, event.age_micros));
+  const auto found = records_.find(event.digest);
+  const bool clears = event.what == suspect_event::kind::kCleared;
+  if (found != records_.end()) {
+    const record& known = found->second;
+    const bool annulled = !clears && known.clearing != 0 && at <= known.cleared_at + kClearTime;
+    const bool old = clears ? at <= known.cleared_at : known.ends.contains(event.end);
+    if (annulled || old) {
+      return false;
+    }
+  }
+  if (clears && (found == records_.end() || now - at >= kClearingKept)) {
+    return false;
+  }
+  record& of = records_[event.digest];
+  if (found == records_.end()) {
+    of.place = event.place;
+    ++places_[of.place];
+  }
+  if (!clears) {
+    of.ends.emplace(event.end,
+                    ended{.at = at, .alone = event.what == suspect_event::kind::kEndedAlone});
+    Toggle(event.digest, event.end);
+    MakeRoom(now);
+    return true;
+  }
+  if (of.clearing != 0) {
+    Toggle(event.digest, of.clearing);
+  }
+  of.cleared_at = at;
+  of.clearing = event.end;
+  Toggle(event.digest, event.end);
+  std::erase_if(of.ends, [&](const auto& item) {
+    const bool annulled = item.second.at <= at + kClearTime;
+    if (annulled) {
+      Toggle(event.digest, item.first);
+    }
+    return annulled;
+  });
+  return true;
+}
+
+suspect_book::records::iterator suspect_book::Forget(records::iterator at) {
+  for (const auto& [number, end] : at->second.ends) {
+    Toggle(at->first, number);
+  }
+  if (at->second.clearing != 0) {
+    Toggle(at->first, at->second.clearing);
+  }
+  const auto place = places_.find(at->second.place);
+  if (--place->second == 0) {
+    places_.erase(place);
+  }
+  return records_.erase(at);
+}
+
+void suspect_book::Expire(instant now) {
+  for (auto at = records_.begin(); at != records_.end();) {
+    at = now >= ForgottenAt(at->second) ? Forget(at) : std::next(at);
+  }
+}
+
+// Whoever is found out stays, up to a bound; of the others those whose last end is longest ago
+// give way.
+void suspect_book::MakeRoom(instant now) {
+  if (records_.size() <= kMostSuspects) {
+    return;
+  }
+  Expire(now);
+  const bool many_blocked = CountBlocked(now) > kMostBlocked;
+  std::vector<std::pair<instant, records::iterator>> may_go;
+  for (auto at = records_.begin(); at != records_.end(); ++at) {
+    if (many_blocked || !BlockedUntil(at->second)) {
+      may_go.emplace_back(at->second.last_end(), at);
+    }
+  }
+  std::ranges::sort(may_go, {}, &std::pair<instant, records::iterator>::first);
+  // Some more than needed, so that a flood does not come here with each event.
+  may_go.resize(std::min(may_go.size(), kMostSuspects / 8));
+  for (const auto& [last_end, at] : may_go) {
+    Forget(at);
+  }
+}
+
+suspect_standing suspect_book::StandingOf(const request_digest& digest, instant now) const {
+  const auto found = records_.find(digest);
+  if (found == records_.end() || found->second.ends.empty() || now >= ForgottenAt(found->second)) {
+    return suspect_standing::kFree;
+  }
+  const auto until = BlockedUntil(found->second);
+  return until && now < *until ? suspect_standing::kBlocked : suspect_standing::kCareful;
+}
+
+std::optional<instant> suspect_book::BlockedUntil(const request_digest& digest, instant now) const {
+  const auto found = records_.find(digest);
+  const auto until =
+      found == records_.end() ? std::optional<instant>() : BlockedUntil(found->second);
+  return until && now < *until ? until : std::nullopt;
+}
+
+std::size_t suspect_book::EndsOf(const request_digest& digest) const {
+  const auto found = records_.find(digest);
+  return found == records_.end() ? 0 : found->second.ends.size();
+}
+
+std::vector<suspect_event> suspect_book::EventsOfEnd(std::uint64_t end,
+                                                     std::span<const suspect_event> running,
+                                                     instant now) const {
+  std::map<request_digest, suspect_event> told;
+  for (const suspect_event& run : running) {
+    if (told.size() < kMostOfOneEnd) {
+      told.emplace(run.digest, run);
+    }
+  }
+  // Those that had ended another backend server, also if their loss was noticed earlier.
+  std::vector<request_digest> priors;
+  for (const auto& [digest, known] : records_) {
+    const bool is_of_this = told.contains(digest) || known.ends.contains(end);
+    const std::size_t others = known.ends.size() - (known.ends.contains(end) ? 1 : 0);
+    if (is_of_this && others > 0 && now < ForgottenAt(known)) {
+      priors.push_back(digest);
+    }
+  }
+  std::vector<suspect_event> events;
+  for (auto& [digest, event] : told) {
+    event.end = end;
+    event.age_micros = 0;
+    event.what = priors.size() == 1 && digest == priors.front() ? suspect_event::kind::kEndedAlone
+                                                                : suspect_event::kind::kEnded;
+    events.push_back(event);
+  }
+  return events;
+}
+
+std::vector<suspect_event> suspect_book::All(instant now) const {
+  std::vector<suspect_event> all;
+  for (const auto& [digest, known] : records_) {
+    if (now >= ForgottenAt(known)) {
+      continue;
+    }
+    for (const auto& [number, end] : known.ends) {
+      all.push_back(
+          {.what = end.alone ? suspect_event::kind::kEndedAlone : suspect_event::kind::kEnded,
+           .digest = digest,
+           .place = known.place,
+           .end = number,
+           .age_micros = (now - end.at).count()});
+    }
+    if (known.clearing != 0) {
+      all.push_back({.what = suspect_event::kind::kCleared,
+                     .digest = digest,
+                     .place = known.place,
+                     .end = known.clearing,
+                     .age_micros = (now - known.cleared_at).count()});
+    }
+  }
+  return all;
+}
+
+std::size_t suspect_book::CountSince(instant since) const {
+  return static_cast<std::size_t>(std::ranges::count_if(records_, [since](const auto& item) {
+    return !item.second.ends.empty() && item.second.last_end() >= since;
+  }));
+}
+
+std::size_t suspect_book::CountBlocked(instant now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(records_, [now](const auto& item) {
+    const auto until = BlockedUntil(item.second);
+    return until && now < *until;
+  }));
+}
+
+}  // namespace cuminferry
--- a/modules/cuminferry_relay/path/outbound_answer.cpp
+++ b/modules/cuminferry_relay/path/outbound_answer.cpp
@@ -147,6 +147,10 @@
   if (why == relay_outcome::kLeaving || why == relay_outcome::kOtherInstance) {
     board.on_not_there(record.target_id);
   }
+  if (why == relay_outcome::kEnded || why == relay_outcome::kEndedAlone) {
+    suspect = request_digest::Of(Parts());
+    record.suspect = suspect->ToText();
+  }
   record.WriteTry(board.log, why);
   const bool may_repeat = SurelyNotRun(why) || route->repeat == repeat_rule::kIdempotent;
   if (detached || client->client_gone()) {
@@ -157,7 +161,9 @@
     Place();
     return;
   }
-  if (SurelyNotRun(why) && !may_have_run) {
+  if (why == relay_outcome::kBlocked && !may_have_run) {
+    RefuseSuspect();
+  } else if (SurelyNotRun(why) && !may_have_run) {
     Refuse(ToText(why), ReturnTime(now));
   } else if (why == relay_outcome::kTimedOut) {
     AnswerError(http_status::kGatewayTimeout, ToText(why));
@@ -167,7 +173,9 @@
 }
 
 bool outbound_call::state::MayPlaceAgain(relay_outcome why, instant now) const {
-  if (!replay.whole() || record.placements >= kMostPlacements || why == relay_outcome::kTimedOut ||
+  const bool is_final = why == relay_outcome::kTimedOut || why == relay_outcome::kEndedAlone ||
+                        why == relay_outcome::kBlocked;
+  if (!replay.whole() || record.placements >= kMostPlacements || is_final ||
       deadline - now < kLeastTry) {
     return false;
   }
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -82,7 +82,7 @@
     repeated = board.running.repeated_share();
     entered = started - board.running.MeanAge(started);
   }
-  Place();
+  PlaceUnlessSuspect();
 }
 
 void outbound_call::state::SetDeadline(const http_head& request) {
@@ -132,6 +132,10 @@
   }
   replay.Append(bytes);
   body_bytes += static_cast<double>(bytes.size());
+  if (awaits_body && replay.is_known()) {
+    OnBodyKnown();
+    return;
+  }
   if (upstream && released) {
     upstream->SendBody(bytes);
     if (upstream->unsent() > tcp_connection::kHighWater) {
@@ -144,6 +148,10 @@
 
 void outbound_call::state::OnRequestBodyEnd() {
   body_ended = true;
+  if (awaits_body) {
+    OnBodyKnown();
+    return;
+  }
   if (upstream && released) {
     upstream->FinishBody();
   }
@@ -191,12 +199,14 @@
 }
 
 // The request has not run and will not.
-void outbound_call::state::Refuse(std::string_view why, duration return_after) {
+void outbound_call::state::Refuse(std::string_view why, std::optional<duration> return_after) {
   if (std::exchange(counted, false)) {
     board.limits.OnRefused(*holder);
   }
   http_head head = MakeAnswer(http_status::kUnavailable);
-  head.Set("Retry-After", SecondsText(return_after));
+  if (return_after) {
+    head.Set("Retry-After", SecondsText(*return_after));
+  }
   AnswerAndEnd(std::move(head), "refused", why);
 }
 
--- a/modules/cuminferry_relay/path/outbound_placement.cpp
+++ b/modules/cuminferry_relay/path/outbound_placement.cpp
@@ -21,6 +21,14 @@
     OnDeadline();
     return;
   }
+  if (Standing() == suspect_standing::kBlocked) {
+    if (may_have_run) {
+      AnswerError(http_status::kBadGateway, "ends_targets");
+    } else {
+      RefuseSuspect();
+    }
+    return;
+  }
   if (KeyIsStale(now)) {
     EndWithoutTarget("stale_key");
     return;
@@ -32,7 +40,8 @@
        .urgent = !record.nested && route->objective < kUrgentObjective,
        .bytes = board.sizes.MeanOf(route->name),
        .cut_off = [this,
-                   now](std::string_view domain) { return board.domains.IsCutOff(domain, now); }},
+                   now](std::string_view domain) { return board.domains.IsCutOff(domain, now); },
+       .same_for = suspect ? std::optional(suspect->number()) : std::nullopt},
       now, board.random);
   if (!target) {
     EndWithoutTarget("no_target");
@@ -189,6 +198,10 @@
            std::to_string(
                std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count()));
   head.Set(kCallField, about.ToText());
+  head.Remove(kSuspectField);
+  if (suspect) {
+    head.Set(kSuspectField, suspect->ToText());
+  }
   return head;
 }
 
--- a/modules/cuminferry_relay/path/outbound_record.cpp
+++ b/modules/cuminferry_relay/path/outbound_record.cpp
@@ -37,6 +37,9 @@
   if (copy_age) {
     detail["copy_age_us"] = copy_age->count();
   }
+  if (!suspect.empty()) {
+    detail["suspect"] = suspect;
+  }
   if (!reason.empty()) {
     detail["why"] = reason;
   }
--- a/modules/cuminferry_relay/path/outbound_record.h
+++ b/modules/cuminferry_relay/path/outbound_record.h
@@ -39,6 +39,8 @@
   std::optional<double> level;
   /** The service that limits its row, where it was refused for that. */
   std::string limited_by;
+  /** What it is known by, where it ran at a backend server that ended. */
+  std::string suspect;
   /** Why it ended without an answer of a backend server. */
   std::string reason;
 
--- a/modules/cuminferry_relay/path/outbound_state.h
+++ b/modules/cuminferry_relay/path/outbound_state.h
@@ -39,6 +39,8 @@
   void OnHomeAsked();
   void EnterCounted();
   void Enter();
+  void PlaceUnlessSuspect();
+  void OnBodyKnown();
   void SetDeadline(const http_head& request);
   std::string ChooseService();
   void HookClient();
@@ -72,7 +74,9 @@
   // Ends.
   void OnDeadline();
   void OnClientGone();
-  void Refuse(std::string_view why, duration return_after);
+  /** @param return_after  nothing where it would be refused again then */
+  void Refuse(std::string_view why, std::optional<duration> return_after);
+  void RefuseSuspect();
   void RefuseOverLimit();
   void AnswerError(int status, std::string_view why);
   void AnswerAndEnd(http_head head, std::string_view result, std::string_view why);
@@ -102,6 +106,9 @@
   loop_timer timer;
   loop_timer silence_timer;
 
+  request_parts Parts() const;
+  suspect_standing Standing() const;
+
   request_replay replay;
   bool body_ended = false;
   // Of the request and its answer.
@@ -123,6 +130,10 @@
   bool released = false;
   // How likely this is a call of a run that is itself a repeat.
   double repeated = 0.0;
+  // Where it ran at a backend server that ended, here or elsewhere.
+  std::optional<request_digest> suspect;
+  // It is placed once enough of its body is here to know whether it is such a request.
+  bool awaits_body = false;
   // Requests of its row that it stands for.
   double stands_for = 1.0;
   // A target's node has counted it among what was asked of its service.
--- a/modules/cuminferry_relay/path/peer_headers.cpp
+++ b/modules/cuminferry_relay/path/peer_headers.cpp
@@ -16,7 +16,7 @@
 // In place of the time that a key may be relied on, where there is no key.
 constexpr std::int64_t kNoKey = -1;
 
-constexpr std::array<std::pair<relay_outcome, std::string_view>, 12> kOutcomes{{
+constexpr std::array<std::pair<relay_outcome, std::string_view>, 15> kOutcomes{{
     {relay_outcome::kFull, "full"},
     {relay_outcome::kLeaving, "leaving"},
     {relay_outcome::kDown, "down"},
@@ -26,6 +26,9 @@
     {relay_outcome::kOtherInstance, "other-instance"},
     {relay_outcome::kUnconfirmed, "unconfirmed"},
     {relay_outcome::kLost, "lost"},
+    {relay_outcome::kEnded, "ended"},
+    {relay_outcome::kEndedAlone, "ended-alone"},
+    {relay_outcome::kBlocked, "blocked"},
     {relay_outcome::kDamaged, "damaged"},
     {relay_outcome::kTimedOut, "timed-out"},
     {relay_outcome::kFailed, "failed"},
@@ -147,13 +150,14 @@
 
 bool WasCounted(relay_outcome outcome) {
   return outcome != relay_outcome::kLeaving && outcome != relay_outcome::kDown &&
-         outcome != relay_outcome::kUnconfirmed;
+         outcome != relay_outcome::kUnconfirmed && outcome != relay_outcome::kBlocked;
 }
 
 bool ReachedBackend(relay_outcome outcome) {
   return outcome != relay_outcome::kFull && outcome != relay_outcome::kLeaving &&
          outcome != relay_outcome::kDown && outcome != relay_outcome::kUnconfirmed &&
-         outcome != relay_outcome::kNoRepeats && outcome != relay_outcome::kStaleKey;
+         outcome != relay_outcome::kNoRepeats && outcome != relay_outcome::kStaleKey &&
+         outcome != relay_outcome::kBlocked;
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/peer_headers.h
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -14,11 +14,15 @@
 inline constexpr std::string_view kCallField = "Relay-Call";
 inline constexpr std::string_view kLoadField = "Relay-Load";
 inline constexpr std::string_view kOutcomeField = "Relay-Outcome";
+/** What a request is known by that ran at a backend server which ended. @see request_digest */
+inline constexpr std::string_view kSuspectField = "Relay-Suspect";
 /** Path under which a node gives its copy of the published items. Another for each form of
     the answer: a node of another version is answered 400 and reads the platform itself. */
 inline constexpr std::string_view kItemsPath = "/relay/news";
 /** Path under which a node adds up what customers send. */
 inline constexpr std::string_view kLimitsPath = "/relay/limits";
+/** Path under which nodes tell each other of requests that end backend servers. */
+inline constexpr std::string_view kSuspectsPath = "/relay/suspects";
 
 /** What the entry tells the target's node of a request. */
 struct call_header {
@@ -91,6 +95,12 @@
   kUnconfirmed,
   /** The connection was lost; the request may have run. */
   kLost,
+  /** The backend server ended while it ran the request, among others. */
+  kEnded,
+  /** The same, and it is this request that ends backend servers. */
+  kEndedAlone,
+  /** It ends backend servers that run it: this one has not been sent it. */
+  kBlocked,
   /** What came back is no answer; the request may have run. */
   kDamaged,
   /** No answer by the deadline; the request may have run. */
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -85,6 +85,10 @@
   call_demand demand;
   row_origins origins;
 
+  suspect_book suspects;
+  /** The own backend server, or an answer to a request, told this of suspects. */
+  std::function<void(const std::vector<suspect_event>&)> on_suspects;
+
   /** SIGTERM came: the process ends within its grace. */
   bool draining = false;
   /** The platform has noticed the drain: nothing more is taken for the own backend
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -9,6 +9,7 @@
 #include "cuminferry_relay/path/limit_exchange.h"
 #include "cuminferry_relay/path/outbound_call.h"
 #include "cuminferry_relay/path/serving_side.h"
+#include "cuminferry_relay/path/suspect_exchange.h"
 
 namespace cuminferry {
 namespace {
@@ -45,6 +46,7 @@
   serving_side serving;
   item_exchange exchange;
   limit_exchange limits;
+  suspect_exchange suspects;
   loop_timer list_timer;
   loop_timer drain_timer;
   std::unordered_map<outbound_call*, std::shared_ptr<outbound_call>> calls;
@@ -68,11 +70,13 @@
                   .on_watching = std::move(on_watching),
                   .unsettled = [this] { return instances.KeepsMissing(this->board.loop.Now()); }}),
         limits(board),
+        suspects(board),
         list_timer(loop),
         drain_timer(loop) {
     board.ask_home = [this](const std::string& customer, std::function<void()> on_told) {
       limits.Ask(customer, std::move(on_told));
     };
+    board.on_suspects = [this](const std::vector<suspect_event>& found) { suspects.Tell(found); };
     board.on_not_there = [this](std::string_view id) {
       if (instances.OnNotThere(id)) {
         ApplyInstances();
@@ -131,6 +135,8 @@
   void OnPeerRequest(std::shared_ptr<server_exchange> request) {
     if (request->request().target.starts_with(kItemsPath)) {
       exchange.OnRequest(*request);
+    } else if (request->request().target.starts_with(kSuspectsPath)) {
+      suspects.OnRequest(std::move(request));
     } else if (request->request().target == kLimitsPath) {
       limits.OnRequest(std::move(request));
     } else {
@@ -163,6 +169,8 @@
     board.metrics.SetGauge("cuminferry_platform_heard", platform_heard ? 1.0 : 0.0);
     board.metrics.SetGauge("cuminferry_platform_watched", exchange.watching() ? 1.0 : 0.0);
     board.metrics.SetGauge("cuminferry_items_questions", static_cast<double>(exchange.questions()));
+    board.metrics.SetGauge("cuminferry_suspects_blocked",
+                           static_cast<double>(board.suspects.CountBlocked(board.loop.Now())));
     if (const auto age = exchange.Age()) {
       board.metrics.SetGauge("cuminferry_items_age_seconds", ToSeconds(*age));
     }
--- a/modules/cuminferry_relay/path/request_replay.cpp
+++ b/modules/cuminferry_relay/path/request_replay.cpp
@@ -3,12 +3,15 @@
 namespace cuminferry {
 
 void request_replay::Append(std::string_view bytes) {
+  came_ += bytes.size();
   if (!whole_) {
     return;
   }
   bytes_.append(bytes);
   if (bytes_.size() > kLargest) {
-    Drop();
+    whole_ = false;
+    bytes_.resize(request_digest::kBodyBytes);
+    bytes_.shrink_to_fit();
   }
 }
 
@@ -18,4 +21,14 @@
   bytes_.shrink_to_fit();
 }
 
+request_parts request_replay::PartsOf(const http_head& request, std::string_view customer) const {
+  const std::string* host = request.Find("host");
+  return {.method = request.method,
+          .host = host == nullptr ? std::string_view() : std::string_view(*host),
+          .path = request.target,
+          .customer = customer,
+          .body = bytes_,
+          .is_longer = is_known()};
+}
+
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/serving_board.cpp
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -66,6 +66,16 @@
   ArmExpiry();
 }
 
+void serving_board::StartTurns(std::uint64_t ended) {
+  for (const std::uint64_t id : lane.Leave(ended)) {
+    const auto found = calls.find(id);
+    if (found != calls.end()) {
+      const auto next = found->second;
+      next->OnTurn();
+    }
+  }
+}
+
 void serving_board::ArmExpiry() {
   const auto next = gate.next_expiry();
   if (!next) {
@@ -94,33 +104,46 @@
   node.on_not_there(expected);
 }
 
-void serving_board::OnRunLost(const std::string& request_id) {
-  lost_.push_back(request_id);
+void serving_board::OnRunLost(std::shared_ptr<serving_call> run) {
+  lost_.push_back(std::move(run));
   end_watch_.OnConnectionLost();
 }
 
 void serving_board::OnLossesJudged(const backend_end_watch::finding& found) {
-  const std::vector<std::string> lost = std::exchange(lost_, {});
-  if (!found.has_ended) {
-    node.log.OnChange("backend.connections_lost", {{"runs", lost.size()}});
+  std::vector<std::shared_ptr<serving_call>> lost = std::exchange(lost_, {});
+  if (found.has_ended) {
+    OnEnded(found.end, std::move(lost));
     return;
   }
-  node.metrics.OnBackendEnd(lost.size());
-  node.log.OnChange(
-      "backend.ended",
-      {{"end", found.end},
-       {"runs", lost.size()},
-       {"ids", std::vector(lost.begin(), lost.begin() + static_cast<std::ptrdiff_t>(
-                                                            std::min(lost.size(), kIdsInLine)))}});
+  node.log.OnChange("backend.connections_lost", {{"runs", lost.size()}});
+  for (const auto& run : lost) {
+    run->TurnAway(relay_outcome::kLost);
+  }
 }
 
-void serving_board::NoteOutcome(bool good) {
-  if (good) {
-    end_watch_.OnAnswer();
+void serving_board::OnEnded(std::uint64_t end, std::vector<std::shared_ptr<serving_call>> runs) {
+  std::vector<suspect_event> running;
+  for (const auto& run : runs) {
+    running.push_back(run->AsSuspect());
+  }
+  const instant now = node.loop.Now();
+  const std::vector<suspect_event> events = node.suspects.EventsOfEnd(end, running, now);
+  nlohmann::ordered_json ids = nlohmann::ordered_json::array();
+  for (std::size_t at = 0; at < std::min(runs.size(), kIdsInLine); ++at) {
+    ids.push_back(runs[at]->request_id());
+  }
+  node.metrics.OnBackendEnd(runs.size());
+  node.log.OnChange(
+      "backend.ended",
+      {{"end", end}, {"runs", runs.size()}, {"suspects", events.size()}, {"ids", std::move(ids)}});
+  node.on_suspects(events);
+  for (const auto& run : runs) {
+    run->OnBackendEnded(end);
   }
-  success_.Note(good, node.loop.Now());
 }
 
+void serving_board::NoteOutcome(bool good) { success_.Note(good, node.loop.Now()); }
+
 std::optional<row_limit> serving_board::LimitOf(std::string_view row,
                                                 const std::optional<double>& in_force) const {
   const row_limit own{.share = level.share(),
--- a/modules/cuminferry_relay/path/serving_board.h
+++ b/modules/cuminferry_relay/path/serving_board.h
@@ -24,6 +24,8 @@
   //============================================================================
   /** Starts the requests that wait, as far as there are slots. */
   void StartWaiting();
+  /** A suspect has ended: starts those whose turn it is. */
+  void StartTurns(std::uint64_t ended);
   /** Looks again when the next waiting request expires. */
   void ArmExpiry();
   /** A connection to the backend server was refused: it is left alone for a while. */
@@ -38,8 +40,11 @@
   /** One answer of the backend server was, or was not, what was asked for. */
   void NoteOutcome(bool good);
 
-  /** The connection of a run was lost before its answer began. */
-  void OnRunLost(const std::string& request_id);
+  /** The connection of a run was lost before its answer began: turns it away once it is known
+      whether the backend server ended with it. */
+  void OnRunLost(std::shared_ptr<serving_call> run);
+  /** The backend server has answered. */
+  void OnAnswer() { end_watch_.OnAnswer(); }
 
   /** What is told with an answer to a request of this row.
       @param in_force  part of the row that the asking node lets in, if it knows a limit */
@@ -50,11 +55,13 @@
   slot_gate gate;
   admission_level level;
   row_times times;
+  suspect_lane lane;
   std::unordered_map<std::uint64_t, std::shared_ptr<serving_call>> calls;
 
  private:
   void Step();
   void OnLossesJudged(const backend_end_watch::finding& found);
+  void OnEnded(std::uint64_t end, std::vector<std::shared_ptr<serving_call>> runs);
   void OnExpiry();
   std::optional<row_limit> LimitOf(std::string_view row,
                                    const std::optional<double>& in_force) const;
@@ -63,8 +70,8 @@
   loop_timer expiry_timer_;
   recent_success success_;
   backend_end_watch end_watch_;
-  // Ids of the requests whose runs were lost since the last finding.
-  std::vector<std::string> lost_;
+  // Not judged yet.
+  std::vector<std::shared_ptr<serving_call>> lost_;
   std::string not_here_;
   instant down_until_{};
   bool was_open_ = true;
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -24,6 +24,8 @@
 // An entry that was told of a slot lets the request run within a round trip. One that
 // is gone must not hold the slot.
 constexpr duration kGrantLimit = std::chrono::milliseconds(400);
+// Suspects of ends so recent are sent again now.
+constexpr duration kRecentEnd = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -52,8 +54,6 @@
   deadline_ = arrived_ + left;
   if (about_.key_left) {
     key_until_ = arrived_ + *about_.key_left;
-    // It need not wait for longer.
-    left = std::min(left, *about_.key_left);
   }
   if (const std::string* caller = request.Find(names.caller_service)) {
     node.origins.OnArrival(about_.row, *caller);
@@ -70,6 +70,47 @@
     return;
   }
   Announce();
+  if (const std::string* field = request.Find(kSuspectField)) {
+    suspect_ = request_digest::Parse(*field);
+  }
+  if (suspect_) {
+    AwaitTurn(*suspect_);
+  } else {
+    AskForSlot();
+  }
+}
+
+void serving_call::AwaitTurn(const request_digest& suspect) {
+  const suspect_book& book = board_.node.suspects;
+  const instant now = board_.node.loop.Now();
+  if (IsBlocked()) {
+    TurnAway(relay_outcome::kBlocked);
+    return;
+  }
+  board_.lane.SetSuspects(book.CountSince(now - kRecentEnd));
+  if (board_.lane.Enter({.id = id_, .digest = suspect, .ends = book.EndsOf(suspect)})) {
+    AskForSlot();
+    return;
+  }
+  deadline_timer_.StartOnce(deadline_ - now, [this] { TurnAway(relay_outcome::kFull); });
+}
+
+// What ran before it may have told more of it.
+void serving_call::OnTurn() {
+  deadline_timer_.Stop();
+  if (IsBlocked()) {
+    TurnAway(relay_outcome::kBlocked);
+  } else if (board_.backend_down()) {
+    TurnAway(relay_outcome::kDown);
+  } else {
+    AskForSlot();
+  }
+}
+
+void serving_call::AskForSlot() {
+  relay_board& node = board_.node;
+  // It need not wait for longer than its key may be relied on.
+  const duration left = std::min(deadline_, key_until_) - node.loop.Now();
   const duration run_time = board_.times.MeanOf(about_.row, board_.gate.service_time());
   const double counted = about_.counted_before ? 0.0 : about_.stands_for;
   const duration work(static_cast<duration::rep>(counted * static_cast<double>(run_time.count())));
@@ -81,7 +122,7 @@
                                                   .objective_left = about_.objective_left,
                                                   .objective = about_.objective,
                                                   .run_time = run_time},
-                                                 arrived_);
+                                                 node.loop.Now());
   switch (verdict) {
     case slot_verdict::kStart:
       OnSlot();
@@ -157,6 +198,11 @@
 
 bool serving_call::KeyIsStale() const { return board_.node.loop.Now() > key_until_; }
 
+bool serving_call::IsBlocked() const {
+  return suspect_ && board_.node.suspects.StandingOf(*suspect_, board_.node.loop.Now()) ==
+                         suspect_standing::kBlocked;
+}
+
 // All repeats at this backend server are counted here, whichever node sends them.
 bool serving_call::MayTakeRepeat() {
   const bool granted = board_.node.repeats.TakeOne(about_.nested, board_.node.loop.Now());
@@ -177,6 +223,7 @@
   http_head head = peer_->request();
   head.RemoveConnectionFields();
   head.Remove(kCallField);
+  head.Remove(kSuspectField);
   if (about_.held) {
     head.framing = about_.framing;
     head.length = about_.length;
@@ -195,6 +242,11 @@
     TurnAway(relay_outcome::kStaleKey);
     return;
   }
+  if (IsBlocked()) {
+    board_.gate.Release();
+    TurnAway(relay_outcome::kBlocked);
+    return;
+  }
   running_ = true;
   started_ = board_.node.loop.Now();
   limit_when_full_ = board_.gate.limit_when_full();
@@ -279,6 +331,7 @@
 }
 
 void serving_call::OnAnswerHead(http_head head) {
+  board_.OnAnswer();
   outcome_ = Judge(head);
   failed_ = head.status >= http_status::kFirstServerError;
   // A failure below fails the request here: no fault of this backend server.
@@ -321,6 +374,13 @@
     TurnAway(*outcome_);
     return;
   }
+  if (suspect_ && !failed_) {
+    suspect_event cleared = AsSuspect();
+    cleared.what = suspect_event::kind::kCleared;
+    cleared.digest = *suspect_;
+    cleared.end = board_.node.random.Next();
+    board_.node.on_suspects({cleared});
+  }
   if (!detached_) {
     peer_->Finish();
   }
@@ -352,11 +412,37 @@
     return;
   }
   if (failure == exchange_failure::kBroken) {
-    board_.OnRunLost(request_id_);
+    board_.OnRunLost(shared_from_this());
+    return;
   }
   TurnAway(failure == exchange_failure::kDamaged ? relay_outcome::kDamaged : relay_outcome::kLost);
 }
 
+suspect_event serving_call::AsSuspect() const {
+  const http_head& request = peer_->request();
+  const std::string* customer = request.Find(board_.node.settings.headers.customer);
+  const request_parts parts =
+      body_.PartsOf(request, customer == nullptr ? std::string_view() : *customer);
+  return {.digest = request_digest::Of(parts), .place = PlaceOf(parts)};
+}
+
+void serving_call::OnBackendEnded(std::uint64_t end) {
+  if (ended_) {
+    return;
+  }
+  const request_digest digest = AsSuspect().digest;
+  const instant now = board_.node.loop.Now();
+  const bool is_blocked =
+      board_.node.suspects.StandingOf(digest, now) == suspect_standing::kBlocked;
+  board_.node.log.OnChange("suspect.ran", {{"id", request_id_},
+                                           {"row", about_.row},
+                                           {"suspect", digest.ToText()},
+                                           {"end", end},
+                                           {"ends", board_.node.suspects.EndsOf(digest)},
+                                           {"blocked", is_blocked}});
+  TurnAway(is_blocked ? relay_outcome::kEndedAlone : relay_outcome::kEnded);
+}
+
 void serving_call::OnDeadline() {
   if (!running_) {
     return;
@@ -415,6 +501,9 @@
 }
 
 void serving_call::TurnAway(relay_outcome why) {
+  if (ended_) {
+    return;
+  }
   if (!detached_) {
     http_head head =
         MakeAnswer(SurelyNotRun(why) ? http_status::kUnavailable : http_status::kBadGateway);
@@ -446,6 +535,9 @@
   serving_board& board = board_;
   const auto keep = shared_from_this();
   board.calls.erase(id_);
+  if (suspect_) {
+    board.StartTurns(id_);
+  }
   board.StartWaiting();
 }
 
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -29,11 +29,21 @@
   void Begin();
   /** There is a slot for it. */
   void OnSlot();
+  /** Its turn has come among the suspects at this backend server. */
+  void OnTurn();
   /** Answers the calling node that no answer of the backend server comes. */
   void TurnAway(relay_outcome why);
+  /** The backend server ended while it ran this, which was made known. */
+  void OnBackendEnded(std::uint64_t end);
+
+  const std::string& request_id() const { return request_id_; }
+  /** What it is known by, as one of those that an end took along. */
+  suspect_event AsSuspect() const;
 
  private:
   bool MayTakeRepeat();
+  void AwaitTurn(const request_digest& suspect);
+  void AskForSlot();
   /** How a run in the backend server ended. */
   enum class run_end : std::uint8_t {
     kSuccess,
@@ -44,6 +54,7 @@
   };
 
   bool KeyIsStale() const;
+  bool IsBlocked() const;
   /** Tells the calling node, if the answer takes longer, that there will be one. */
   void Announce();
   void HookPeer();
@@ -71,6 +82,8 @@
   std::shared_ptr<server_exchange> peer_;
   call_header about_;
   std::string request_id_;
+  // Where it ran at a backend server that ended.
+  std::optional<request_digest> suspect_;
   instant arrived_;
   instant started_{};
   // Of the gate, as it began to run; zero where slots were free.
--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -84,6 +84,7 @@
   // Guards against all that ran at the target being taken for the one that ended it.
   void Neighbours_RunBesideIt_AreServed() {
     crashing_fleet world(4, 2, seconds(20));
+    EarnRepeats(world);
     auto neighbours = SendNeighbours(world, "first");
     auto crashing = world.fleet().Send(0, relay_fleet::Get(kCrashing, "p"));
     world.fleet().RunUntil([&] { return AllAnswered(neighbours) && crashing->status() != 0; });
@@ -97,6 +98,7 @@
   // Guards against the most frequent request of a service being refused for another one.
   void Neighbour_AskedAllTheTime_IsNotRefused() {
     crashing_fleet world(4, 2, kAway);
+    EarnRepeats(world);
     std::vector<std::shared_ptr<client_result>> asked;
     for (int step = 0; step < 150; ++step) {
       const std::string number = std::to_string(step);
@@ -155,6 +157,14 @@
     world.fleet().RunUntil([&] { return sent->status() != 0; });
   }
 
+  // What is repeated is bounded by what came before.
+  static void EarnRepeats(crashing_fleet& world) {
+    for (const char* round : {"a", "b", "c"}) {
+      auto earlier = SendNeighbours(world, round);
+      world.fleet().RunUntil([&] { return AllAnswered(earlier); });
+    }
+  }
+
   // So many that each target runs some.
   static results SendNeighbours(crashing_fleet& world, const std::string& name) {
     results sent;
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -31,7 +31,11 @@
   return ++last;
 }
 
-constexpr std::uint32_t kLoopback = 0x7F3D0000;  // 127.61.0.0
+// Programs that run side by side have networks of their own.
+#ifndef CUMINFERRY_TEST_NETWORK
+#define CUMINFERRY_TEST_NETWORK 61
+#endif
+constexpr std::uint32_t kLoopback = 0x7F000000 + (CUMINFERRY_TEST_NETWORK << 16);
 
 }  // namespace
 
