--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -19,14 +19,6 @@
   return target.substr(begin, target.find('&', begin) - begin);
 }
 
-void Answer(server_exchange& request, int status, const json& body) {
-  http_head head;
-  head.status = status;
-  head.reason = "Status";
-  head.Set("Content-Type", "application/json");
-  request.Answer(std::move(head), body.dump());
-}
-
 }  // namespace
 
 store_stand_in::store_stand_in(event_loop& loop, const endpoint& at) : loop_(loop) {
@@ -71,6 +63,30 @@
   history_.clear();
 }
 
+void store_stand_in::SetCopyAside() {
+  copy_ = {.items = items_, .history = history_, .revision = revision_};
+}
+
+void store_stand_in::ReturnFromCopy() {
+  items_ = copy_.items;
+  history_ = copy_.history;
+  revision_ = copy_.revision;
+  ++era_;
+  for (const auto& [watch, after] : waiting_) {
+    watch->Break();
+  }
+  waiting_.clear();
+}
+
+void store_stand_in::Answer(server_exchange& request, int status, const json& body) const {
+  http_head head;
+  head.status = status;
+  head.reason = "Status";
+  head.Set("Content-Type", "application/json");
+  head.Set("Store-Era", std::to_string(era_));
+  request.Answer(std::move(head), body.dump());
+}
+
 void store_stand_in::OnRequest(std::shared_ptr<server_exchange> request) {
   ++calls;
   if (silent) {
@@ -88,7 +104,7 @@
     return;
   }
   const std::uint64_t after = std::stoull(Parameter(target, "after"));
-  if (after < forgotten_to_) {
+  if (after < forgotten_to_ || after > revision_) {
     constexpr int kGone = 410;
     Answer(*request, kGone, json::object());
   } else if (!AnswerWatch(*request, after)) {
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -29,6 +29,12 @@
   /** Forgets its history: watches from before get 410. */
   void Compact();
 
+  /** Sets a copy aside, from which it may return. */
+  void SetCopyAside();
+  /** Comes back from that copy: what was written since is gone, its revisions are given out
+      again, and watches that wait are cut. */
+  void ReturnFromCopy();
+
   /** Answers everything with this status; 0 serves. */
   int broken_status = 0;
   /** Takes requests and never answers. */
@@ -55,7 +61,14 @@
     bool removed = false;
   };
 
+  struct copy {
+    std::map<std::string, change> items;
+    std::vector<change> history;
+    std::uint64_t revision = 0;
+  };
+
   static nlohmann::json ToJson(const change& item);
+  void Answer(server_exchange& request, int status, const nlohmann::json& body) const;
   void AnswerAfterWait(const std::shared_ptr<server_exchange>& watch, duration wait);
 
   void OnRequest(std::shared_ptr<server_exchange> request);
@@ -69,6 +82,8 @@
   std::vector<change> history_;
   std::uint64_t revision_ = 10;
   std::uint64_t forgotten_to_ = 0;
+  std::uint64_t era_ = 1;
+  copy copy_;
   std::vector<std::pair<std::shared_ptr<server_exchange>, std::uint64_t>> waiting_;
   std::vector<std::unique_ptr<loop_timer>> timers_;
 };
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -1,8 +1,6 @@
-#include "platform/store_watcher.h"
-
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "platform/store_stand_in.h"
+#include "platform/watched_store.h"
 
 namespace cuminferry::testing {
 namespace {
@@ -10,41 +8,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** A watcher, the store that it watches and the copy that it keeps. */
-struct watched_store {
-  event_loop loop;
-  store_stand_in store{loop, {.address = 0x7F000001, .port = 0}};
-  decision_log log{loop, "test"};
-  item_replica items;
-  std::vector<bool> heard;
-  std::vector<std::int64_t> ages;
-  std::vector<instant> told;
-  platform::store_watcher watcher{loop,
-                                  store.at(),
-                                  log,
-                                  {.on_update =
-                                       [this](const item_update& update) {
-                                         items.Apply(update);
-                                         ages.push_back(update.age_micros);
-                                         told.push_back(loop.Now());
-                                       },
-                                   .on_heard = [this](bool now) { heard.push_back(now); }}};
-
-  bool RunUntil(const std::function<bool()>& condition, duration limit = seconds(5)) {
-    const instant end = loop.Now() + limit;
-    bool held = false;
-    loop_timer poll(loop);
-    poll.StartPeriodic(milliseconds(2), [&] {
-      held = condition();
-      if (held || loop.Now() >= end) {
-        loop.Stop();
-      }
-    });
-    loop.Run();
-    return held;
-  }
-};
-
 }  // namespace
 
 class store_watcher_test : public CppUnit::TestFixture {
