Let nodes tell each other once of a request that was cleared

Cause: a clearing seems a little later at each node that it comes to, so that each took it for a new one and told three others, for ever. Class: time of arrival taken for time of origin in a spread that has to end. Now a clearing is news where it annuls an end, or comes a second after the last. Two tests failed first: one book told ten times took ten for news; the four nodes of crashing_request_test told others beyond three messages an event.

Ruled out: a number for each clearing (two numbers of the same request follow each other round as well).

--- a/modules/cuminferry_policy/suspects/suspect_book.cpp
+++ b/modules/cuminferry_policy/suspects/suspect_book.cpp
@@ -50,7 +50,7 @@
 // A trial follows a block: what led to it is remembered for that long besides.
 instant suspect_book::ForgottenAt(const record& of) {
   if (of.ends.empty()) {
-    return of.cleared_at + kClearingKept;
+    return of.cleared.value_or(instant{}) + kClearingKept;
   }
   return BlockedUntil(of).value_or(of.last_end()) + kSuspicionTime;
 }
@@ -62,54 +62,54 @@
 
 bool suspect_book::Apply(const suspect_event& event, instant now) {
   const instant at = now - duration(std::max<std::int64_t>(0, event.age_micros));
-  const auto found = records_.find(event.digest);
-  const bool clears = event.what == suspect_event::kind::kCleared;
-  if (found != records_.end()) {
-    const record& known = found->second;
-    const bool annulled = !clears && known.clearing != 0 && at <= known.cleared_at + kClearTime;
-    const bool old = clears ? at <= known.cleared_at : known.ends.contains(event.end);
-    if (annulled || old) {
-      return false;
-    }
-  }
-  if (clears && (found == records_.end() || now - at >= kClearingKept)) {
-    return false;
-  }
-  record& of = records_[event.digest];
-  if (found == records_.end()) {
+  return event.what == suspect_event::kind::kCleared ? ApplyClearing(event, at, now)
+                                                     : ApplyEnd(event, at, now);
+}
+
+bool suspect_book::ApplyEnd(const suspect_event& event, instant at, instant now) {
+  const auto [found, is_first] = records_.try_emplace(event.digest);
+  record& of = found->second;
+  if (is_first) {
     of.place = event.place;
     ++places_[of.place];
   }
-  if (!clears) {
-    of.ends.emplace(event.end,
-                    ended{.at = at, .alone = event.what == suspect_event::kind::kEndedAlone});
-    Toggle(event.digest, event.end);
-    MakeRoom(now);
-    return true;
-  }
-  if (of.clearing != 0) {
-    Toggle(event.digest, of.clearing);
+  const bool annulled = of.cleared && at <= *of.cleared + kClearTime;
+  if (annulled || of.ends.contains(event.end)) {
+    return false;
   }
-  of.cleared_at = at;
-  of.clearing = event.end;
+  of.ends.emplace(event.end,
+                  ended{.at = at, .alone = event.what == suspect_event::kind::kEndedAlone});
   Toggle(event.digest, event.end);
-  std::erase_if(of.ends, [&](const auto& item) {
-    const bool annulled = item.second.at <= at + kClearTime;
-    if (annulled) {
+  MakeRoom(now);
+  return true;
+}
+
+// Nodes tell on what is new to them. A clearing seems a little later at each node that it
+// comes to: taken for a new one there, it would go round for ever.
+bool suspect_book::ApplyClearing(const suspect_event& event, instant at, instant now) {
+  const auto found = records_.find(event.digest);
+  if (found == records_.end() || now - at >= kClearingKept) {
+    return false;
+  }
+  record& of = found->second;
+  const std::size_t annulled = std::erase_if(of.ends, [&](const auto& item) {
+    const bool is_annulled = item.second.at <= at + kClearTime;
+    if (is_annulled) {
       Toggle(event.digest, item.first);
     }
-    return annulled;
+    return is_annulled;
   });
-  return true;
+  const bool is_news = annulled > 0 || !of.cleared || at > *of.cleared + kClearTime;
+  if (is_news) {
+    of.cleared = std::max(at, of.cleared.value_or(at));
+  }
+  return is_news;
 }
 
 suspect_book::records::iterator suspect_book::Forget(records::iterator at) {
   for (const auto& [number, end] : at->second.ends) {
     Toggle(at->first, number);
   }
-  if (at->second.clearing != 0) {
-    Toggle(at->first, at->second.clearing);
-  }
   const auto place = places_.find(at->second.place);
   if (--place->second == 0) {
     places_.erase(place);
@@ -209,12 +209,11 @@
            .end = number,
            .age_micros = (now - end.at).count()});
     }
-    if (known.clearing != 0) {
+    if (known.cleared) {
       all.push_back({.what = suspect_event::kind::kCleared,
                      .digest = digest,
                      .place = known.place,
-                     .end = known.clearing,
-                     .age_micros = (now - known.cleared_at).count()});
+                     .age_micros = (now - *known.cleared).count()});
     }
   }
   return all;
--- a/modules/cuminferry_policy/suspects/suspect_book.h
+++ b/modules/cuminferry_policy/suspects/suspect_book.h
@@ -68,7 +68,7 @@
                                          instant now) const;
   /** All that is remembered, for a node that may lack some of it. */
   std::vector<suspect_event> All(instant now) const;
-  /** Equal where the same is remembered; 0 where nothing is. */
+  /** Equal where the same ends are remembered; 0 where none are. */
   std::uint64_t checksum() const { return checksum_; }
   /** Suspects whose last end is this recent. */
   std::size_t CountSince(instant since) const;
@@ -82,9 +82,8 @@
   struct record {
     std::uint64_t place = 0;
     std::map<std::uint64_t, ended> ends;
-    // The last clearing, and its number; 0 where there was none.
-    instant cleared_at{};
-    std::uint64_t clearing = 0;
+    // When it last ended well.
+    std::optional<instant> cleared;
 
     instant last_end() const;
     bool was_alone() const;
@@ -93,6 +92,8 @@
 
   static std::optional<instant> BlockedUntil(const record& of);
   static instant ForgottenAt(const record& of);
+  bool ApplyEnd(const suspect_event& event, instant at, instant now);
+  bool ApplyClearing(const suspect_event& event, instant at, instant now);
   void Toggle(const request_digest& digest, std::uint64_t number);
   records::iterator Forget(records::iterator at);
   void MakeRoom(instant now);
--- a/modules/cuminferry_policy/suspects/suspect_event.h
+++ b/modules/cuminferry_policy/suspects/suspect_event.h
@@ -21,7 +21,7 @@
   request_digest digest;
   /** @see PlaceOf */
   std::uint64_t place = 0;
-  /** Of the end of the backend server; of a clearing, a number of its own. */
+  /** Of the end of the backend server; 0 of a clearing. */
   std::uint64_t end = 0;
   /** Since it came about. */
   std::int64_t age_micros = 0;
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -170,6 +170,7 @@
     board.metrics.SetGauge("cuminferry_platform_heard", platform_heard ? 1.0 : 0.0);
     board.metrics.SetGauge("cuminferry_platform_watched", exchange.watching() ? 1.0 : 0.0);
     board.metrics.SetGauge("cuminferry_items_questions", static_cast<double>(exchange.questions()));
+    board.metrics.SetGauge("cuminferry_suspects_told", static_cast<double>(suspects.told()));
     board.metrics.SetGauge("cuminferry_suspects_blocked",
                            static_cast<double>(board.suspects.CountBlocked(board.loop.Now())));
     if (const auto age = exchange.Age()) {
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -378,7 +378,6 @@
     suspect_event cleared = AsSuspect();
     cleared.what = suspect_event::kind::kCleared;
     cleared.digest = *suspect_;
-    cleared.end = board_.node.random.Next();
     board_.node.on_suspects({cleared});
   }
   if (!detached_) {
--- a/modules/cuminferry_relay/path/suspect_exchange.cpp
+++ b/modules/cuminferry_relay/path/suspect_exchange.cpp
@@ -25,6 +25,7 @@
   loop_timer ask_timer;
   // To be told at the end of the turn.
   std::vector<suspect_event> untold;
+  std::uint64_t told = 0;
 
   explicit state(relay_board& board) : board(board), questions(board), ask_timer(board.loop) {
     ask_timer.StartPeriodic(kAskPeriod, [this] { OnPeriod(); });
@@ -85,7 +86,8 @@
   void TellOthers() {
     const std::string body = EncodeMessage(std::exchange(untold, {}));
     std::vector<endpoint> peers = board.peers();
-    for (std::size_t told = 0; told < kTold && !peers.empty(); ++told) {
+    for (std::size_t number = 0; number < kTold && !peers.empty(); ++number) {
+      ++told;
       const auto at = static_cast<std::ptrdiff_t>(board.random.Below(peers.size()));
       questions.Ask({.peer = peers[static_cast<std::size_t>(at)],
                      .method = "POST",
@@ -137,6 +139,8 @@
 
 suspect_exchange::~suspect_exchange() = default;
 
+std::uint64_t suspect_exchange::told() const { return state_->told; }
+
 void suspect_exchange::Tell(const std::vector<suspect_event>& found) { state_->TakeNew(found); }
 
 void suspect_exchange::OnRequest(std::shared_ptr<server_exchange> peer) {
--- a/modules/cuminferry_relay/path/suspect_exchange.h
+++ b/modules/cuminferry_relay/path/suspect_exchange.h
@@ -30,6 +30,8 @@
   void Tell(const std::vector<suspect_event>& found);
   /** Another node tells, or asks. */
   void OnRequest(std::shared_ptr<server_exchange> peer);
+  /** Messages that told other nodes of something. */
+  std::uint64_t told() const;
 
  private:
   struct state;
--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -16,6 +16,9 @@
 // Nodes in touch know within this what another has found out.
 constexpr duration kKnownEverywhere = seconds(1);
 
+// Nodes that each one tells what is new to it.
+constexpr double kToldOfEach = 3.0;
+
 constexpr char kCrashing[] = "/safe/crash";
 
 }  // namespace
@@ -90,6 +93,12 @@
     world.fleet().RunUntil([&] { return AllAnswered(neighbours) && crashing->status() != 0; });
     CPPUNIT_ASSERT(world.ends() <= kMostEnds);
     CPPUNIT_ASSERT_EQUAL(neighbours.size(), CountServed(neighbours));
+    world.fleet().RunFor(kKnownEverywhere);
+    // At most: an end and a clearing for each, told on by each node.
+    const double most = 2.0 * static_cast<double>(neighbours.size() + 1) * kToldOfEach;
+    for (int node = 0; node < 4; ++node) {
+      CPPUNIT_ASSERT(Told(world, node) <= most);
+    }
     auto again = SendNeighbours(world, "again");
     world.fleet().RunUntil([&] { return AllAnswered(again); });
     CPPUNIT_ASSERT_EQUAL(again.size(), CountServed(again));
@@ -177,6 +186,15 @@
     return sent;
   }
 
+  /** Messages by which a node told others of suspects. */
+  static double Told(crashing_fleet& world, int node) {
+    const std::string mark = "\ncuminferry_suspects_told ";
+    const auto page = world.fleet().SendTo(world.fleet().SettingsOf(node).metrics,
+                                           "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n");
+    CPPUNIT_ASSERT(world.fleet().RunUntil([&] { return page->Has(mark); }));
+    return std::stod(page->bytes.substr(page->bytes.find(mark) + mark.size()));
+  }
+
   static bool AllAnswered(const results& sent) {
     return std::ranges::all_of(sent, [](const auto& one) { return one->status() != 0; });
   }
--- a/tests/relay/suspect_test.cpp
+++ b/tests/relay/suspect_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(Standing_EndedWellWhileAnotherEnds_IsFree);
   CPPUNIT_TEST(Standing_BlockIsOver_IsCarefulAndThenBlockedForLonger);
   CPPUNIT_TEST(Apply_InAnyOrder_SaysTheSame);
+  CPPUNIT_TEST(Apply_ClearingsToldRound_AreNewsOnce);
   CPPUNIT_TEST(Apply_FloodOfSuspects_TheGuiltyOneStays);
   CPPUNIT_TEST(EndNoticedTwice_SuspectsOfTheSecondNotice_AreNotAlone);
   CPPUNIT_TEST(Lane_TwoSuspects_RunInTurn);
@@ -128,7 +129,6 @@
     }
     suspect_event cleared = Run("b");
     cleared.what = suspect_event::kind::kCleared;
-    cleared.end = 99;
     random_source random(1);
     suspect_book first;
     for (const suspect_event& event : events) {
@@ -154,6 +154,19 @@
     }
   }
 
+  // Guards against nodes that tell each other of the same clearings for ever.
+  void Apply_ClearingsToldRound_AreNewsOnce() {
+    End(kFirstEnd, {"a"}, kStart);
+    suspect_event cleared = cuminferry::testing::Run("a");
+    cleared.what = suspect_event::kind::kCleared;
+    int news = 0;
+    // Each time it comes a round trip later, and seems to have just come about.
+    for (int round = 0; round < 10; ++round) {
+      news += book_.Apply(cleared, kStart + round * milliseconds(5)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, news);
+  }
+
   // Guards against a flood of suspects that makes nodes forget which one is guilty.
   void Apply_FloodOfSuspects_TheGuiltyOneStays() {
     End(kFirstEnd, {"guilty"}, kStart);
@@ -240,7 +253,6 @@
   void ClearAt(const std::string& path, instant now) {
     suspect_event event = cuminferry::testing::Run(path);
     event.what = suspect_event::kind::kCleared;
-    event.end = 1'000;
     book_.Apply(event, now);
   }
 
--- a/tests/relay/suspect_world.cpp
+++ b/tests/relay/suspect_world.cpp
@@ -174,10 +174,8 @@
   target.running.erase(what->id);
   ++innocents_served_;
   if (what->suspect) {
-    Tell(target, {{.what = suspect_event::kind::kCleared,
-                   .digest = what->digest,
-                   .place = what->place,
-                   .end = random_.Next()}});
+    Tell(target,
+         {{.what = suspect_event::kind::kCleared, .digest = what->digest, .place = what->place}});
   }
   Leave(target, *what);
 }
