Explain a blocked request by the ends that led to it

From the id of a refused request an operator now finds which requests (path, customer) ran at the backend servers that ended, and the node that blocked it first: explain looks for the lines on the same suspect and reads its logs once more for them. suspect.ran has path and customer; a key stands in no line.

--- a/extras/ctl/commands/explain_command.cpp
+++ b/extras/ctl/commands/explain_command.cpp
@@ -1,10 +1,13 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <sstream>
+#include <utility>
 
 #include "ctl/commands/commands.h"
 
@@ -43,12 +46,13 @@
   return text.str();
 }
 
-/** Reads one line of a log; what stands before the object is passed over. Ids of
-    calls that begin with the request's id and a dot are shown as likely caused
-    by it: a reading aid, as ids promise nothing. */
-std::optional<log_entry> ToEntry(const std::string& text, const std::string& id) {
+/** Whether an entry is to be shown. */
+using entry_filter = std::function<bool(log_entry&)>;
+
+/** Reads one line of a log that has `part`; what stands before the object is passed over. */
+std::optional<log_entry> ToEntry(const std::string& text, const std::string& part) {
   const auto begin = text.find('{');
-  if (begin == std::string::npos || text.find(id) == std::string::npos) {
+  if (begin == std::string::npos || text.find(part) == std::string::npos) {
     return std::nullopt;
   }
   json line =
@@ -56,21 +60,15 @@
   if (!line.is_object()) {
     return std::nullopt;
   }
-  const std::string found = TextOf(line, "id");
-  const bool own = found == id;
-  if (!own && !found.starts_with(id + ".")) {
-    return std::nullopt;
-  }
   log_entry entry;
   entry.wall_micros = line.value("time_us", std::int64_t{0});
   entry.instance = TextOf(line, "instance");
   entry.event = TextOf(line, "event");
-  entry.own = own;
   entry.line = std::move(line);
   return entry;
 }
 
-bool ReadLog(const std::filesystem::path& file, const std::string& id,
+bool ReadLog(const std::filesystem::path& file, const std::string& part, const entry_filter& shown,
              std::vector<log_entry>& into) {
   std::ifstream stream(file);
   if (!stream) {
@@ -78,24 +76,71 @@
   }
   std::string text;
   while (std::getline(stream, text)) {
-    if (auto entry = ToEntry(text, id)) {
+    auto entry = ToEntry(text, part);
+    if (entry && shown(*entry)) {
       into.push_back(std::move(*entry));
     }
   }
   return true;
 }
 
-bool ReadLogs(const std::filesystem::path& path, const std::string& id,
-              std::vector<log_entry>& into) {
-  std::error_code error;
-  if (!std::filesystem::is_directory(path, error)) {
-    return ReadLog(path, id, into);
+bool ReadLogs(const std::vector<std::string>& paths, const std::string& part,
+              const entry_filter& shown, std::vector<log_entry>& into, std::string& unreadable) {
+  for (const std::string& path : paths) {
+    std::error_code error;
+    bool all = true;
+    if (!std::filesystem::is_directory(path, error)) {
+      all = ReadLog(path, part, shown, into);
+    } else {
+      for (const auto& file : std::filesystem::directory_iterator(path, error)) {
+        all = ReadLog(file.path(), part, shown, into) && all;
+      }
+    }
+    if (!all || error) {
+      unreadable = path;
+      return false;
+    }
+  }
+  return true;
+}
+
+// Ids of calls that begin with the request's id and a dot are shown as likely caused by it: a
+// reading aid, as ids promise nothing.
+entry_filter SpeaksOf(const std::string& id) {
+  return [id](log_entry& entry) {
+    const std::string found = TextOf(entry.line, "id");
+    entry.own = found == id;
+    return entry.own || found.starts_with(id + ".");
+  };
+}
+
+// The ends of backend servers that led to the block of a request, and the first node that says it.
+void AddEnds(const std::vector<std::string>& paths, std::vector<log_entry>& entries) {
+  std::set<std::string> suspects;
+  for (const log_entry& entry : entries) {
+    if (entry.line.contains("suspect")) {
+      suspects.insert(TextOf(entry.line, "suspect"));
+    }
+  }
+  const std::size_t known = entries.size();
+  std::vector<log_entry> found;
+  for (const std::string& suspect : suspects) {
+    std::string unreadable;
+    ReadLogs(
+        paths, suspect, [](const log_entry& entry) { return entry.event.starts_with("suspect."); },
+        found, unreadable);
   }
-  bool all = true;
-  for (const auto& file : std::filesystem::directory_iterator(path, error)) {
-    all = ReadLog(file.path(), id, into) && all;
+  std::ranges::stable_sort(found, {}, &log_entry::wall_micros);
+  bool blocked = false;
+  for (log_entry& entry : found) {
+    const bool is_block = entry.event == "suspect.blocked";
+    const bool is_known =
+        std::any_of(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(known),
+                    [&entry](const log_entry& other) { return other.line == entry.line; });
+    if (!is_known && !(is_block && std::exchange(blocked, true))) {
+      entries.push_back(std::move(entry));
+    }
   }
-  return all && !error;
 }
 
 // What a reason means, in words an operator uses.
@@ -111,6 +156,10 @@
       {"no-repeats", "the bound on repeats was used up at the target"},
       {"turned-away", "the backend server said that it had not run the request"},
       {"other-instance", "another backend server stood at the target's address"},
+      {"ended", "the backend server ended while it ran the request, among others"},
+      {"ended-alone", "the backend server ended, as others had before under this request"},
+      {"blocked", "it ends backend servers that run it: it has not run"},
+      {"ends_targets", "it ends backend servers that run it"},
       {"lost", "the connection was lost after the request was sent: it may have run"},
       {"damaged", "what came back was no answer to this request: it may have run"},
       {"timed-out", "no answer, and no sign of one, in time: it may have run"},
@@ -173,6 +222,17 @@
     }
     return words + DescribeCustomer(line);
   }
+  if (entry.event == "suspect.ran") {
+    const std::string customer = TextOf(line, "customer");
+    return "a backend server ended while it ran " + TextOf(line, "path") +
+           (customer.empty() ? "" : " of customer " + customer) + " (request " +
+           TextOf(line, "id") + ", end " + TextOf(line, "end") +
+           "); ends under that request so far: " + TextOf(line, "ends");
+  }
+  if (entry.event == "suspect.blocked") {
+    return "blocked from here on, after " + TextOf(line, "ends") + " ends, the last of them " +
+           TextOf(line, "last_end");
+  }
   return entry.event + " " + line.dump();
 }
 
@@ -195,12 +255,12 @@
   const std::string& id = arguments.front();
   std::vector<log_entry> entries;
   const auto paths = parsed["logs"].as<std::vector<std::string>>();
-  for (const std::string& path : paths) {
-    if (!ReadLogs(path, id, entries)) {
-      Complain(to, result_code::kSettingsFileUnreadable, path);
-      return exit_code::kFileUnreadable;
-    }
+  std::string unreadable;
+  if (!ReadLogs(paths, id, SpeaksOf(id), entries, unreadable)) {
+    Complain(to, result_code::kSettingsFileUnreadable, unreadable);
+    return exit_code::kFileUnreadable;
   }
+  AddEnds(paths, entries);
   if (entries.empty()) {
     to.out << "no line speaks of " << id
            << "; lines over a node's rate are left out and counted (log.left_out)\n";
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -433,8 +433,12 @@
   const instant now = board_.node.loop.Now();
   const bool is_blocked =
       board_.node.suspects.StandingOf(digest, now) == suspect_standing::kBlocked;
+  const http_head& request = peer_->request();
+  const std::string* customer = request.Find(board_.node.settings.headers.customer);
   board_.node.log.OnChange("suspect.ran", {{"id", request_id_},
                                            {"row", about_.row},
+                                           {"path", request.target},
+                                           {"customer", customer == nullptr ? "" : *customer},
                                            {"suspect", digest.ToText()},
                                            {"end", end},
                                            {"ends", board_.node.suspects.EndsOf(digest)},
--- a/tests/table/explain_command_test.cpp
+++ b/tests/table/explain_command_test.cpp
@@ -26,6 +26,14 @@
 {"time_us":3,"instance":"node-a","event":"request.end","id":"401a","result":"failed","us":40,"row":"map","table":3,"why":"unknown_key"}
 )";
 
+constexpr char kSuspectLog[] =
+    R"({"time_us":10,"instance":"node-b","event":"suspect.ran","id":"first","row":"map","path":"/map/x","customer":"farm","suspect":"ab12","end":7,"ends":1,"blocked":false}
+{"time_us":11,"instance":"node-b","event":"suspect.ran","id":"neighbour","row":"map","path":"/map/y","customer":"","suspect":"cd34","end":7,"ends":1,"blocked":false}
+{"time_us":20,"instance":"node-c","event":"suspect.blocked","suspect":"ab12","ends":2,"last_end":9}
+{"time_us":21,"instance":"node-a","event":"suspect.blocked","suspect":"ab12","ends":2,"last_end":9}
+{"time_us":30,"instance":"node-a","event":"request.end","id":"later","result":"refused","us":40,"row":"map","table":3,"suspect":"ab12","why":"ends_targets"}
+)";
+
 struct ran_command {
   ctl::exit_code code;
   std::string out;
@@ -46,6 +54,7 @@
   CPPUNIT_TEST(Explain_LinesOfTwoNodes_AreOrderedAndInWords);
   CPPUNIT_TEST(Explain_CallsOfTheRequest_AreMarked);
   CPPUNIT_TEST(Explain_CustomersRequests_SayWhoseAndWhy);
+  CPPUNIT_TEST(Explain_BlockedRequest_ShowsTheEndsThatLedToIt);
   CPPUNIT_TEST(Explain_UnknownId_SaysWhyItMayBeMissing);
   CPPUNIT_TEST(Explain_NoSuchFile_IsANumberedError);
   CPPUNIT_TEST_SUITE_END();
@@ -57,6 +66,7 @@
     std::filesystem::create_directories(folder_);
     std::ofstream(folder_ / "a.log") << kEntryLog;
     std::ofstream(folder_ / "c.log") << kCustomerLog;
+    std::ofstream(folder_ / "d.log") << kSuspectLog;
     std::ofstream(folder_ / "b.log") << kServingLog;
   }
 
@@ -75,6 +85,16 @@
     CPPUNIT_ASSERT(ran.out.find("other") == std::string::npos);
   }
 
+  void Explain_BlockedRequest_ShowsTheEndsThatLedToIt() {
+    const ran_command ran = Run({"explain", "later", "--logs", folder_.string()});
+    CPPUNIT_ASSERT(ran.out.find("node-b  a backend server ended while it ran /map/x of customer "
+                                "farm (request first, end 7)") != std::string::npos);
+    CPPUNIT_ASSERT(ran.out.find("node-c  blocked from here on, after 2 ends") != std::string::npos);
+    CPPUNIT_ASSERT(ran.out.find("node-a  blocked") == std::string::npos);
+    CPPUNIT_ASSERT(ran.out.find("/map/y") == std::string::npos);
+    CPPUNIT_ASSERT(ran.out.find("it ends backend servers that run it") != std::string::npos);
+  }
+
   void Explain_CallsOfTheRequest_AreMarked() {
     const ran_command ran = Run({"explain", "9c41", "--logs", folder_.string()});
     CPPUNIT_ASSERT(ran.out.find("node-b  (call) ended as failed") != std::string::npos);
