Take runs whose callers left for no sign of calls that fail

Cause: a row that breaks off a tenth of its runs beside a backend server that calls was taken to call. Runs break off also when their callers leave, or are lost with their backend server, and say nothing of calls then. Now only runs that failed or ran out of time count (run_fate); they are still counted apart from whole ones when calls are laid to rows.

--- a/modules/cuminferry_policy/entry/row_causes.cpp
+++ b/modules/cuminferry_policy/entry/row_causes.cpp
@@ -41,7 +41,6 @@
     line.push_back(0.0);
   }
   squares_.emplace_back(kinds_.size(), 0.0);
-  runs_.push_back(0.0);
   for (window& each : pending_) {
     each.runs.push_back(0.0);
   }
@@ -82,8 +81,10 @@
     return;
   }
   windows_read_ = kKept * windows_read_ + 1.0;
+  for (fate_counts& fates : fates_) {
+    fates = {.ended = kKept * fates.ended, .failed = kKept * fates.failed};
+  }
   for (std::size_t i = 0; i < kinds_.size(); ++i) {
-    runs_[i] = kKept * runs_[i] + oldest.runs[i];
     for (std::size_t j = 0; j < kinds_.size(); ++j) {
       squares_[i][j] = kKept * squares_[i][j] + oldest.runs[i] * oldest.runs[j];
     }
@@ -168,6 +169,7 @@
   Advance(now);
   if (RowIndex(row) == kNone && kinds_.size() < kMostKinds) {
     rows_.emplace_back(row);
+    fates_.emplace_back();
     AddKind(rows_.size() - 1, true);
   }
   runs_begun_ += 1.0;
@@ -176,7 +178,7 @@
   }
 }
 
-void row_causes::OnRunEnd(std::string_view row, instant started, instant now, bool whole) {
+void row_causes::OnRunEnd(std::string_view row, instant started, instant now, run_fate fate) {
   Advance(now);
   const std::size_t row_index = RowIndex(row);
   const auto running = starts_.find(started);
@@ -184,6 +186,9 @@
     return;
   }
   starts_.erase(running);
+  fates_[row_index].ended += 1.0;
+  fates_[row_index].failed += fate == run_fate::kFailed ? 1.0 : 0.0;
+  const bool whole = fate == run_fate::kWhole;
   std::size_t index = KindIndex(row_index, whole);
   index = index == kNone ? AddKind(row_index, whole) : index;
   if (index == kNone) {
@@ -246,14 +251,11 @@
          });
 }
 
+// Runs whose callers left, or that were lost with their backend server, say nothing of calls:
+// counted here, clients without patience had a row refused for services that it never uses.
 bool row_causes::BreaksOff(std::string_view row) const {
   const std::size_t index = RowIndex(row);
-  const std::size_t broken_off = KindIndex(index, false);
-  if (broken_off == kNone) {
-    return false;
-  }
-  const double all = runs_[broken_off] + runs_[KindIndex(index, true)];
-  return runs_[broken_off] > kBreaksOff * all;
+  return index != kNone && fates_[index].failed > kBreaksOff * fates_[index].ended;
 }
 
 bool row_causes::MayCallUnseen(std::string_view row) const {
--- a/modules/cuminferry_policy/entry/row_causes.h
+++ b/modules/cuminferry_policy/entry/row_causes.h
@@ -50,14 +50,23 @@
   /** Kinds of runs that are learned of, whole ones and broken off ones of the first rows that
       run; a table's other rows don't run here. */
   static constexpr std::size_t kMostKinds = 32;
-  /** A row breaks off where this part of its runs does: more than a backend server's own
+  /** A row breaks off where this part of its runs fails: more than a backend server's own
       errors are in calm times. */
   static constexpr double kBreaksOff = 0.1;
 
+  /** How a run ended, as far as it tells of the calls that it made. */
+  enum class run_fate : std::uint8_t {
+    /** It made all its calls. */
+    kWhole,
+    /** It failed or ran out of time, perhaps for want of an answer to a call. */
+    kFailed,
+    /** Its caller left, or it was lost: no word of its calls. */
+    kCutOff,
+  };
+
   void OnRunStart(std::string_view row, instant now);
-  /** @param started  as told to OnRunStart()
-      @param whole    it made all its calls: it did not fail and was not broken off */
-  void OnRunEnd(std::string_view row, instant started, instant now, bool whole);
+  /** @param started  as told to OnRunStart() */
+  void OnRunEnd(std::string_view row, instant started, instant now, run_fate fate);
   /** The backend server calls this row. */
   void OnCall(std::string_view called, instant now);
   /** Clients send this row: what was taken for calls to it were their requests. */
@@ -130,8 +139,12 @@
   double windows_read_ = 0.0;
   // Since the start.
   double runs_begun_ = 0.0;
-  // Sum over windows of the runs.
-  by_kind runs_;
+  /** Of the runs of a row, over the time that is remembered. */
+  struct fate_counts {
+    double ended = 0.0;
+    double failed = 0.0;
+  };
+  std::vector<fate_counts> fates_;
   // Sum over windows of the products of the runs of two kinds.
   std::vector<by_kind> squares_;
   std::map<std::string, called_row, std::less<>> called_;
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -479,6 +479,18 @@
   End("caller_gone");
 }
 
+row_causes::run_fate serving_call::FateOf(run_end how) {
+  switch (how) {
+    case run_end::kSuccess:
+      return row_causes::run_fate::kWhole;
+    case run_end::kFailure:
+      return row_causes::run_fate::kFailed;
+    case run_end::kBrokenOff:
+      break;
+  }
+  return row_causes::run_fate::kCutOff;
+}
+
 // Runs that were broken off don't tell how long a run takes: what was turned away at once
 // would make it look short, and waits with it.
 void serving_call::FreeSlot(run_end how) {
@@ -488,7 +500,7 @@
   running_ = false;
   deadline_timer_.Stop();
   const instant now = board_.node.loop.Now();
-  board_.node.causes.OnRunEnd(about_.row, started_, now, how == run_end::kSuccess);
+  board_.node.causes.OnRunEnd(about_.row, started_, now, FateOf(how));
   board_.node.running.OnEnd(arrived_ - about_.age, about_.repeated);
   if (how != run_end::kBrokenOff) {
     const duration took = now - started_;
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -73,6 +73,7 @@
   void OnBackendFailed(exchange_failure failure);
   void OnPeerGone();
   void OnDeadline();
+  static row_causes::run_fate FateOf(run_end how);
   void FreeSlot(run_end how);
   void End(std::string_view result);
   void LogEnd(std::string_view result, duration waited, duration took) const;
--- a/tests/relay/call_graph_world.cpp
+++ b/tests/relay/call_graph_world.cpp
@@ -229,7 +229,8 @@
 void call_graph_world::End(const std::shared_ptr<call>& made, bool served) {
   node& at = *made->target;
   Answer(made, served);
-  at.causes.OnRunEnd(made->row->name, made->began, now_, served);
+  at.causes.OnRunEnd(made->row->name, made->began, now_,
+                     served ? row_causes::run_fate::kWhole : row_causes::run_fate::kFailed);
   at.running.OnEnd(made->entered, 0.0);
   at.gate.Finish(now_ - made->began);
   at.times.OnRun(made->row->name, now_ - made->began);
--- a/tests/relay/limit_to_tell_test.cpp
+++ b/tests/relay/limit_to_tell_test.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using run_fate = row_causes::run_fate;
 
 constexpr instant kStart = FromMicros(1'000'000);
 
@@ -19,19 +20,19 @@
   row_causes causes;
   causes.OnRunStart("roster", kStart);
   causes.OnCall("read", kStart + milliseconds(1));
-  causes.OnRunEnd("roster", kStart, kStart + milliseconds(30), true);
+  causes.OnRunEnd("roster", kStart, kStart + milliseconds(30), run_fate::kWhole);
   return causes;
 }
 
 /** A node whose rows break off with a call of a row that is limited; too early to lay calls to
  * rows. */
-row_causes BreakingOff() {
+row_causes BreakingOff(run_fate fate = run_fate::kFailed) {
   row_causes causes;
   for (int run = 0; run < 20; ++run) {
     const instant began = kStart + run * milliseconds(10);
     causes.OnRunStart("index", began);
     causes.OnCall("roster", began + milliseconds(1));
-    causes.OnRunEnd("index", began, began + milliseconds(5), false);
+    causes.OnRunEnd("index", began, began + milliseconds(5), fate);
   }
   // The windows before are read.
   causes.OnRunStart("index", kStart + milliseconds(300));
@@ -55,6 +56,7 @@
   CPPUNIT_TEST(LimitToTell_CallsWereRequestsOfClients_TellsTheOwn);
   CPPUNIT_TEST(LimitToTell_RowBreaksOffForNoKnownCall_TellsWhatLimitsThoseMade);
   CPPUNIT_TEST(LimitToTell_RowBreaksOffButIsKnownToBeFree_TellsNothing);
+  CPPUNIT_TEST(LimitToTell_CallersLeave_SaysThatItsSlotsAreFree);
   CPPUNIT_TEST(LimitToTell_LeafBreaksOff_TellsThatItsSlotsAreFree);
   CPPUNIT_TEST_SUITE_END();
 
@@ -98,13 +100,20 @@
     CPPUNIT_ASSERT(!LimitToTell("index", Own(1.0), 1.0, BreakingOff(), Further(0.5), kStart));
   }
 
+  // Guards against rows that are refused for services which they never use, as clients leave.
+  void LimitToTell_CallersLeave_SaysThatItsSlotsAreFree() {
+    const row_causes causes = BreakingOff(run_fate::kCutOff);
+    CPPUNIT_ASSERT(!causes.MayCallUnseen("index"));
+    CPPUNIT_ASSERT(!LimitToTell("index", Own(1.0), 0.5, causes, Further(0.3), kStart));
+  }
+
   // Guards against a leaf whose runs fail of themselves and that can never say that it has room.
   void LimitToTell_LeafBreaksOff_TellsThatItsSlotsAreFree() {
     row_causes causes;
     for (int run = 0; run < 20; ++run) {
       const instant began = kStart + run * milliseconds(10);
       causes.OnRunStart("roster", began);
-      causes.OnRunEnd("roster", began, began + milliseconds(5), false);
+      causes.OnRunEnd("roster", began, began + milliseconds(5), run_fate::kFailed);
     }
     CPPUNIT_ASSERT(LimitToTell("roster", Own(1.0), 0.3, causes, {}, kStart) == Own(1.0));
   }
--- a/tests/relay/row_learning_test.cpp
+++ b/tests/relay/row_learning_test.cpp
@@ -72,7 +72,9 @@
     std::erase_if(running_, [this](const run& each) {
       const bool ends = each.failed || now_ >= each.started + each.takes;
       if (ends) {
-        causes_.OnRunEnd(each.row, each.started, now_, !each.failed);
+        causes_.OnRunEnd(
+            each.row, each.started, now_,
+            each.failed ? row_causes::run_fate::kFailed : row_causes::run_fate::kWhole);
       }
       return ends;
     });
@@ -184,7 +186,8 @@
     row_causes causes;
     causes.OnCall("feed", kStart);
     causes.OnRunStart("lookup", kStart + seconds(1));
-    causes.OnRunEnd("lookup", kStart + seconds(1), kStart + seconds(2), true);
+    causes.OnRunEnd("lookup", kStart + seconds(1), kStart + seconds(2),
+                    row_causes::run_fate::kWhole);
     CPPUNIT_ASSERT(causes.CalledBy("lookup").empty());
   }
 
