Teach the soak a store that comes back from an older copy and a request that ends its targets

Checked: six ends at most for one request (three, and three sends later), and all promises that stood before.

--- a/modules/cuminferry_policy/suspects/suspect_book.h
+++ b/modules/cuminferry_policy/suspects/suspect_book.h
@@ -60,6 +60,7 @@
   std::optional<instant> BlockedUntil(const request_digest& digest, instant now) const;
   /** How many backend servers ended under it. */
   std::size_t EndsOf(const request_digest& digest) const;
+  bool empty() const { return records_.empty(); }
   /** Whether any suspect has this place: only then a body must be looked at. */
   bool HasPlace(std::uint64_t place) const { return places_.contains(place); }
 
--- a/modules/cuminferry_relay/path/outbound_suspect.cpp
+++ b/modules/cuminferry_relay/path/outbound_suspect.cpp
@@ -22,7 +22,7 @@
 
 // A body is looked at only where some request like this one ended a backend server.
 void outbound_call::state::PlaceUnlessSuspect() {
-  if (!board.suspects.HasPlace(PlaceOf(Parts()))) {
+  if (board.suspects.empty() || !board.suspects.HasPlace(PlaceOf(Parts()))) {
     Place();
   } else if (body_ended || replay.is_known()) {
     OnBodyKnown();
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "trial/child_process.h"
@@ -39,6 +40,11 @@
 constexpr int kEditsInSeries = 8;
 constexpr duration kSeriesGap = milliseconds(80);
 constexpr double kBurst = 4.0;
+// The users' bound: three ends, and three sends later.
+constexpr int kMostCrashes = 6;
+constexpr int kCrashingSends = 12;
+constexpr duration kCrashingGap = milliseconds(400);
+constexpr duration kBackAfterCrash = milliseconds(800);
 constexpr duration kGivesUp = milliseconds(40);
 constexpr double kGivesUpShare = 0.03;
 
@@ -235,7 +241,8 @@
                              .number = node.target_number,
                              .node_number = node.number,
                              .service = ServiceOf(node.number),
-                             .calls = calls ? std::string(kCalledRow) : ""},
+                             .calls = calls ? std::string(kCalledRow) : "",
+                             .on_crash = [this, &node] { OnCrashingRun(node); }},
         ledger_, random_);
     node.leaving = false;
     Publish(node);
@@ -444,6 +451,9 @@
       case soak_action::kTargetCrash:
         Crash(node, event.span);
         break;
+      case soak_action::kCrashing:
+        SendCrashing();
+        break;
       case soak_action::kBurst:
         burst_ = kBurst;
         After(event.span, [this] { burst_ = 1.0; });
@@ -496,6 +506,9 @@
         store_.Compact();
         HarmStore({}, [] {});
         break;
+      case soak_action::kStoreReturns:
+        ReturnStore(event.span);
+        break;
       case soak_action::kTargetSlow:
         HarmTarget(node, {.slowness = 10.0}, event.span);
         break;
@@ -511,6 +524,54 @@
     }
   }
 
+  // What was written since the copy was made is written again a little later.
+  void ReturnStore(duration age) {
+    store_.SetCopyAside();
+    After(age, [this] {
+      HarmStore(kHeartbeat, [] {});
+      store_.ReturnFromCopy();
+      After(kSeriesGap, [this] { Edit(); });
+      After(kSeriesGap, [this] { Heartbeat(); });
+      After(3 * kHeartbeat, [this] { LetLapse(); });
+    });
+  }
+
+  // Entries that the copy brought back, and that nobody renews.
+  void LetLapse() {
+    std::set<std::string> renewed;
+    for (const auto& node : nodes_) {
+      if (node->target) {
+        renewed.insert(node->target_id);
+      }
+    }
+    for (std::size_t number = 1; number <= targets_started_; ++number) {
+      const std::string id = fmt::format("i-{}", number);
+      if (!renewed.contains(id)) {
+        store_.Remove("servers/" + id);
+      }
+    }
+  }
+
+  void SendCrashing() {
+    Harm(disturbance::kAllNodes, kCrashingGap * kCrashingSends + kBackAfterCrash);
+    for (int sent = 0; sent < kCrashingSends; ++sent) {
+      After(kCrashingGap * sent, [this, sent] {
+        soak_node& node = *nodes_[static_cast<std::size_t>(sent) % nodes_.size()];
+        if (node.takes_clients()) {
+          Send(node, {.path = fmt::format("/{}/{}", kRows[0].name, soak_target::kCrashMark)},
+               kRows[0], kRows[0].name, 0);
+        }
+      });
+    }
+  }
+
+  void OnCrashingRun(soak_node& node) {
+    if (++crashes_ > kMostCrashes) {
+      ledger_.OnViolation(fmt::format("a request has ended {} backend servers", crashes_));
+    }
+    Crash(node, kBackAfterCrash);
+  }
+
   disturbance& Harm(std::size_t node, duration span) {
     return ledger_.OnDisturbance({.what = disturbance::kind::kHarm,
                                   .node = node,
@@ -616,6 +677,7 @@
   instant began_{};
   double burst_ = 1.0;
   int edits_ = 0;
+  int crashes_ = 0;
   std::size_t targets_started_ = 0;
   std::uint64_t heartbeats_ = 0;
   std::uint64_t requests_sent_ = 0;
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -8,13 +8,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array kNames{
-    "kill",         "kill-all",       "pause",         "delay",         "reset",
-    "silence",      "cut-to-node",    "cut-from-node", "cut-off",       "store-cut",
-    "store-reset",  "store-down",     "store-silent",  "store-forgets", "target-slow",
-    "target-loses", "target-damages", "target-sheds",  "target-crash",  "stop",
-    "reload",       "edit",           "edits",         "replace",       "burst"};
-constexpr std::uint64_t kActions = kNames.size();
+constexpr std::array kNames{"kill",           "kill-all",      "pause",        "delay",
+                            "reset",          "silence",       "cut-to-node",  "cut-from-node",
+                            "cut-off",        "store-cut",     "store-reset",  "store-down",
+                            "store-silent",   "store-forgets", "target-slow",  "target-loses",
+                            "target-damages", "target-sheds",  "target-crash", "stop",
+                            "reload",         "edit",          "edits",        "replace",
+                            "burst",          "store-returns", "crashing"};
+// Of these, the ones that each draw may give.
+constexpr auto kActions = static_cast<std::uint64_t>(soak_action::kStoreReturns);
 constexpr auto kFirstPlanned = static_cast<std::uint64_t>(soak_action::kStop);
 
 constexpr std::uint64_t kFewestEvents = 3;
@@ -35,6 +37,7 @@
 
 soak_plan soak_plan::Draw(std::uint64_t seed, std::size_t nodes, int rounds) {
   random_source random(seed);
+  random_source drawn_apart(~seed);
   soak_plan plan;
   duration now = kStartTime;
   const auto draw = [&](std::uint64_t first, duration begin, duration latest, duration end) {
@@ -52,8 +55,18 @@
     plan.calm.emplace_back(now, now + kCalmTime);
     now += kCalmTime;
   };
+  const auto draw_apart = [&](soak_action action) {
+    if (drawn_apart.Below(2) == 0) {
+      plan.events.push_back({.action = action,
+                             .at = now + Between(drawn_apart, {}, kHarmTime - kMostSpan),
+                             .span = Between(drawn_apart, kLeastSpan, kMostSpan),
+                             .node = static_cast<std::size_t>(drawn_apart.Below(nodes))});
+    }
+  };
   for (int round = 0; round < rounds; ++round) {
     draw(0, now, kHarmTime - kLeastSpan, now + kHarmTime);
+    draw_apart(soak_action::kStoreReturns);
+    draw_apart(soak_action::kCrashing);
     now += kHarmTime;
     calm();
     draw(kFirstPlanned, now, kPlannedStart, now + kPlannedTime);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -36,6 +36,9 @@
   kReplace,  ///< a backend server leaves, ends, and another takes its address
   // Load.
   kBurst,  ///< clients send four times as much
+  // Drawn apart, so that earlier seeds keep their plans.
+  kStoreReturns,  ///< the store comes back from a copy that is as old as the span
+  kCrashing,      ///< a request that ends each backend server that runs it comes again and again
 };
 
 std::string_view ToText(soak_action action);
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kLargestHead = 64 * 1024;
 constexpr std::size_t kQueuedPerSlot = 2;
 constexpr std::size_t kLargestAnswer = 30'000;
+constexpr duration kCrashAfter = std::chrono::milliseconds(10);
 constexpr duration kLateAfter = std::chrono::milliseconds(30);
 constexpr duration kCallTimeout = std::chrono::milliseconds(700);
 
@@ -48,7 +49,9 @@
     ++owner_.running_;
     run_->ran = true;
     run_->began = owner_.loop_.Now();
-    if (owner_.options_.calls.empty()) {
+    if (head_.target.find(kCrashMark) != std::string::npos) {
+      timer_.StartOnce(kCrashAfter, owner_.options_.on_crash);
+    } else if (owner_.options_.calls.empty()) {
       Work();
     } else {
       Call();
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -44,7 +45,11 @@
     std::string calls;
     duration work = std::chrono::milliseconds(20);
     std::uint32_t slots = 20;
+    /** It runs a request that ends it. */
+    std::function<void()> on_crash = {};
   };
+  /** Paths with this are of requests that end whatever runs them. */
+  static constexpr std::string_view kCrashMark = "crash";
 
   soak_target(event_loop& loop, options options, soak_ledger& ledger, random_source& random);
   /** Ends as a killed process does: connections are reset. */
