Ask other nodes in one place

limit_exchange asked homes and read their messages by the same lines that suspect_exchange needed: peer_questions and ReadWholeBody serve both, 75 lines fewer in limit_exchange.

--- a/modules/cuminferry_relay/path/limit_exchange.cpp
+++ b/modules/cuminferry_relay/path/limit_exchange.cpp
@@ -7,11 +7,11 @@
 #include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/path/outbound_call.h"
 #include "cuminferry_relay/path/peer_message.h"
+#include "cuminferry_relay/path/peer_questions.h"
 
 namespace cuminferry {
 namespace {
 
-constexpr duration kConnectionIdle = std::chrono::seconds(30);
 constexpr std::size_t kLargestMessage = 256 * 1024;
 
 }  // namespace
@@ -19,29 +19,19 @@
 struct limit_exchange::state {
   /** Reports on their way to one home. */
   struct question {
-    explicit question(event_loop& loop) : limit_timer(loop) {}
-
     endpoint home;
     std::string domain;
     instant sent{};
     // Whether the other home of these customers is still to be asked.
     bool is_first = true;
     std::vector<limit_report> reports;
-    std::string answer;
-    bool answer_ok = false;
-    std::unique_ptr<client_exchange> exchange;
-    loop_timer limit_timer;
   };
 
   relay_board& board;
   customer_home home;
   loop_timer period_timer;
-  loop_timer clean_timer;
+  peer_questions questions;
   bool send_planned = false;
-  std::uint64_t last_question = 0;
-  std::map<std::uint64_t, std::unique_ptr<question>> questions;
-  // Let go outside of their own hooks.
-  std::vector<std::unique_ptr<question>> ended;
   std::map<endpoint, instant> silent_until;
   std::map<std::string, std::vector<std::function<void()>>, std::less<>> waiting;
 
@@ -49,7 +39,7 @@
       : board(board),
         home(board.settings.customers.limits),
         period_timer(board.loop),
-        clean_timer(board.loop) {
+        questions(board) {
     period_timer.StartPeriodic(customer_limits::kPeriod, [this] { SendReports(); });
   }
 
@@ -121,82 +111,42 @@
       TakeVerdicts(AddUp(reports, true));
       return;
     }
-    const std::uint64_t number = ++last_question;
-    auto asked = std::make_unique<question>(board.loop);
-    asked->home = chosen;
-    asked->domain = board.homes.DomainOf(chosen);
-    asked->sent = board.loop.Now();
-    asked->is_first = is_first;
     const std::string body = EncodeMessage(reports);
-    asked->reports = std::move(reports);
-    const endpoint peer = board.PeerBeside(chosen);
-    http_head head;
-    head.method = "POST";
-    head.target = kLimitsPath;
-    head.Set("Host", peer.ToString());
-    head.framing = body_framing::kLength;
-    head.length = body.size();
-    question& now = *asked;
-    questions.emplace(number, std::move(asked));
-    now.exchange = board.ClientFor(peer).Send(
-        head, kConnectionIdle,
-        {.on_head =
-             [&now](const http_head& got) { now.answer_ok = got.status == http_status::kOk; },
-         .on_interim = {},
-         .on_body =
-             [&now](std::string_view bytes) {
-               if (now.answer.size() + bytes.size() <= kLargestMessage) {
-                 now.answer.append(bytes);
-               }
-             },
-         .on_end = [this, number] { OnAnswer(number); },
-         .on_failed = [this, number](exchange_failure) { OnSilence(number); },
-         .on_drained = {},
-         .is_answer = {}});
-    now.exchange->SendBody(body);
-    now.exchange->FinishBody();
-    now.limit_timer.StartOnce(kAnswerLimit, [this, number] { OnSilence(number); });
-  }
-
-  std::unique_ptr<question> TakeQuestion(std::uint64_t number) {
-    auto at = questions.extract(number);
-    return at.empty() ? nullptr : std::move(at.mapped());
-  }
-
-  void LetGo(std::unique_ptr<question> done) {
-    done->limit_timer.Stop();
-    ended.push_back(std::move(done));
-    clean_timer.StartOnce(duration::zero(), [this] { ended.clear(); });
-  }
-
-  void OnAnswer(std::uint64_t number) {
-    auto done = TakeQuestion(number);
-    if (!done) {
-      return;
-    }
-    board.domains.OnHeard(done->domain, board.loop.Now());
-    const auto verdicts =
-        done->answer_ok ? DecodeMessage<std::vector<limit_verdict>>(done->answer) : std::nullopt;
-    if (!verdicts || verdicts->size() != done->reports.size()) {
+    const auto asked = std::make_shared<question>(question{.home = chosen,
+                                                           .domain = board.homes.DomainOf(chosen),
+                                                           .sent = board.loop.Now(),
+                                                           .is_first = is_first,
+                                                           .reports = std::move(reports)});
+    questions.Ask({.peer = board.PeerBeside(chosen),
+                   .method = "POST",
+                   .target = std::string(kLimitsPath),
+                   .body = body,
+                   .limit = kAnswerLimit},
+                  [this, asked](const std::optional<std::string>& answer) {
+                    if (answer) {
+                      OnAnswer(*asked, *answer);
+                    } else {
+                      OnSilence(*asked);
+                    }
+                  });
+  }
+
+  void OnAnswer(question& done, const std::string& answer) {
+    board.domains.OnHeard(done.domain, board.loop.Now());
+    const auto verdicts = DecodeMessage<std::vector<limit_verdict>>(answer);
+    if (!verdicts || verdicts->size() != done.reports.size()) {
       board.log.OnChange("limits.damaged",
-                         {{"peer", done->home.ToString()}, {"bytes", done->answer.size()}});
-      TellHomes(std::move(done->reports), done.get());
+                         {{"peer", done.home.ToString()}, {"bytes", answer.size()}});
+      TellHomes(std::move(done.reports), &done);
     } else {
       TakeVerdicts(*verdicts);
     }
-    LetGo(std::move(done));
   }
 
-  void OnSilence(std::uint64_t number) {
-    auto done = TakeQuestion(number);
-    if (!done) {
-      return;
-    }
-    done->exchange->Cancel();
-    silent_until[done->home] = board.loop.Now() + kRest;
-    board.domains.OnSilent(done->domain, done->sent, board.loop.Now());
-    TellHomes(std::move(done->reports), done.get());
-    LetGo(std::move(done));
+  void OnSilence(question& done) {
+    silent_until[done.home] = board.loop.Now() + kRest;
+    board.domains.OnSilent(done.domain, done.sent, board.loop.Now());
+    TellHomes(std::move(done.reports), &done);
   }
 
   //============================================================================
@@ -251,25 +201,6 @@
     return verdicts;
   }
 
-  void OnRequest(std::shared_ptr<server_exchange> peer) {
-    const auto body = std::make_shared<std::string>();
-    server_exchange* const from = peer.get();
-    from->SetHooks({.on_body =
-                        [body](std::string_view bytes) {
-                          if (body->size() + bytes.size() <= kLargestMessage) {
-                            body->append(bytes);
-                          }
-                        },
-                    .on_body_end =
-                        [this, peer, body] {
-                          Answer(*peer, *body);
-                          // They hold the exchange, which holds them.
-                          peer->SetHooks({});
-                        },
-                    .on_client_gone = [peer] { peer->SetHooks({}); },
-                    .on_drained = {}});
-  }
-
   void Answer(server_exchange& peer, std::string_view body) {
     const auto reports = DecodeMessage<std::vector<limit_report>>(body);
     if (!reports) {
@@ -289,7 +220,9 @@
 }
 
 void limit_exchange::OnRequest(std::shared_ptr<server_exchange> peer) {
-  state_->OnRequest(std::move(peer));
+  ReadWholeBody(peer, kLargestMessage, [this](server_exchange& from, std::string_view body) {
+    state_->Answer(from, body);
+  });
 }
 
 std::size_t limit_exchange::accounts() const { return state_->home.size(); }
--- a/modules/cuminferry_relay/path/peer_questions.cpp
+++ b/modules/cuminferry_relay/path/peer_questions.cpp
@@ -11,6 +11,25 @@
 
 }  // namespace
 
+void ReadWholeBody(const std::shared_ptr<server_exchange>& peer, std::size_t largest,
+                   std::function<void(server_exchange&, std::string_view)> on_whole) {
+  const auto body = std::make_shared<std::string>();
+  peer->SetHooks({.on_body =
+                      [body, largest](std::string_view bytes) {
+                        if (body->size() + bytes.size() <= largest) {
+                          body->append(bytes);
+                        }
+                      },
+                  .on_body_end =
+                      [peer, body, on_whole = std::move(on_whole)] {
+                        on_whole(*peer, *body);
+                        // They hold the exchange, which holds them.
+                        peer->SetHooks({});
+                      },
+                  .on_client_gone = [peer] { peer->SetHooks({}); },
+                  .on_drained = {}});
+}
+
 struct peer_questions::question {
   explicit question(event_loop& loop) : limit_timer(loop) {}
 
--- a/modules/cuminferry_relay/path/peer_questions.h
+++ b/modules/cuminferry_relay/path/peer_questions.h
@@ -8,10 +8,15 @@
 #include <string>
 #include <vector>
 
+#include "cuminferry_relay/http/http_server.h"
 #include "cuminferry_relay/path/relay_board.h"
 
 namespace cuminferry {
 
+/** Gathers the body of another node's message, up to so many bytes, and hands it on. */
+void ReadWholeBody(const std::shared_ptr<server_exchange>& peer, std::size_t largest,
+                   std::function<void(server_exchange&, std::string_view)> on_whole);
+
 /** Sends messages to other nodes and gathers their answers. */
 class peer_questions {
  public:
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -136,7 +136,7 @@
     if (request->request().target.starts_with(kItemsPath)) {
       exchange.OnRequest(*request);
     } else if (request->request().target.starts_with(kSuspectsPath)) {
-      suspects.OnRequest(std::move(request));
+      suspects.OnRequest(request);
     } else if (request->request().target == kLimitsPath) {
       limits.OnRequest(std::move(request));
     } else {
--- a/modules/cuminferry_relay/path/suspect_exchange.cpp
+++ b/modules/cuminferry_relay/path/suspect_exchange.cpp
@@ -113,26 +113,6 @@
     }
     peer.Answer(MakeAnswer(http_status::kOk), EncodeMessage(board.suspects.All(board.loop.Now())));
   }
-
-  void OnTold(const std::shared_ptr<server_exchange>& peer) {
-    const auto body = std::make_shared<std::string>();
-    peer->SetHooks({.on_body =
-                        [body](std::string_view bytes) {
-                          if (body->size() + bytes.size() <= kLargestMessage) {
-                            body->append(bytes);
-                          }
-                        },
-                    .on_body_end =
-                        [this, peer, body] {
-                          peer->Answer(
-                              MakeAnswer(Take(*body) ? http_status::kOk : http_status::kBadRequest),
-                              "");
-                          // They hold the exchange, which holds them.
-                          peer->SetHooks({});
-                        },
-                    .on_client_gone = [peer] { peer->SetHooks({}); },
-                    .on_drained = {}});
-  }
 };
 
 suspect_exchange::suspect_exchange(relay_board& board) : state_(std::make_unique<state>(board)) {}
@@ -143,11 +123,13 @@
 
 void suspect_exchange::Tell(const std::vector<suspect_event>& found) { state_->TakeNew(found); }
 
-void suspect_exchange::OnRequest(std::shared_ptr<server_exchange> peer) {
+void suspect_exchange::OnRequest(const std::shared_ptr<server_exchange>& peer) {
   if (peer->request().method == "GET") {
     state_->OnQuestion(*peer);
   } else {
-    state_->OnTold(peer);
+    ReadWholeBody(peer, kLargestMessage, [this](server_exchange& from, std::string_view body) {
+      from.Answer(MakeAnswer(state_->Take(body) ? http_status::kOk : http_status::kBadRequest), "");
+    });
   }
 }
 
--- a/modules/cuminferry_relay/path/suspect_exchange.h
+++ b/modules/cuminferry_relay/path/suspect_exchange.h
@@ -29,7 +29,7 @@
   /** Takes into the book what the own node found out, and tells others. */
   void Tell(const std::vector<suspect_event>& found);
   /** Another node tells, or asks. */
-  void OnRequest(std::shared_ptr<server_exchange> peer);
+  void OnRequest(const std::shared_ptr<server_exchange>& peer);
   /** Messages that told other nodes of something. */
   std::uint64_t told() const;
 
