Play a node that starts after a request was blocked

It is told within a second of asking any other node, and refuses without a time to come back; asked at once, it costs one target at most. Nodes of a test's fleet can be started anew.

--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -15,6 +15,8 @@
 constexpr duration kAway = milliseconds(300);
 // Nodes in touch know within this what another has found out.
 constexpr duration kKnownEverywhere = seconds(1);
+// A timer of the loop and a round trip.
+constexpr duration kAskSlack = milliseconds(200);
 
 // Nodes that each one tells what is new to it.
 constexpr double kToldOfEach = 3.0;
@@ -32,6 +34,8 @@
   CPPUNIT_TEST(Neighbours_RunBesideIt_AreServed);
   CPPUNIT_TEST(Neighbour_AskedAllTheTime_IsNotRefused);
   CPPUNIT_TEST(Fleet_OfForty_TwoTargetsEndAtMost);
+  CPPUNIT_TEST(Node_StartedLater_KnowsWithinASecond);
+  CPPUNIT_TEST(Node_HeardNothing_EndsNoFurtherTarget);
   CPPUNIT_TEST(Connection_Reset_SuspectsNobody);
   CPPUNIT_TEST_SUITE_END();
 
@@ -132,6 +136,37 @@
     CPPUNIT_ASSERT(world.ends() <= kMostEnds);
   }
 
+  // Guards against each restart of a node letting the request in again.
+  void Node_StartedLater_KnowsWithinASecond() {
+    crashing_fleet world(4, 2, kAway);
+    SendAndWait(world, 0, kCrashing);
+    const int ends = world.ends();
+    world.fleet().StopNode(3);
+    world.fleet().StartNode(3);
+    world.fleet().PublishTo(3, 1);
+    world.fleet().RunFor(kKnownEverywhere + kAskSlack);
+    auto sent = world.fleet().Send(3, relay_fleet::Get(kCrashing, "later"));
+    world.fleet().RunUntil([&] { return sent->status() != 0; });
+    CPPUNIT_ASSERT_EQUAL(503, sent->status());
+    CPPUNIT_ASSERT(!sent->Has("Retry-After"));
+    CPPUNIT_ASSERT_EQUAL(ends, world.ends());
+  }
+
+  // Guards against an entry that has not heard yet taking a third target.
+  void Node_HeardNothing_EndsNoFurtherTarget() {
+    crashing_fleet world(4, 2, kAway);
+    SendAndWait(world, 0, kCrashing);
+    const int ends = world.ends();
+    world.fleet().StopNode(3);
+    world.fleet().StartNode(3);
+    world.fleet().PublishTo(3, 1);
+    world.fleet().RunFor(2 * kAway);
+    auto sent = world.fleet().Send(3, relay_fleet::Get(kCrashing, "at once"));
+    world.fleet().RunUntil([&] { return sent->status() != 0; });
+    CPPUNIT_ASSERT(world.ends() <= ends + 1);
+    CPPUNIT_ASSERT(world.ends() <= 3);
+  }
+
   // Guards against a request being suspected for what a network did.
   void Connection_Reset_SuspectsNobody() {
     relay_fleet fleet(2, 1);
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -143,40 +143,45 @@
   for (int node = 0; node < nodes; ++node) {
     targets_.push_back(std::make_unique<scripted_target>(loop_, At(node, kBackendPort)));
   }
+  nodes_.resize(static_cast<std::size_t>(nodes));
   for (int node = 0; node < nodes; ++node) {
-    auto started = relay_node::builder(loop_)
-                       .WithSettings(SettingsOf(node))
-                       .WithTableReader([this](const item_replica& items)
-                                            -> absl::StatusOr<std::shared_ptr<const route_table>> {
-                         const published_item* item = items.Find("table");
-                         if (item == nullptr) {
-                           return std::shared_ptr<const route_table>();
-                         }
-                         std::shared_ptr<const customer_book> book;
-                         if (!customers_.empty()) {
-                           book = *customer_book::Make(customers_);
-                         }
-                         return route_table::Make(*ParseWhole<std::uint64_t>(item->value), Routes(),
-                                                  {{.name = kService}}, {}, book);
-                       })
-                       .WithInstanceReader([this](const item_replica& items) {
-                         std::vector<service_instance> listed;
-                         for (const service_instance& instance : Instances()) {
-                           if (items.Find("instance/" + instance.id) != nullptr) {
-                             listed.push_back(instance);
-                           }
+    StartNode(node);
+  }
+}
+
+void relay_fleet::StartNode(int node) {
+  auto started = relay_node::builder(loop_)
+                     .WithSettings(SettingsOf(node))
+                     .WithTableReader([this](const item_replica& items)
+                                          -> absl::StatusOr<std::shared_ptr<const route_table>> {
+                       const published_item* item = items.Find("table");
+                       if (item == nullptr) {
+                         return std::shared_ptr<const route_table>();
+                       }
+                       std::shared_ptr<const customer_book> book;
+                       if (!customers_.empty()) {
+                         book = *customer_book::Make(customers_);
+                       }
+                       return route_table::Make(*ParseWhole<std::uint64_t>(item->value), Routes(),
+                                                {{.name = kService}}, {}, book);
+                     })
+                     .WithInstanceReader([this](const item_replica& items) {
+                       std::vector<service_instance> listed;
+                       for (const service_instance& instance : Instances()) {
+                         if (items.Find("instance/" + instance.id) != nullptr) {
+                           listed.push_back(instance);
                          }
-                         return listed;
-                       })
-                       .WithWatchHook([this, node](bool watching) {
-                         watches_[static_cast<std::size_t>(node)] = watching;
-                       })
-                       .Start();
-    if (!started.ok()) {
-      throw std::runtime_error(std::string(started.status().message()));
-    }
-    nodes_.push_back(std::move(*started));
+                       }
+                       return listed;
+                     })
+                     .WithWatchHook([this, node](bool watching) {
+                       watches_[static_cast<std::size_t>(node)] = watching;
+                     })
+                     .Start();
+  if (!started.ok()) {
+    throw std::runtime_error(std::string(started.status().message()));
   }
+  nodes_[static_cast<std::size_t>(node)] = std::move(*started);
 }
 
 relay_fleet::~relay_fleet() {
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -113,6 +113,8 @@
   /** A new backend server at the address of one that was stopped. */
   void StartTarget(int node);
   void StopTarget(int node) { targets_[static_cast<std::size_t>(node)].reset(); }
+  /** A node that knows nothing. */
+  void StartNode(int node);
   void StopNode(int node) { nodes_[static_cast<std::size_t>(node)].reset(); }
   std::uint64_t TotalRequests() const;
   event_loop& loop() { return loop_; }
