--- a/modules/cuminferry_policy/suspects/suspect_book.cpp
+++ b/modules/cuminferry_policy/suspects/suspect_book.cpp
@@ -67,6 +67,7 @@
 }
 
 bool suspect_book::ApplyEnd(const suspect_event& event, instant at, instant now) {
+  latest_ends_.emplace(event.end, at);
   const auto [found, is_first] = records_.try_emplace(event.digest);
   record& of = found->second;
   if (is_first) {
@@ -118,6 +119,7 @@
 }
 
 void suspect_book::Expire(instant now) {
+  std::erase_if(latest_ends_, [now](const auto& item) { return now - item.second > kRecentEnds; });
   for (auto at = records_.begin(); at != records_.end();) {
     at = now >= ForgottenAt(at->second) ? Forget(at) : std::next(at);
   }
@@ -166,6 +168,20 @@
   return found == records_.end() ? 0 : found->second.ends.size();
 }
 
+// @param latest  the end that is judged, under which it ran as well
+bool suspect_book::IsInMostEnds(const record& of, std::uint64_t latest, instant now) const {
+  const auto is_recent = [now](instant at) { return now - at <= kRecentEnds; };
+  std::size_t all = 1;
+  for (const auto& [number, at] : latest_ends_) {
+    all += number != latest && is_recent(at) ? 1 : 0;
+  }
+  std::size_t own = 1;
+  for (const auto& [number, end] : of.ends) {
+    own += number != latest && is_recent(end.at) ? 1 : 0;
+  }
+  return 3 * own >= 2 * all;
+}
+
 std::vector<suspect_event> suspect_book::EventsOfEnd(std::uint64_t end,
                                                      std::span<const suspect_event> running,
                                                      instant now) const {
@@ -184,12 +200,13 @@
       priors.push_back(digest);
     }
   }
+  const bool found_out = priors.size() == 1 && IsInMostEnds(records_.at(priors.front()), end, now);
   std::vector<suspect_event> events;
   for (auto& [digest, event] : told) {
     event.end = end;
     event.age_micros = 0;
-    event.what = priors.size() == 1 && digest == priors.front() ? suspect_event::kind::kEndedAlone
-                                                                : suspect_event::kind::kEnded;
+    event.what = found_out && digest == priors.front() ? suspect_event::kind::kEndedAlone
+                                                       : suspect_event::kind::kEnded;
     events.push_back(event);
   }
   return events;
--- a/modules/cuminferry_policy/suspects/suspect_book.h
+++ b/modules/cuminferry_policy/suspects/suspect_book.h
@@ -29,7 +29,8 @@
     and all of it is sent on at the same moment, so that being there proves little: innocent
     requests meet the guilty one at the next target again. So after an end all that ran there
     are suspects. Each runs apart from the others, and those that end well are cleared. If a
-    backend server ends while it runs just one suspect, that one did it.
+    backend server ends while it runs just one suspect, that one did it, unless most of the
+    latest ends came about without it: then backend servers end by themselves, too.
 
     The book is the same at all nodes that have heard the same events, in any order. What is
     remembered runs out, so that a mended backend server gets the request again: one at a time,
@@ -44,6 +45,8 @@
   static constexpr duration kSuspicionTime = std::chrono::minutes(5);
   /** An end doesn't count against a request that ended well so shortly before or after it. */
   static constexpr duration kClearTime = std::chrono::seconds(1);
+  /** Ends this long ago are compared with those under a suspect. */
+  static constexpr duration kRecentEnds = std::chrono::minutes(1);
   /** What ends say of a flood of requests leaves room for those that were found out. */
   static constexpr std::size_t kMostSuspects = 4096;
   static constexpr std::size_t kMostBlocked = 256;
@@ -98,8 +101,11 @@
   void Toggle(const request_digest& digest, std::uint64_t number);
   records::iterator Forget(records::iterator at);
   void MakeRoom(instant now);
+  bool IsInMostEnds(const record& of, std::uint64_t latest, instant now) const;
 
   records records_;
+  // Of all suspects, cleared or not.
+  std::map<std::uint64_t, instant> latest_ends_;
   std::unordered_map<std::uint64_t, std::size_t> places_;
   std::uint64_t checksum_ = 0;
 };
--- a/tests/relay/suspect_test.cpp
+++ b/tests/relay/suspect_test.cpp
@@ -30,6 +30,8 @@
   CPPUNIT_TEST(Standing_OneEnd_IsCareful);
   CPPUNIT_TEST(Standing_AloneAtTheSecondEnd_IsBlocked);
   CPPUNIT_TEST(Standing_TwoSuspectsAtTheSecondEnd_NeitherIsBlocked);
+  CPPUNIT_TEST(Standing_MostEndsCameWithoutIt_IsNotBlocked);
+  CPPUNIT_TEST(Standing_EndsWithoutItWereLongAgo_IsBlocked);
   CPPUNIT_TEST(Standing_EndedWell_IsFree);
   CPPUNIT_TEST(Standing_EndedWellWhileAnotherEnds_IsFree);
   CPPUNIT_TEST(Standing_BlockIsOver_IsCarefulAndThenBlockedForLonger);
@@ -91,6 +93,24 @@
     CPPUNIT_ASSERT(suspect_standing::kCareful == Standing("b", kStart + seconds(2)));
   }
 
+  // Guards against innocent requests being blocked where targets end by themselves.
+  void Standing_MostEndsCameWithoutIt_IsNotBlocked() {
+    End(kFirstEnd, {"a"}, kStart);
+    End(kSecondEnd, {"b"}, kStart + seconds(1));
+    End(3, {"c"}, kStart + seconds(2));
+    End(4, {"a", "d"}, kStart + seconds(3));
+    CPPUNIT_ASSERT(suspect_standing::kCareful == Standing("a", kStart + seconds(3)));
+  }
+
+  void Standing_EndsWithoutItWereLongAgo_IsBlocked() {
+    End(kFirstEnd, {"b"}, kStart);
+    End(kSecondEnd, {"c"}, kStart + seconds(1));
+    const instant later = kStart + seconds(1) + suspect_book::kRecentEnds;
+    End(3, {"a"}, later + seconds(1));
+    End(4, {"a", "d"}, later + seconds(2));
+    CPPUNIT_ASSERT(suspect_standing::kBlocked == Standing("a", later + seconds(2)));
+  }
+
   void Standing_EndedWell_IsFree() {
     End(kFirstEnd, {"a"}, kStart);
     ClearAt("a", kStart + milliseconds(100));
--- a/tests/relay/suspect_world.cpp
+++ b/tests/relay/suspect_world.cpp
@@ -36,7 +36,7 @@
   int life = 0;
 };
 
-suspect_world::suspect_world(std::uint64_t seed) : random_(seed) {
+suspect_world::suspect_world(std::uint64_t seed, cause ends) : random_(seed), cause_(ends) {
   const std::size_t targets = 4 + random_.Below(37);
   for (std::size_t made = 0; made < targets; ++made) {
     nodes_.push_back(std::make_unique<node>());
@@ -62,7 +62,13 @@
 void suspect_world::Run() {
   const instant end = now_ + kPlayed;
   Arrive();
-  At(now_ + seconds(1), [this] { ArriveGuilty(); });
+  At(now_ + seconds(1), [this] {
+    if (cause_ == cause::kRequest) {
+      ArriveGuilty();
+    } else {
+      EndOneAtRandom();
+    }
+  });
   while (!queue_.empty() && queue_.begin()->first < end) {
     auto next = queue_.extract(queue_.begin());
     now_ = next.key();
@@ -70,6 +76,14 @@
   }
 }
 
+void suspect_world::EndOneAtRandom() {
+  node& target = *nodes_[random_.Below(nodes_.size())];
+  if (target.up) {
+    End(target);
+  }
+  At(now_ + Draw(duration(1), seconds(4)), [this] { EndOneAtRandom(); });
+}
+
 suspect_world::shared_request suspect_world::Make(std::uint64_t number) {
   auto made = std::make_shared<request>();
   made->id = ++last_;
--- a/tests/relay/suspect_world.h
+++ b/tests/relay/suspect_world.h
@@ -15,13 +15,21 @@
     and again. News goes from node to node with delays, and some nodes hear a second late. */
 class suspect_world {
  public:
-  explicit suspect_world(std::uint64_t seed);
+  /** What ends targets. */
+  enum class cause : std::uint8_t {
+    /** One request, again and again. */
+    kRequest,
+    /** Nothing that they run: each two seconds one of them, at random. */
+    kThemselves,
+  };
+
+  explicit suspect_world(std::uint64_t seed, cause ends = cause::kRequest);
   ~suspect_world();
 
   /** Plays kPlayed of it. */
   void Run();
 
-  /** Targets that ended under the one request. */
+  /** Targets that ended. */
   int ends() const { return ends_; }
   /** Other requests that were refused as ones that end targets. */
   int innocents_refused() const { return innocents_refused_; }
@@ -38,6 +46,7 @@
   duration Draw(duration least, duration most);
   void Arrive();
   void ArriveGuilty();
+  void EndOneAtRandom();
   shared_request Make(std::uint64_t number);
   void Place(const shared_request& what);
   void Reach(node& target, const shared_request& what);
@@ -49,6 +58,7 @@
   void Leave(node& target, const request& what);
 
   random_source random_;
+  cause cause_;
   instant now_ = FromMicros(1'000'000);
   std::multimap<instant, std::function<void()>> queue_;
   std::vector<std::unique_ptr<node>> nodes_;
