Don't block a frequent request where many targets end at once

A frequent request runs at many targets at the same moment: where several ended at once, each end counted, and three blocked it for ten minutes (Neighbour_AnswersThatItFailed_IsNoSuspectAnyMore got 503 in place of 500, after four targets were ended at once). Now an end under a request that no node knew as a suspect makes it one, and blocks nothing; it is found out where it ran apart. Three ends apart find it out where it was at a third of the last minute's, whatever ran beside. A failure that a backend server answers clears its request as well: it outlived it.

First ends of many runs are now told in lines that are bounded a second.

--- a/modules/cuminferry_policy/suspects/suspect_book.cpp
+++ b/modules/cuminferry_policy/suspects/suspect_book.cpp
@@ -38,13 +38,18 @@
   return last;
 }
 
-bool suspect_book::record::was_alone() const {
-  return std::ranges::any_of(ends, [](const auto& item) { return item.second.alone; });
+std::size_t suspect_book::record::ends_apart() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(ends, [](const auto& item) { return item.second.apart; }));
+}
+
+bool suspect_book::record::is_found_out() const {
+  return std::ranges::any_of(ends, [](const auto& item) { return item.second.found_out; });
 }
 
 std::optional<instant> suspect_book::BlockedUntil(const record& of) {
-  const bool found_out = of.ends.size() >= kEndsToBlock || of.was_alone();
-  return found_out ? std::optional(of.last_end() + BlockTime(of.ends.size())) : std::nullopt;
+  return of.is_found_out() ? std::optional(of.last_end() + BlockTime(of.ends.size()))
+                           : std::nullopt;
 }
 
 // A trial follows a block: what led to it is remembered for that long besides.
@@ -78,8 +83,9 @@
   if (annulled || of.ends.contains(event.end)) {
     return false;
   }
-  of.ends.emplace(event.end,
-                  ended{.at = at, .alone = event.what == suspect_event::kind::kEndedAlone});
+  of.ends.emplace(event.end, ended{.at = at,
+                                   .apart = event.what != suspect_event::kind::kEnded,
+                                   .found_out = event.what == suspect_event::kind::kFoundOut});
   Toggle(event.digest, event.end);
   MakeRoom(now);
   return true;
@@ -169,7 +175,7 @@
 }
 
 // @param latest  the end that is judged, under which it ran as well
-bool suspect_book::IsInMostEnds(const record& of, std::uint64_t latest, instant now) const {
+double suspect_book::PartOfLatestEnds(const record& of, std::uint64_t latest, instant now) const {
   const auto is_recent = [now](instant at) { return now - at <= kRecentEnds; };
   std::size_t all = 1;
   for (const auto& [number, at] : latest_ends_) {
@@ -179,39 +185,58 @@
   for (const auto& [number, end] : of.ends) {
     own += number != latest && is_recent(end.at) ? 1 : 0;
   }
-  return 3 * own >= 2 * all;
+  return static_cast<double>(own) / static_cast<double>(all);
 }
 
 std::vector<suspect_event> suspect_book::EventsOfEnd(std::uint64_t end,
-                                                     std::span<const suspect_event> running,
+                                                     std::span<const running_request> running,
                                                      instant now) const {
-  std::map<request_digest, suspect_event> told;
-  for (const suspect_event& run : running) {
-    if (told.size() < kMostOfOneEnd) {
-      told.emplace(run.digest, run);
+  std::map<request_digest, running_request> told;
+  for (const running_request& run : running) {
+    if (told.contains(run.digest) || told.size() < kMostOfOneEnd) {
+      running_request& known = told.try_emplace(run.digest, run).first->second;
+      known.apart = known.apart || run.apart;
     }
   }
-  // Those that had ended another backend server, also if their loss was noticed earlier.
-  std::vector<request_digest> priors;
-  for (const auto& [digest, known] : records_) {
-    const bool is_of_this = told.contains(digest) || known.ends.contains(end);
-    const std::size_t others = known.ends.size() - (known.ends.contains(end) ? 1 : 0);
-    if (is_of_this && others > 0 && now < ForgottenAt(known)) {
-      priors.push_back(digest);
-    }
-  }
-  const bool found_out = priors.size() == 1 && IsInMostEnds(records_.at(priors.front()), end, now);
+  const bool only_suspect = CountSuspectsAt(end, told, now) == 1;
   std::vector<suspect_event> events;
-  for (auto& [digest, event] : told) {
-    event.end = end;
-    event.age_micros = 0;
-    event.what = found_out && digest == priors.front() ? suspect_event::kind::kEndedAlone
-                                                       : suspect_event::kind::kEnded;
-    events.push_back(event);
+  for (const auto& [digest, run] : told) {
+    suspect_event::kind what = suspect_event::kind::kEnded;
+    if (run.apart) {
+      what = IsFoundOut(run, end, only_suspect, now) ? suspect_event::kind::kFoundOut
+                                                     : suspect_event::kind::kEndedApart;
+    }
+    events.push_back({.what = what, .digest = digest, .place = run.place, .end = end});
   }
   return events;
 }
 
+// Those that had ended another backend server, also where their loss at this end was noticed
+// earlier.
+std::size_t suspect_book::CountSuspectsAt(std::uint64_t end,
+                                          const std::map<request_digest, running_request>& told,
+                                          instant now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(records_, [&](const auto& item) {
+    const record& known = item.second;
+    const bool was_there = told.contains(item.first) || known.ends.contains(end);
+    const std::size_t others = known.ends.size() - (known.ends.contains(end) ? 1 : 0);
+    return was_there && others > 0 && now < ForgottenAt(known);
+  }));
+}
+
+bool suspect_book::IsFoundOut(const running_request& run, std::uint64_t end, bool only_suspect,
+                              instant now) const {
+  const auto found = records_.find(run.digest);
+  if (found == records_.end()) {
+    return false;
+  }
+  const record& known = found->second;
+  const std::size_t others = known.ends.size() - (known.ends.contains(end) ? 1 : 0);
+  const double part = PartOfLatestEnds(known, end, now);
+  const bool often = known.ends_apart() + 1 >= kApartToBlock && part >= kManyEnds;
+  return often || (only_suspect && others > 0 && part >= kMostEnds);
+}
+
 std::vector<suspect_event> suspect_book::All(instant now) const {
   std::vector<suspect_event> all;
   for (const auto& [digest, known] : records_) {
@@ -219,12 +244,14 @@
       continue;
     }
     for (const auto& [number, end] : known.ends) {
-      all.push_back(
-          {.what = end.alone ? suspect_event::kind::kEndedAlone : suspect_event::kind::kEnded,
-           .digest = digest,
-           .place = known.place,
-           .end = number,
-           .age_micros = (now - end.at).count()});
+      const auto what = end.found_out ? suspect_event::kind::kFoundOut
+                        : end.apart   ? suspect_event::kind::kEndedApart
+                                      : suspect_event::kind::kEnded;
+      all.push_back({.what = what,
+                     .digest = digest,
+                     .place = known.place,
+                     .end = number,
+                     .age_micros = (now - end.at).count()});
     }
     if (known.cleared) {
       all.push_back({.what = suspect_event::kind::kCleared,
--- a/modules/cuminferry_policy/suspects/suspect_book.h
+++ b/modules/cuminferry_policy/suspects/suspect_book.h
@@ -29,7 +29,7 @@
     and all of it is sent on at the same moment, so that being there proves little: innocent
     requests meet the guilty one at the next target again. So after an end all that ran there
     are suspects. Each runs apart from the others, and those that end well are cleared. If a
-    backend server ends while it runs just one suspect, that one did it, unless most of the
+    backend server ends while it runs just one suspect, that one did it, unless many of the
     latest ends came about without it: then backend servers end by themselves, too.
 
     The book is the same at all nodes that have heard the same events, in any order. What is
@@ -39,8 +39,22 @@
 */
 class suspect_book {
  public:
-  /** Ends after which a request is blocked whatever ran beside it. */
-  static constexpr std::size_t kEndsToBlock = 3;
+  /** A request that a backend server ran when it ended. */
+  struct running_request {
+    request_digest digest;
+    /** @see PlaceOf */
+    std::uint64_t place = 0;
+    /** It was known as a suspect, and ran apart from others. */
+    bool apart = false;
+  };
+
+  /** Part of the latest ends that came about under a request that is found out as the only
+      suspect there. */
+  static constexpr double kMostEnds = 2.0 / 3.0;
+  /** A request that ran apart at so many ends, and was at kManyEnds of the latest ones, is found
+      out whatever ran beside it. */
+  static constexpr std::size_t kApartToBlock = 3;
+  static constexpr double kManyEnds = 1.0 / 3.0;
   /** A request that is seldom sent is found out by ends that are minutes apart. */
   static constexpr duration kSuspicionTime = std::chrono::minutes(5);
   /** An end doesn't count against a request that ended well so shortly before or after it. */
@@ -68,7 +82,8 @@
   bool HasPlace(std::uint64_t place) const { return places_.contains(place); }
 
   /** What the own backend server's end tells of the requests that it ran. */
-  std::vector<suspect_event> EventsOfEnd(std::uint64_t end, std::span<const suspect_event> running,
+  std::vector<suspect_event> EventsOfEnd(std::uint64_t end,
+                                         std::span<const running_request> running,
                                          instant now) const;
   /** All that is remembered, for a node that may lack some of it. */
   std::vector<suspect_event> All(instant now) const;
@@ -81,7 +96,8 @@
  private:
   struct ended {
     instant at{};
-    bool alone = false;
+    bool apart = false;
+    bool found_out = false;
   };
   struct record {
     std::uint64_t place = 0;
@@ -90,7 +106,8 @@
     std::optional<instant> cleared;
 
     instant last_end() const;
-    bool was_alone() const;
+    std::size_t ends_apart() const;
+    bool is_found_out() const;
   };
   using records = std::map<request_digest, record>;
 
@@ -101,7 +118,12 @@
   void Toggle(const request_digest& digest, std::uint64_t number);
   records::iterator Forget(records::iterator at);
   void MakeRoom(instant now);
-  bool IsInMostEnds(const record& of, std::uint64_t latest, instant now) const;
+  bool IsFoundOut(const running_request& run, std::uint64_t end, bool only_suspect,
+                  instant now) const;
+  std::size_t CountSuspectsAt(std::uint64_t end,
+                              const std::map<request_digest, running_request>& told,
+                              instant now) const;
+  double PartOfLatestEnds(const record& of, std::uint64_t latest, instant now) const;
 
   records records_;
   // Of all suspects, cleared or not.
--- a/modules/cuminferry_policy/suspects/suspect_event.h
+++ b/modules/cuminferry_policy/suspects/suspect_event.h
@@ -11,8 +11,10 @@
   enum class kind : std::uint8_t {
     /** A backend server ended while it ran the request, among others. */
     kEnded,
-    /** The same, and of all that it ran only this one had ended one before. */
-    kEndedAlone,
+    /** The same, and it was known as a suspect and ran apart from others. */
+    kEndedApart,
+    /** The same, and it is this request that ends backend servers. */
+    kFoundOut,
     /** A backend server ran it to a good end. */
     kCleared,
   };
--- a/modules/cuminferry_relay/path/serving_board.cpp
+++ b/modules/cuminferry_relay/path/serving_board.cpp
@@ -122,7 +122,7 @@
 }
 
 void serving_board::OnEnded(std::uint64_t end, std::vector<std::shared_ptr<serving_call>> runs) {
-  std::vector<suspect_event> running;
+  std::vector<suspect_book::running_request> running;
   for (const auto& run : runs) {
     running.push_back(run->AsSuspect());
   }
@@ -137,8 +137,8 @@
       "backend.ended",
       {{"end", end}, {"runs", runs.size()}, {"suspects", events.size()}, {"ids", std::move(ids)}});
   node.on_suspects(events);
-  for (const auto& run : runs) {
-    run->OnBackendEnded(end);
+  for (std::size_t at = 0; at < runs.size(); ++at) {
+    runs[at]->OnBackendEnded(end, running[at].digest);
   }
 }
 
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -374,11 +374,10 @@
     TurnAway(*outcome_);
     return;
   }
-  if (suspect_ && !failed_) {
-    suspect_event cleared = AsSuspect();
-    cleared.what = suspect_event::kind::kCleared;
-    cleared.digest = *suspect_;
-    board_.node.on_suspects({cleared});
+  if (suspect_) {
+    // A failure that it answered shows as well that the backend server outlived it.
+    board_.node.on_suspects(
+        {{.what = suspect_event::kind::kCleared, .digest = *suspect_, .place = AsSuspect().place}});
   }
   if (!detached_) {
     peer_->Finish();
@@ -417,32 +416,36 @@
   TurnAway(failure == exchange_failure::kDamaged ? relay_outcome::kDamaged : relay_outcome::kLost);
 }
 
-suspect_event serving_call::AsSuspect() const {
+suspect_book::running_request serving_call::AsSuspect() const {
   const http_head& request = peer_->request();
   const std::string* customer = request.Find(board_.node.settings.headers.customer);
   const request_parts parts =
       body_.PartsOf(request, customer == nullptr ? std::string_view() : *customer);
-  return {.digest = request_digest::Of(parts), .place = PlaceOf(parts)};
+  return {
+      .digest = request_digest::Of(parts), .place = PlaceOf(parts), .apart = suspect_.has_value()};
 }
 
-void serving_call::OnBackendEnded(std::uint64_t end) {
+void serving_call::OnBackendEnded(std::uint64_t end, const request_digest& digest) {
   if (ended_) {
     return;
   }
-  const request_digest digest = AsSuspect().digest;
-  const instant now = board_.node.loop.Now();
+  relay_board& node = board_.node;
+  const std::size_t ends = node.suspects.EndsOf(digest);
   const bool is_blocked =
-      board_.node.suspects.StandingOf(digest, now) == suspect_standing::kBlocked;
-  const http_head& request = peer_->request();
-  const std::string* customer = request.Find(board_.node.settings.headers.customer);
-  board_.node.log.OnChange("suspect.ran", {{"id", request_id_},
-                                           {"row", about_.row},
-                                           {"path", request.target},
-                                           {"customer", customer == nullptr ? "" : *customer},
-                                           {"suspect", digest.ToText()},
-                                           {"end", end},
-                                           {"ends", board_.node.suspects.EndsOf(digest)},
-                                           {"blocked", is_blocked}});
+      node.suspects.StandingOf(digest, node.loop.Now()) == suspect_standing::kBlocked;
+  // Of what ran for the first time there may be hundreds.
+  if (ends > 1 || node.log.Wants(true)) {
+    const http_head& request = peer_->request();
+    const std::string* customer = request.Find(node.settings.headers.customer);
+    node.log.OnRequest("suspect.ran", {{"id", request_id_},
+                                       {"row", about_.row},
+                                       {"path", request.target},
+                                       {"customer", customer == nullptr ? "" : *customer},
+                                       {"suspect", digest.ToText()},
+                                       {"end", end},
+                                       {"ends", ends},
+                                       {"blocked", is_blocked}});
+  }
   TurnAway(is_blocked ? relay_outcome::kEndedAlone : relay_outcome::kEnded);
 }
 
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -33,12 +33,13 @@
   void OnTurn();
   /** Answers the calling node that no answer of the backend server comes. */
   void TurnAway(relay_outcome why);
-  /** The backend server ended while it ran this, which was made known. */
-  void OnBackendEnded(std::uint64_t end);
+  /** The backend server ended while it ran this, which was made known.
+      @param digest  as told by AsSuspect() */
+  void OnBackendEnded(std::uint64_t end, const request_digest& digest);
 
   const std::string& request_id() const { return request_id_; }
   /** What it is known by, as one of those that an end took along. */
-  suspect_event AsSuspect() const;
+  suspect_book::running_request AsSuspect() const;
 
  private:
   bool MayTakeRepeat();
--- a/tests/relay/crashing_fleet.cpp
+++ b/tests/relay/crashing_fleet.cpp
@@ -37,8 +37,11 @@
     });
     return;
   }
-  NewTimer().StartOnce(kRunTime, [is_there, &connection = now.connection,
-                                  answer = scripted_target::Answer(now.request)] {
+  std::string answer = scripted_target::Answer(now.request);
+  if (!fails_.empty() && now.request.target.find(fails_) != std::string::npos) {
+    answer.replace(answer.find("200 OK"), 6, "500 Failed");
+  }
+  NewTimer().StartOnce(kRunTime, [is_there, &connection = now.connection, answer] {
     if (is_there()) {
       connection.Write(answer);
     }
--- a/tests/relay/crashing_fleet.h
+++ b/tests/relay/crashing_fleet.h
@@ -22,6 +22,8 @@
   relay_fleet& fleet() { return fleet_; }
   /** Backend servers that ended so far. */
   int ends() const { return ends_; }
+  /** Requests whose path holds this are answered with 500 from now on. */
+  void Fail(std::string mark) { fails_ = std::move(mark); }
   /** Ends a backend server now, whatever it runs. */
   void End(int node);
 
@@ -32,6 +34,7 @@
 
   relay_fleet fleet_;
   duration away_;
+  std::string fails_;
   int ends_ = 0;
   // Counts the starts of each backend server: what an earlier one ran is gone.
   std::vector<int> starts_;
--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(Fleet_OfForty_TwoTargetsEndAtMost);
   CPPUNIT_TEST(Node_StartedLater_KnowsWithinASecond);
   CPPUNIT_TEST(Node_HeardNothing_EndsNoFurtherTarget);
+  CPPUNIT_TEST(Neighbour_AnswersThatItFailed_IsNoSuspectAnyMore);
   CPPUNIT_TEST(Connection_Reset_SuspectsNobody);
   CPPUNIT_TEST_SUITE_END();
 
@@ -136,6 +137,34 @@
     CPPUNIT_ASSERT(world.ends() <= kMostEnds);
   }
 
+  // Guards against requests that fail of themselves running one by one for minutes.
+  void Neighbour_AnswersThatItFailed_IsNoSuspectAnyMore() {
+    crashing_fleet world(4, 2, kAway);
+    world.Fail("failing");
+    EarnRepeats(world);
+    for (int sent = 0; sent < 8; ++sent) {
+      world.fleet().Send(sent % 4, relay_fleet::Get("/once/failing", "f" + std::to_string(sent)));
+    }
+    world.fleet().RunFor(milliseconds(8));
+    for (int node = 0; node < 4; ++node) {
+      world.End(node);
+    }
+    world.fleet().RunFor(2 * kAway);
+    auto first = world.fleet().Send(0, relay_fleet::Get("/once/failing", "first"));
+    world.fleet().RunUntil([&] { return first->status() != 0; });
+    CPPUNIT_ASSERT_EQUAL(500, first->status());
+    world.fleet().RunFor(milliseconds(100));
+    results all;
+    const instant began = world.fleet().loop().Now();
+    for (int sent = 0; sent < 16; ++sent) {
+      all.push_back(
+          world.fleet().Send(sent % 4, relay_fleet::Get("/once/failing", std::to_string(sent))));
+    }
+    world.fleet().RunUntil([&] { return AllAnswered(all); });
+    // One by one they would take sixteen run times.
+    CPPUNIT_ASSERT(world.fleet().loop().Now() - began < 8 * crashing_fleet::kRunTime);
+  }
+
   // Guards against each restart of a node letting the request in again.
   void Node_StartedLater_KnowsWithinASecond() {
     crashing_fleet world(4, 2, kAway);
--- a/tests/relay/suspect_test.cpp
+++ b/tests/relay/suspect_test.cpp
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(Standing_TwoSuspectsAtTheSecondEnd_NeitherIsBlocked);
   CPPUNIT_TEST(Standing_MostEndsCameWithoutIt_IsNotBlocked);
   CPPUNIT_TEST(Standing_EndsWithoutItWereLongAgo_IsBlocked);
+  CPPUNIT_TEST(Standing_RanWhereManyEndedAtOnce_IsNotBlocked);
+  CPPUNIT_TEST(Standing_ApartAtThreeEndsBesideOthers_IsBlocked);
   CPPUNIT_TEST(Standing_EndedWell_IsFree);
   CPPUNIT_TEST(Standing_EndedWellWhileAnotherEnds_IsFree);
   CPPUNIT_TEST(Standing_BlockIsOver_IsCarefulAndThenBlockedForLonger);
@@ -111,6 +113,30 @@
     CPPUNIT_ASSERT(suspect_standing::kBlocked == Standing("a", later + seconds(2)));
   }
 
+  // Guards against a frequent request being blocked when a failure domain is lost.
+  void Standing_RanWhereManyEndedAtOnce_IsNotBlocked() {
+    for (std::uint64_t end = 1; end <= 5; ++end) {
+      const instant at = kStart + end * milliseconds(5);
+      const suspect_book::running_request run{.digest = Digest("a"),
+                                              .place = PlaceOf({.path = "a"})};
+      for (const suspect_event& event : book_.EventsOfEnd(end, {&run, 1}, at)) {
+        book_.Apply(event, at);
+      }
+    }
+    CPPUNIT_ASSERT(suspect_standing::kCareful == Standing("a", kStart + seconds(1)));
+  }
+
+  // Guards against a request that ends targets hiding behind other suspects for good.
+  void Standing_ApartAtThreeEndsBesideOthers_IsBlocked() {
+    End(kFirstEnd, {"a", "b", "c", "d"}, kStart);
+    End(kSecondEnd, {"a", "b"}, kStart + seconds(2));
+    End(3, {"a", "c"}, kStart + seconds(4));
+    CPPUNIT_ASSERT(suspect_standing::kCareful == Standing("a", kStart + seconds(4)));
+    End(4, {"a", "d"}, kStart + seconds(6));
+    CPPUNIT_ASSERT(suspect_standing::kBlocked == Standing("a", kStart + seconds(6)));
+    CPPUNIT_ASSERT(suspect_standing::kCareful == Standing("b", kStart + seconds(6)));
+  }
+
   void Standing_EndedWell_IsFree() {
     End(kFirstEnd, {"a"}, kStart);
     ClearAt("a", kStart + milliseconds(100));
@@ -261,9 +287,10 @@
   }
 
   void End(std::uint64_t end, const std::vector<std::string>& paths, instant now) {
-    std::vector<suspect_event> running;
+    std::vector<suspect_book::running_request> running;
     for (const std::string& path : paths) {
-      running.push_back(cuminferry::testing::Run(path));
+      const bool known = Standing(path, now) != suspect_standing::kFree;
+      running.push_back({.digest = Digest(path), .place = PlaceOf({.path = path}), .apart = known});
     }
     for (const suspect_event& event : book_.EventsOfEnd(end, running, now)) {
       book_.Apply(event, now);
--- a/tests/relay/suspect_world.cpp
+++ b/tests/relay/suspect_world.cpp
@@ -77,9 +77,14 @@
 }
 
 void suspect_world::EndOneAtRandom() {
-  node& target = *nodes_[random_.Below(nodes_.size())];
-  if (target.up) {
-    End(target);
+  std::size_t ending = cause_ == cause::kManyAtOnce ? nodes_.size() / 2 : 1;
+  while (ending-- > 0) {
+    node& target = *nodes_[random_.Below(nodes_.size())];
+    At(now_ + Draw(duration(1), milliseconds(20)), [this, &target] {
+      if (target.up) {
+        End(target);
+      }
+    });
   }
   At(now_ + Draw(duration(1), seconds(4)), [this] { EndOneAtRandom(); });
 }
@@ -219,9 +224,9 @@
   std::map<std::uint64_t, shared_request> lost = std::exchange(target.running, {});
   std::map<std::uint64_t, shared_request> waiting = std::exchange(target.waiting, {});
   target.lane = {};
-  std::vector<suspect_event> running;
+  std::vector<suspect_book::running_request> running;
   for (const auto& [id, what] : lost) {
-    running.push_back({.digest = what->digest, .place = what->place});
+    running.push_back({.digest = what->digest, .place = what->place, .apart = what->suspect});
   }
   const auto events = target.book.EventsOfEnd(random_.Next(), running, now_);
   Tell(target, events);
--- a/tests/relay/suspect_world.h
+++ b/tests/relay/suspect_world.h
@@ -21,6 +21,8 @@
     kRequest,
     /** Nothing that they run: each two seconds one of them, at random. */
     kThemselves,
+    /** The same, up to half of them at once. */
+    kManyAtOnce,
   };
 
   explicit suspect_world(std::uint64_t seed, cause ends = cause::kRequest);
