--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -433,8 +433,12 @@
   const instant now = board_.node.loop.Now();
   const bool is_blocked =
       board_.node.suspects.StandingOf(digest, now) == suspect_standing::kBlocked;
+  const http_head& request = peer_->request();
+  const std::string* customer = request.Find(board_.node.settings.headers.customer);
   board_.node.log.OnChange("suspect.ran", {{"id", request_id_},
                                            {"row", about_.row},
+                                           {"path", request.target},
+                                           {"customer", customer == nullptr ? "" : *customer},
                                            {"suspect", digest.ToText()},
                                            {"end", end},
                                            {"ends", board_.node.suspects.EndsOf(digest)},
@@ -475,6 +479,18 @@
   End("caller_gone");
 }
 
+row_causes::run_fate serving_call::FateOf(run_end how) {
+  switch (how) {
+    case run_end::kSuccess:
+      return row_causes::run_fate::kWhole;
+    case run_end::kFailure:
+      return row_causes::run_fate::kFailed;
+    case run_end::kBrokenOff:
+      break;
+  }
+  return row_causes::run_fate::kCutOff;
+}
+
 // Runs that were broken off don't tell how long a run takes: what was turned away at once
 // would make it look short, and waits with it.
 void serving_call::FreeSlot(run_end how) {
@@ -484,7 +500,7 @@
   running_ = false;
   deadline_timer_.Stop();
   const instant now = board_.node.loop.Now();
-  board_.node.causes.OnRunEnd(about_.row, started_, now, how == run_end::kSuccess);
+  board_.node.causes.OnRunEnd(about_.row, started_, now, FateOf(how));
   board_.node.running.OnEnd(arrived_ - about_.age, about_.repeated);
   if (how != run_end::kBrokenOff) {
     const duration took = now - started_;
