Leave ends out that another request is known to have caused

A suspect must have been at two of three of the last minute's ends. With several requests that end targets within a minute, the ends of those that are blocked by now counted against the next one: the third would end four targets, the fifth eight. Ends under a request that was found out are explained, and no longer count.

Standing_SeveralThatEndTargets_EachIsBlockedAtItsSecondEnd failed before (at the third request).

--- a/modules/cuminferry_policy/suspects/suspect_book.cpp
+++ b/modules/cuminferry_policy/suspects/suspect_book.cpp
@@ -1,6 +1,7 @@
 #include "cuminferry_policy/suspects/suspect_book.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cuminferry {
@@ -174,12 +175,22 @@
   return found == records_.end() ? 0 : found->second.ends.size();
 }
 
+// Of those that no other request is known to have caused.
 // @param latest  the end that is judged, under which it ran as well
 double suspect_book::PartOfLatestEnds(const record& of, std::uint64_t latest, instant now) const {
   const auto is_recent = [now](instant at) { return now - at <= kRecentEnds; };
+  std::set<std::uint64_t> explained;
+  for (const auto& [digest, known] : records_) {
+    if (&known != &of && known.is_found_out()) {
+      for (const auto& [number, end] : known.ends) {
+        explained.insert(number);
+      }
+    }
+  }
   std::size_t all = 1;
   for (const auto& [number, at] : latest_ends_) {
-    all += number != latest && is_recent(at) ? 1 : 0;
+    const bool counts = of.ends.contains(number) || !explained.contains(number);
+    all += counts && number != latest && is_recent(at) ? 1 : 0;
   }
   std::size_t own = 1;
   for (const auto& [number, end] : of.ends) {
--- a/tests/relay/suspect_test.cpp
+++ b/tests/relay/suspect_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(Standing_TwoSuspectsAtTheSecondEnd_NeitherIsBlocked);
   CPPUNIT_TEST(Standing_MostEndsCameWithoutIt_IsNotBlocked);
   CPPUNIT_TEST(Standing_EndsWithoutItWereLongAgo_IsBlocked);
+  CPPUNIT_TEST(Standing_SeveralThatEndTargets_EachIsBlockedAtItsSecondEnd);
   CPPUNIT_TEST(Standing_RanWhereManyEndedAtOnce_IsNotBlocked);
   CPPUNIT_TEST(Standing_ApartAtThreeEndsBesideOthers_IsBlocked);
   CPPUNIT_TEST(Standing_EndedWell_IsFree);
@@ -113,6 +114,17 @@
     CPPUNIT_ASSERT(suspect_standing::kBlocked == Standing("a", later + seconds(2)));
   }
 
+  // Guards against the fifth of several such requests ending target after target.
+  void Standing_SeveralThatEndTargets_EachIsBlockedAtItsSecondEnd() {
+    std::uint64_t end = 0;
+    for (const char* guilty : {"a", "b", "c", "d", "e", "f"}) {
+      const instant at = kStart + ++end * seconds(2);
+      End(end, {guilty}, at);
+      End(++end, {guilty}, at + milliseconds(100));
+      CPPUNIT_ASSERT(suspect_standing::kBlocked == Standing(guilty, at + milliseconds(100)));
+    }
+  }
+
   // Guards against a frequent request being blocked when a failure domain is lost.
   void Standing_RanWhereManyEndedAtOnce_IsNotBlocked() {
     for (std::uint64_t end = 1; end <= 5; ++end) {
