Write and read hexadecimal text of digests in one place

key_digest and request_digest had the same lines around the library's two calls. ToHexText and ReadHexText serve both.

--- a/modules/cuminferry_policy/suspects/request_digest.cpp
+++ b/modules/cuminferry_policy/suspects/request_digest.cpp
@@ -5,6 +5,7 @@
 #include <cstring>
 
 #include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_table/routes/hex_text.h"
 
 namespace cuminferry {
 namespace {
@@ -35,21 +36,10 @@
 
 std::optional<request_digest> request_digest::Parse(std::string_view text) {
   request_digest digest;
-  std::size_t read = 0;
-  const int failed = sodium_hex2bin(digest.bytes_.data(), kBytes, text.data(), text.size(), nullptr,
-                                    &read, nullptr);
-  if (failed != 0 || read != kBytes || text.size() != 2 * kBytes) {
-    return std::nullopt;
-  }
-  return digest;
+  return ReadHexText(text, digest.bytes_) ? std::optional(digest) : std::nullopt;
 }
 
-std::string request_digest::ToText() const {
-  std::string text(2 * kBytes + 1, '\0');
-  sodium_bin2hex(text.data(), text.size(), bytes_.data(), kBytes);
-  text.pop_back();
-  return text;
-}
+std::string request_digest::ToText() const { return ToHexText(bytes_); }
 
 std::uint64_t request_digest::number() const {
   std::uint64_t number = 0;
--- a/modules/cuminferry_table/routes/key_digest.cpp
+++ b/modules/cuminferry_table/routes/key_digest.cpp
@@ -2,6 +2,8 @@
 
 #include <sodium.h>
 
+#include "cuminferry_table/routes/hex_text.h"
+
 namespace cuminferry {
 
 key_digest key_digest::Of(std::string_view key) {
@@ -14,20 +16,9 @@
 
 std::optional<key_digest> key_digest::Parse(std::string_view text) {
   key_digest digest;
-  std::size_t read = 0;
-  const int failed = sodium_hex2bin(digest.bytes_.data(), kBytes, text.data(), text.size(), nullptr,
-                                    &read, nullptr);
-  if (failed != 0 || read != kBytes || text.size() != 2 * kBytes) {
-    return std::nullopt;
-  }
-  return digest;
+  return ReadHexText(text, digest.bytes_) ? std::optional(digest) : std::nullopt;
 }
 
-std::string key_digest::ToText() const {
-  std::string text(2 * kBytes + 1, '\0');
-  sodium_bin2hex(text.data(), text.size(), bytes_.data(), kBytes);
-  text.pop_back();
-  return text;
-}
+std::string key_digest::ToText() const { return ToHexText(bytes_); }
 
 }  // namespace cuminferry
