End a request that can't be placed in one place

A blocked request chose between 503 and 502 by lines of its own beside EndWithoutTarget, which does just that: it now takes the time to come back, or that there is none.

--- a/modules/cuminferry_relay/path/outbound_answer.cpp
+++ b/modules/cuminferry_relay/path/outbound_answer.cpp
@@ -162,7 +162,7 @@
     return;
   }
   if (why == relay_outcome::kBlocked && !may_have_run) {
-    RefuseSuspect();
+    EndBlocked();
   } else if (SurelyNotRun(why) && !may_have_run) {
     Refuse(ToText(why), ReturnTime(now));
   } else if (why == relay_outcome::kTimedOut) {
--- a/modules/cuminferry_relay/path/outbound_placement.cpp
+++ b/modules/cuminferry_relay/path/outbound_placement.cpp
@@ -22,11 +22,7 @@
     return;
   }
   if (Standing() == suspect_standing::kBlocked) {
-    if (may_have_run) {
-      AnswerError(http_status::kBadGateway, "ends_targets");
-    } else {
-      RefuseSuspect();
-    }
+    EndBlocked();
     return;
   }
   if (KeyIsStale(now)) {
@@ -91,11 +87,12 @@
 
 // Where an earlier try was lost the request may have run, and a refusal that says
 // otherwise would be untrue: the caller would count on work that may be under way.
-void outbound_call::state::EndWithoutTarget(std::string_view why) {
+void outbound_call::state::EndWithoutTarget(std::string_view why,
+                                            std::optional<duration> return_after) {
   if (may_have_run) {
     AnswerError(http_status::kBadGateway, why);
   } else {
-    Refuse(why, kPlainReturn);
+    Refuse(why, return_after);
   }
 }
 
--- a/modules/cuminferry_relay/path/outbound_state.h
+++ b/modules/cuminferry_relay/path/outbound_state.h
@@ -50,7 +50,8 @@
   //============================================================================
   // Placement.
   void Place();
-  void EndWithoutTarget(std::string_view why);
+  /** @param return_after  where it has not run; nothing where it would be refused again then */
+  void EndWithoutTarget(std::string_view why, std::optional<duration> return_after = kPlainReturn);
   bool MustConfirm(const target_picker& picker, instant now) const;
   void SendBodySoFar();
   void OnInterim(int status);
@@ -76,7 +77,7 @@
   void OnClientGone();
   /** @param return_after  nothing where it would be refused again then */
   void Refuse(std::string_view why, std::optional<duration> return_after);
-  void RefuseSuspect();
+  void EndBlocked();
   void RefuseOverLimit();
   void AnswerError(int status, std::string_view why);
   void AnswerAndEnd(http_head head, std::string_view result, std::string_view why);
--- a/modules/cuminferry_relay/path/outbound_suspect.cpp
+++ b/modules/cuminferry_relay/path/outbound_suspect.cpp
@@ -34,23 +34,21 @@
 void outbound_call::state::OnBodyKnown() {
   awaits_body = false;
   suspect = request_digest::Of(Parts());
-  switch (Standing()) {
-    case suspect_standing::kBlocked:
-      RefuseSuspect();
-      return;
-    case suspect_standing::kFree:
-      suspect.reset();
-      break;
-    case suspect_standing::kCareful:
-      break;
+  const suspect_standing standing = Standing();
+  if (standing == suspect_standing::kBlocked) {
+    EndBlocked();
+    return;
+  }
+  if (standing == suspect_standing::kFree) {
+    suspect.reset();
   }
   Place();
 }
 
 // It would be refused again, so that no time to come back is told.
-void outbound_call::state::RefuseSuspect() {
+void outbound_call::state::EndBlocked() {
   record.suspect = suspect->ToText();
-  Refuse("ends_targets", std::nullopt);
+  EndWithoutTarget("ends_targets", std::nullopt);
 }
 
 }  // namespace cuminferry
