Don't digest a request anew to tell that it was cleared

A clearing is looked up by its digest, which is known; its place is read nowhere. Each suspect that was answered cost a digest of its head for that.

--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -376,8 +376,7 @@
   }
   if (suspect_) {
     // A failure that it answered shows as well that the backend server outlived it.
-    board_.node.on_suspects(
-        {{.what = suspect_event::kind::kCleared, .digest = *suspect_, .place = AsSuspect().place}});
+    board_.node.on_suspects({{.what = suspect_event::kind::kCleared, .digest = *suspect_}});
   }
   if (!detached_) {
     peer_->Finish();
