--- a/modules/cuminferry_fleet/replica/instance_list.cpp
+++ b/modules/cuminferry_fleet/replica/instance_list.cpp
@@ -55,7 +55,9 @@
   for (service_instance& found : listed) {
     changed = Take(std::move(found), now) || changed;
   }
-  changed = Expire(now) || changed;
+  const bool taken = TakeWithheld(now);
+  const bool dropped = DropMissing(now);
+  changed = changed || taken || dropped;
   if (changed) {
     ChooseAtAddresses();
   }
