--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -170,9 +170,7 @@
     crashing_fleet world(4, 2, kAway);
     SendAndWait(world, 0, kCrashing);
     const int ends = world.ends();
-    world.fleet().StopNode(3);
-    world.fleet().StartNode(3);
-    world.fleet().PublishTo(3, 1);
+    RestartNode(world, 3);
     world.fleet().RunFor(kKnownEverywhere + kAskSlack);
     auto sent = world.fleet().Send(3, relay_fleet::Get(kCrashing, "later"));
     world.fleet().RunUntil([&] { return sent->status() != 0; });
@@ -186,9 +184,7 @@
     crashing_fleet world(4, 2, kAway);
     SendAndWait(world, 0, kCrashing);
     const int ends = world.ends();
-    world.fleet().StopNode(3);
-    world.fleet().StartNode(3);
-    world.fleet().PublishTo(3, 1);
+    RestartNode(world, 3);
     world.fleet().RunFor(2 * kAway);
     auto sent = world.fleet().Send(3, relay_fleet::Get(kCrashing, "at once"));
     world.fleet().RunUntil([&] { return sent->status() != 0; });
@@ -230,6 +226,13 @@
     world.fleet().RunUntil([&] { return sent->status() != 0; });
   }
 
+  // It knows nothing then but what is published.
+  static void RestartNode(crashing_fleet& world, int node) {
+    world.fleet().StopNode(node);
+    world.fleet().StartNode(node);
+    world.fleet().PublishTo(node, 1);
+  }
+
   // What is repeated is bounded by what came before.
   static void EarnRepeats(crashing_fleet& world) {
     for (const char* round : {"a", "b", "c"}) {
