Show in log and metrics what a backend server declares in its answers

Cause: three hypotheses stand for the limit that was not kept, and no line or metric tells whether anybody reads it. Change: the fields of an answer are read once, at the node beside the backend server: backend.declared on each change, cuminferry_declared_rate, cuminferry_backend_sends_total, and for a value that can't be read backend.declaration_refused (CF316) once and cuminferry_bad_declarations_total. Names of the fields are set by the adapter. Nothing acts on it yet. Ruled out: reading it from an answer of another instance (421), of another request, or one that is damaged.

--- a/modules/cuminferry_core/result/result_code.cpp
+++ b/modules/cuminferry_core/result/result_code.cpp
@@ -93,6 +93,9 @@
                      "Not run: the row's limit on running requests is reached."},
     result_code_info{kBadRequestHeader, "bad_request_header", 400,
                      "A cuminferry header cannot be read; this copy of the request did not run."},
+    result_code_info{kBadAnswerHeader, "bad_answer_header", 0,
+                     "A backend server's answer declares something that cannot be read; what it "
+                     "declared before stays in force."},
 
     result_code_info{kTicketExpired, "ticket_expired", 409,
                      "Not run under this ticket, now or later: its claim window has passed."},
--- a/modules/cuminferry_core/result/result_code.h
+++ b/modules/cuminferry_core/result/result_code.h
@@ -61,6 +61,7 @@
   kUnknownContext = 313,
   kFleetLimitReached = 314,
   kBadRequestHeader = 315,
+  kBadAnswerHeader = 316,
 
   kTicketExpired = 400,
   kTicketOtherIncarnation = 401,
--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -7,6 +7,7 @@
     - admission/ which calls one instance runs, queues and refuses
     - targets/   which instance a call goes to
     - serving/   which requests a backend server's slots run, queue and refuse
+    - declared/  what backend servers declare in their answers: the rate that they take
     - placement/ which target gets a request that is known by host and path
     - customers/ whose request it is, and how much a customer may send
     - entry/     what is refused where it enters, for the sake of services further down
@@ -32,6 +33,8 @@
 #include "cuminferry_policy/customers/limit_bounds.h"
 #include "cuminferry_policy/customers/limit_messages.h"
 #include "cuminferry_policy/customers/replica_age.h"
+#include "cuminferry_policy/declared/declared_rate.h"
+#include "cuminferry_policy/declared/rate_belief.h"
 #include "cuminferry_policy/entry/call_attribution.h"
 #include "cuminferry_policy/entry/call_demand.h"
 #include "cuminferry_policy/entry/ingress_admission.h"
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -65,6 +65,13 @@
   family_of_counters& control_bytes{
       MakeCounters(registry, "cuminferry_control_bytes_total",
                    "Bytes of these messages without their HTTP heads, by kind.")};
+  prometheus::Counter& sends{MakeCounters(registry, "cuminferry_backend_sends_total",
+                                          "Requests sent to the own backend server, repeats too.")
+                                 .Add({})};
+  prometheus::Counter& bad_declarations{
+      MakeCounters(registry, "cuminferry_bad_declarations_total",
+                   "Answers of the own backend server that declare what can't be read.")
+          .Add({})};
   prometheus::Counter& backend_crashes{
       MakeCounters(registry, "cuminferry_backend_ends_total",
                    "Times that the own backend server ended while it ran requests.")
@@ -107,6 +114,10 @@
   state_->runs_lost.Increment(static_cast<double>(runs));
 }
 
+void relay_metrics::OnSentToBackend() { state_->sends.Increment(); }
+
+void relay_metrics::OnBadDeclaration() { state_->bad_declarations.Increment(); }
+
 void relay_metrics::OnServed(std::string_view row, std::string_view outcome, duration waited,
                              duration ran) {
   const std::string key = std::string(row) + "\n" + std::string(outcome);
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -37,6 +37,10 @@
       because the key may be stale. */
   void OnCustomerRequest(std::string_view customer, std::string_view outcome);
 
+  /** Counts a request that is sent to the own backend server, also where it was sent before. */
+  void OnSentToBackend();
+  /** Counts an answer of the own backend server that declares something that can't be read. */
+  void OnBadDeclaration();
   /** Counts a crash of the own backend server.
       @param runs  number of requests that were running there */
   void OnBackendCrash(std::size_t runs);
--- a/modules/cuminferry_relay/path/relay_settings.h
+++ b/modules/cuminferry_relay/path/relay_settings.h
@@ -30,6 +30,11 @@
   /** Name of the customer whose key a request carries; set by the node, whatever the caller
       sent. */
   std::string customer;
+  /** Requests a second, as a decimal number, that a backend server takes from all nodes together
+      for as long as its answers say so. */
+  std::string rate;
+  /** Set to 1 by a backend server that stops soon. */
+  std::string leaving;
 
   bool operator==(const relay_header_names&) const = default;
 };
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -268,6 +268,8 @@
 
 void serving_call::Send() {
   ++send_count_;
+  sent_at_ = context_.node.loop.Now();
+  context_.node.metrics.OnSentToBackend();
   outcome_.reset();
   const bool at_most_once = header_.repeat != repeat_rule::kIdempotent;
   std::weak_ptr<serving_call> weak = weak_from_this();
@@ -321,6 +323,8 @@
   if (outcome_ == relay_outcome::kOtherInstance && expected != nullptr) {
     context_.OnOtherInstance(*expected);
   }
+  context_.declarations.OnAnswer(head, expected == nullptr ? std::string_view() : *expected,
+                                 sent_at_, outcome_);
   context_.node.repeats.OnSendResult(outcome_ == relay_outcome::kTurnedAway);
   backend_failed_ = head.status >= http_status::kFirstServerError;
   backend_timed_out_ = head.status == http_status::kGatewayTimeout;
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -91,6 +91,8 @@
   // The request has a slot, and the ingress node has been notified but has not released it yet.
   bool slot_granted_ = false;
   int send_count_ = 0;
+  // Time of the latest send.
+  instant sent_at_{};
   bool answer_started_ = false;
   // The calling node is gone, but the run continues.
   bool detached_ = false;
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -31,6 +31,7 @@
                .silence_timeout = kBackendSilenceTimeout,
                .idle_timeout = kDefaultBackendIdleTime}),
       gate(kDefaultSlotCount),
+      declarations(node),
       step_timer_(node.loop),
       expiry_timer_(node.loop),
       crash_detector_(
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -44,6 +44,7 @@
 
 void serving_side::SetGauges(relay_metrics& metrics) const {
   const serving_context& context = state_->context;
+  context.declarations.SetGauges(metrics);
   metrics.SetGauge("cuminferry_level", context.level.share());
   metrics.SetGauge("cuminferry_slots_running", context.gate.running());
   metrics.SetGauge("cuminferry_slots_limit", context.gate.limit());
