--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -202,6 +202,8 @@
   return {.address = kLoopback + (block << 8) + static_cast<std::uint32_t>(node) + 1, .port = port};
 }
 
+endpoint relay_fleet::OutboundAddress(int node) const { return AddressOf(node, kOutboundPort); }
+
 endpoint relay_fleet::PeerAddress(int node) const { return AddressOf(node, kPeerPort); }
 
 std::string relay_fleet::DomainOf(int node) const {
@@ -229,7 +231,9 @@
                       .caller_service = "Caller",
                       .not_executed = "Not-Run",
                       .signature = "Signature",
-                      .customer = "Customer"};
+                      .customer = "Customer",
+                      .rate = "Rate",
+                      .leaving = "Leaving"};
   settings.customers = {.withdrawal_strict = true, .withdrawal_time = kWithdrawalTime};
   return settings;
 }
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -109,6 +109,8 @@
 
   scripted_target& target(int node) { return *targets_[static_cast<std::size_t>(node)]; }
   relay_node& node(int node) { return *nodes_[static_cast<std::size_t>(node)]; }
+  /** The address on which a node accepts requests of clients and of its backend server. */
+  endpoint OutboundAddress(int node) const;
   /** The address on which a node accepts connections of other nodes. */
   endpoint PeerAddress(int node) const;
   /** Makes the platform stop answering this node without an error. */
