--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -1,44 +1,13 @@
 #include "cuminferry_policy/placement/target_picker.h"
 
 #include <algorithm>
-#include <cmath>
-#include <utility>
 
 namespace cuminferry {
 namespace {
 
-// Service time assumed until a target's first report.
-constexpr duration kDefaultServiceTime = std::chrono::milliseconds(20);
-// Time lost by a request that fails, because its retry waits and runs again, as a multiple of the
-// mean service time.
-constexpr double kFailureCostFactor = 20.0;
-// Cost of a request to another failure domain: the network round trip plus a fraction of the mean
-// service time. Traffic between failure domains is paid for, and an answer within its latency
-// objective gains nothing by being earlier. The fraction is a third of what a full target costs
-// more than an empty one (kUtilisationWeight), so that requests leave their failure domain once its
-// target is about three quarters full. With a fraction of 0.3, and the square of the utilisation
-// instead of its fourth power, nearly twice as many bytes crossed at twice the usual load: the cost
-// of traffic between failure domains was 0.0384 instead of 0.0214 of the value of the completed
-// requests.
-constexpr double kOtherDomainMicros = 3'000.0;
-constexpr double kOtherDomainServiceFraction = 0.5;
-// Each byte that crosses between failure domains is paid for, and on a narrow link all other
-// requests wait for it: an upload of 60 KB leaves its failure domain only to save more than 0.12 s.
-constexpr double kOtherDomainMicrosPerByte = 2.0;
-// A target whose node is stopping serves for some seconds and then refuses requests. It must cost
-// more than a target with free slots, but less than a queue.
-constexpr double kStoppingServiceFactor = 1.5;
-// A target that is warming up takes about twice as long.
-constexpr double kWarmUpServiceFactor = 2.0;
-// Cost of a target whose slots are all taken, before any wait, in mean service times of the
-// service. The same for slow and fast targets.
-constexpr double kUtilisationWeight = 1.5;
-// Fraction of a target's own service time that counts for a request that is not urgent.
-constexpr double kNonUrgentServiceWeight = 0.25;
 // Random variation spreads requests over targets of nearly equal cost. Without it, all nodes would
 // send to the same target until its next report.
 constexpr double kCostJitter = 0.2;
-constexpr double kMinSuccessRatio = 0.05;
 
 }  // namespace
 
@@ -71,7 +40,7 @@
     targets_by_domain_[target.failure_domain].push_back(found);
   }
   if (state.target.started_millis != target.started_millis) {
-    StopCounting(state);
+    figures_.RemoveReport(target.id);
     state = {};
   }
   state.target = target;
@@ -90,7 +59,7 @@
   if (found == targets_.end()) {
     return;
   }
-  StopCounting(found->second);
+  figures_.RemoveReport(id);
   RemoveFromDomain(found);
   targets_.erase(found);
 }
@@ -100,72 +69,6 @@
   return found == targets_.end() ? nullptr : &found->second;
 }
 
-void target_picker::SetReport(target_state& state, const target_report& report, instant now) {
-  StopCounting(state);
-  state.report = report;
-  state.reported_at = now;
-  state.is_counted = true;
-  service_micros_sum_ += report.service_time.count();
-  success_ratios_.insert(report.success_ratio);
-  reports_.emplace_back(now, state.target.id);
-}
-
-void target_picker::StopCounting(target_state& state) {
-  if (std::exchange(state.is_counted, false)) {
-    service_micros_sum_ -= state.report.service_time.count();
-    success_ratios_.erase(success_ratios_.find(state.report.success_ratio));
-  }
-}
-
-void target_picker::StopCountingStale(instant now) {
-  while (!reports_.empty() && now - reports_.front().first > kMaxReportAge) {
-    target_state* state = Find(reports_.front().second);
-    // A target that reported again has a later entry.
-    if (state != nullptr && state->reported_at == reports_.front().first) {
-      StopCounting(*state);
-    }
-    reports_.pop_front();
-  }
-}
-
-double target_picker::MeanServiceTime() const {
-  return success_ratios_.empty() ? static_cast<double>(kDefaultServiceTime.count())
-                                 : static_cast<double>(service_micros_sum_) /
-                                       static_cast<double>(success_ratios_.size());
-}
-
-bool target_picker::IsFresh(const target_state& state, instant now) {
-  return state.reported_at != instant{} && now - state.reported_at <= kMaxReportAge;
-}
-
-double target_picker::Cost(const target_state& state, const request& wanted, double mean_service,
-                           instant now) const {
-  const bool fresh = IsFresh(state, now);
-  const double limit =
-      std::max(1.0, fresh ? state.report.limit : static_cast<double>(state.target.slots));
-  double service = fresh ? static_cast<double>(state.report.service_time.count()) : mean_service;
-  if (!fresh && now < state.target.warmed_up_at) {
-    service *= kWarmUpServiceFactor;
-  }
-  const double load = fresh ? static_cast<double>(state.report.running) + state.report.waiting +
-                                  state.sent_since_report
-                            : state.outstanding;
-  const double utilisation = std::min(1.0, load / limit);
-  const double wait = std::max(0.0, load + 1.0 - limit) / limit * service;
-  const double success = std::max(kMinSuccessRatio, fresh ? state.report.success_ratio : 1.0);
-  const double network_cost = state.target.failure_domain == wanted.own_domain
-                                  ? 0.0
-                                  : kOtherDomainMicros +
-                                        kOtherDomainServiceFraction * mean_service +
-                                        kOtherDomainMicrosPerByte * wanted.body_bytes;
-  const double stopping_cost =
-      fresh && state.report.stopping ? kStoppingServiceFactor * mean_service : 0.0;
-  const double weighted_service = wanted.urgent ? service : kNonUrgentServiceWeight * service;
-  return stopping_cost + network_cost + weighted_service +
-         kUtilisationWeight * mean_service * utilisation * utilisation * utilisation * utilisation +
-         wait + (1.0 / success - 1.0) * kFailureCostFactor * mean_service;
-}
-
 void target_picker::DrawFrom(std::span<draw_pool> pools, const request& wanted, std::size_t count,
                              instant now, random_source& random, candidates& drawn) {
   std::size_t left = 0;
@@ -225,13 +128,15 @@
   if (wanted.rendezvous_key) {
     return PickByRendezvousHash(candidates, *wanted.rendezvous_key)->target;
   }
-  StopCountingStale(now);
-  const double mean_service = MeanServiceTime();
+  figures_.RemoveStale(now);
+  const double mean_service = figures_.MeanServiceMicros();
+  const target_load::request sent{
+      .own_domain = wanted.own_domain, .urgent = wanted.urgent, .body_bytes = wanted.body_bytes};
   target_state* best = nullptr;
   double best_cost = 0.0;
   for (target_state* const candidate : candidates) {
-    const double cost =
-        Cost(*candidate, wanted, mean_service, now) * (1.0 + kCostJitter * random.Fraction());
+    const double cost = candidate->load.Cost(candidate->target, sent, mean_service, now) *
+                        (1.0 + kCostJitter * random.Fraction());
     if (best == nullptr || cost < best_cost) {
       best = candidate;
       best_cost = cost;
@@ -256,39 +161,40 @@
 
 bool target_picker::IsOutlier(std::string_view id, instant now) {
   const auto found = targets_.find(id);
-  if (found == targets_.end() || !IsFresh(found->second, now)) {
+  if (found == targets_.end() || !found->second.load.IsFresh(now)) {
     return false;
   }
-  StopCountingStale(now);
-  const double best = success_ratios_.empty() ? 0.0 : *success_ratios_.rbegin();
-  return found->second.report.success_ratio < kOutlierSuccessRatio * best;
+  figures_.RemoveStale(now);
+  return found->second.load.report().success_ratio <
+         kOutlierSuccessRatio * figures_.BestSuccessRatio();
 }
 
 bool target_picker::IsReachabilityUncertain(std::string_view id, instant now) const {
   const auto found = targets_.find(id);
-  return found == targets_.end() || found->second.failures > 0 ||
-         found->second.reported_at == instant{} ||
-         now - found->second.reported_at > kReachabilityTimeout;
+  if (found == targets_.end()) {
+    return true;
+  }
+  const target_state& state = found->second;
+  return state.failures > 0 || !state.load.has_report() ||
+         state.load.ReportAge(now) > kReachabilityTimeout;
 }
 
 void target_picker::OnSent(std::string_view id) {
   if (target_state* state = Find(id)) {
-    ++state->sent_since_report;
-    ++state->outstanding;
+    state->load.OnSent();
   }
 }
 
 void target_picker::OnDone(std::string_view id) {
-  target_state* state = Find(id);
-  if (state != nullptr && state->outstanding > 0) {
-    --state->outstanding;
+  if (target_state* state = Find(id)) {
+    state->load.OnDone();
   }
 }
 
 void target_picker::OnReport(std::string_view id, const target_report& report, instant now) {
   if (target_state* state = Find(id)) {
-    SetReport(*state, report, now);
-    state->sent_since_report = 0;
+    state->load.OnReport(report, now);
+    figures_.SetReport(id, report, now);
     state->failures = 0;
     state->backoff_until = instant{};
   }
@@ -308,9 +214,8 @@
 
 void target_picker::OnTargetFull(std::string_view id, instant now) {
   if (target_state* state = Find(id)) {
-    target_report report = state->report;
-    report.running = std::max(report.running, report.limit);
-    SetReport(*state, report, now);
+    state->load.OnFull(now);
+    figures_.SetReport(id, state->load.report(), now);
   }
 }
 
--- a/modules/cuminferry_policy/placement/target_picker.h
+++ b/modules/cuminferry_policy/placement/target_picker.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -9,40 +8,16 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_policy/placement/published_target.h"
+#include "cuminferry_policy/placement/service_figures.h"
+#include "cuminferry_policy/placement/target_load.h"
+#include "cuminferry_policy/placement/target_report.h"
 
 namespace cuminferry {
 
-/** One backend server that may run a service's requests, as published by its node. */
-struct published_target {
-  /** Id of the backend server; a restarted one mostly has another id. */
-  std::string id;
-  /** When this run of the backend server started, in milliseconds since 1970; 0 where unknown. */
-  std::int64_t started_millis = 0;
-  endpoint backend;
-  std::string failure_domain;
-  std::uint32_t slots = 1;
-  /** The backend server is slower than usual until this time. */
-  instant warmed_up_at{};
-
-  bool operator==(const published_target&) const = default;
-};
-
-/** What the target's node reported with an answer. */
-struct target_report {
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
-  std::uint32_t limit = 1;
-  duration service_time{};
-  /** Moving average of the fraction of the target's answers that were successes, 0 to 1. */
-  double success_ratio = 1.0;
-  /** The target's node is about to stop and serves for a few more seconds. */
-  bool stopping = false;
-};
-
 /** Picks a target for each request of one service.
 
     Handles uneven targets under a load close to the number of their slots: they differ in speed,
@@ -77,8 +52,7 @@
   /** A target whose success ratio is below this fraction of the best target's is an outlier:
       the cost of its failures is then several times its run time. */
   static constexpr double kOutlierSuccessRatio = 0.85;
-  /** A report that is older than this is ignored. */
-  static constexpr duration kMaxReportAge = std::chrono::seconds(2);
+  static constexpr duration kMaxReportAge = service_figures::kMaxReportAge;
 
   target_picker() = default;
   // A copy would refer to the targets of the original.
@@ -139,14 +113,9 @@
  private:
   struct target_state {
     published_target target;
-    target_report report;
-    instant reported_at{};
-    std::uint32_t sent_since_report = 0;
-    std::uint32_t outstanding = 0;
+    target_load load;
     std::uint32_t failures = 0;
     instant backoff_until{};
-    // The report is part of the figures over all targets.
-    bool is_counted = false;
   };
   using target_map = std::map<std::string, target_state, std::less<>>;
   /** The targets of a failure domain, in an order that each draw changes. */
@@ -169,23 +138,12 @@
   /** Draws from the pools until there are `count` available targets or no more to draw. */
   static void DrawFrom(std::span<draw_pool> pools, const request& wanted, std::size_t count,
                        instant now, random_source& random, candidates& drawn);
-  double MeanServiceTime() const;
-  double Cost(const target_state& state, const request& wanted, double mean_service,
-              instant now) const;
-  static bool IsFresh(const target_state& state, instant now);
   target_state* Find(std::string_view id);
   void RemoveFromDomain(target_map::iterator removed);
-  void SetReport(target_state& state, const target_report& report, instant now);
-  void StopCounting(target_state& state);
-  void StopCountingStale(instant now);
 
   target_map targets_;
   std::map<std::string, domain_targets, std::less<>> targets_by_domain_;
-  // Figures over the fresh reports: their service times, and their success ratios in order.
-  std::int64_t service_micros_sum_ = 0;
-  std::multiset<double> success_ratios_;
-  // Fresh reports in the order of arrival, by the target's id.
-  std::deque<std::pair<instant, std::string>> reports_;
+  service_figures figures_;
 };
 
 }  // namespace cuminferry
