Keep to the rate that a backend server declares

What callers saw: nothing yet; two backend servers in need got 425 and 327 requests in 4 s where 233 and 193 were allowed. Cause (hypothesis 1, confirmed): nobody reads the field. What a target can take is judged by its slots alone, by its own node's gate, in what that reports, and in what calling nodes make of it; a target that answers quickly looks empty, and an empty one is the first choice. Class: room judged by slots alone, a field of an answer not read. Change: the node beside the backend server sees all that it gets, so it keeps the rate for all nodes together: send_pacer (turns of a token bucket; single requests at a rate of 0, as only an answer shows the end), also for repeats after a rejection. declared_rate holds it: an answer that was sent before the declaration doesn't end it, nor a rejection; a minute without any answer does; a bad value is counted and leaves the last good one. Calling nodes are told the rate and what each of them may send (caller_rate, not counting them) and go elsewhere before they are turned away (target_rate, target_picker); over-rate is a new reason. A request tells the target's node what its calling node knows, with age and run, so a node that starts anew knows it before its first send; it sends one at a time until an answer confirms a rate that is over a second old. Where no target has room, requests wait for turns and rate_level lowers the admitted share, which follows from demand and rate at once; of a small share the least important row gets a quarter of that share instead of 6% of its load. Ruled out: counting callers (each of 16 nodes keeping the whole rate lets 16 times through; 400 in the test); a belief without its age; the slots' controller for the rate (waits of 0.9 s and a share that swings between 0.1 and 0.7). Conclusion: kept at the one place that sees everything; placement and admission only avoid the refusals.

--- a/modules/cuminferry_core/text/ascii_text.cpp
+++ b/modules/cuminferry_core/text/ascii_text.cpp
@@ -1,6 +1,7 @@
 #include "cuminferry_core/text/ascii_text.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminferry {
 namespace {
@@ -46,4 +47,12 @@
   return parts;
 }
 
+std::optional<double> ParseDecimalNumber(std::string_view text) {
+  double number = 0.0;
+  const char* end = text.data() + text.size();
+  const auto [read_to, error] = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+  const bool is_number = error == std::errc() && read_to == end && std::isfinite(number);
+  return is_number ? std::optional(number) : std::nullopt;
+}
+
 }  // namespace cuminferry
--- a/modules/cuminferry_core/text/ascii_text.h
+++ b/modules/cuminferry_core/text/ascii_text.h
@@ -22,6 +22,10 @@
 std::vector<std::string_view> SplitText(std::string_view text, char separator,
                                         std::size_t max_parts = static_cast<std::size_t>(-1));
 
+/** Parses a decimal number without an exponent; nullopt if the text holds anything else or the
+    number is not finite. */
+std::optional<double> ParseDecimalNumber(std::string_view text);
+
 /** Parses an integer; nullopt if the text holds anything else or the number is out of range. */
 template <typename Number>
 std::optional<Number> ParseInteger(std::string_view text, int base = 10) {
--- a/modules/cuminferry_policy/entry/ingress_admission.cpp
+++ b/modules/cuminferry_policy/entry/ingress_admission.cpp
@@ -97,12 +97,13 @@
       sum += RateAt(rate, now) * ToSeconds(other.cost);
     }
   }
+  const double min_share = std::min(kMinAdmittedShare, kMinShareOfAdmitted * share);
   if (same_rank_load <= 0.0) {
-    return std::max(kMinAdmittedShare, share);
+    return std::max(min_share, share);
   }
   const double remaining_load =
       share * (lower_rank_load + same_rank_load + higher_rank_load) - lower_rank_load;
-  return std::clamp(remaining_load / same_rank_load, kMinAdmittedShare, 1.0);
+  return std::clamp(remaining_load / same_rank_load, min_share, 1.0);
 }
 
 bool ingress_admission::Admits(std::string_view row, std::uint32_t rank, double draw,
--- a/modules/cuminferry_policy/entry/ingress_admission.h
+++ b/modules/cuminferry_policy/entry/ingress_admission.h
@@ -31,6 +31,9 @@
   /** Minimum share of a row's requests that is admitted under any limit, so that answers keep
       reporting the limit and the row doesn't starve. */
   static constexpr double kMinAdmittedShare = 0.06;
+  /** Where less is admitted of all rows together, the minimum is this part of their share: a row of
+      lower rank must not take most of what a small limit allows. */
+  static constexpr double kMinShareOfAdmitted = 0.25;
   /** Time constant of the moving average over reported limits. */
   static constexpr duration kBlendTime = std::chrono::milliseconds(40);
   /** A limit that no answer has confirmed for this long begins to rise. */
--- a/modules/cuminferry_policy/placement/target_load.cpp
+++ b/modules/cuminferry_policy/placement/target_load.cpp
@@ -55,7 +55,7 @@
 }
 
 double target_load::Cost(const published_target& target, const request& sent, double mean_service,
-                         instant now) const {
+                         double rate_use, instant now) const {
   const bool fresh = IsFresh(now);
   const double limit = std::max(1.0, fresh ? report_.limit : static_cast<double>(target.slots));
   double service = fresh ? static_cast<double>(report_.service_time.count()) : mean_service;
@@ -65,7 +65,7 @@
   const double load =
       fresh ? static_cast<double>(report_.running) + report_.waiting + sent_since_report_
             : outstanding_;
-  const double utilisation = std::min(1.0, load / limit);
+  const double utilisation = std::min(1.0, std::max(rate_use, load / limit));
   const double wait = std::max(0.0, load + 1.0 - limit) / limit * service;
   const double success = std::max(kMinSuccessRatio, fresh ? report_.success_ratio : 1.0);
   const double network_cost = target.failure_domain == sent.own_domain
--- a/modules/cuminferry_policy/placement/target_load.h
+++ b/modules/cuminferry_policy/placement/target_load.h
@@ -41,9 +41,11 @@
 
   /** Cost of sending the request to the target, in microseconds: the time that the request will
       take there, and what it costs others.
-      @param mean_service  mean service time of all targets in microseconds */
+      @param mean_service  mean service time of all targets in microseconds
+      @param rate_use      share of the rate that the target declares which is in use; 0 where it
+                           declares none */
   double Cost(const published_target& target, const request& sent, double mean_service,
-              instant now) const;
+              double rate_use, instant now) const;
 
  private:
   target_report report_;
--- a/modules/cuminferry_policy/placement/target_picker.cpp
+++ b/modules/cuminferry_policy/placement/target_picker.cpp
@@ -8,6 +8,8 @@
 // Random variation spreads requests over targets of nearly equal cost. Without it, all nodes would
 // send to the same target until its next report.
 constexpr double kCostJitter = 0.2;
+// Avoids a division by zero; a declaration is forgotten long before.
+constexpr double kMinTryRate = 0.001;
 
 }  // namespace
 
@@ -69,8 +71,15 @@
   return found == targets_.end() ? nullptr : &found->second;
 }
 
+// A target of which nothing was heard for a while is asked by one of its usual requests in five.
+bool target_picker::IsTryDue(const target_state& state, instant now) const {
+  const double usual_rate = picks_.RateAt(now) / static_cast<double>(targets_.size());
+  const std::chrono::duration<double> interval(1.0 / std::max(kMinTryRate, kTryShare * usual_rate));
+  return state.rate.IsTryDue(std::chrono::round<duration>(interval), now);
+}
+
 void target_picker::DrawFrom(std::span<draw_pool> pools, const request& wanted, std::size_t count,
-                             instant now, random_source& random, candidates& drawn) {
+                             instant now, random_source& random, candidates& drawn) const {
   std::size_t left = 0;
   for (const draw_pool& pool : pools) {
     left += pool.targets->size() - pool.next;
@@ -90,21 +99,21 @@
     }
     const bool is_backing_off =
         now < state.backoff_until || wanted.cut_off(state.target.failure_domain);
-    if (!is_backing_off) {
+    const bool has_turn = state.rate.HasTurn(now) || IsTryDue(state, now);
+    if (!is_backing_off && has_turn) {
       drawn.available.push_back(&state);
-    } else if (drawn.backing_off.size() < count) {
-      drawn.backing_off.push_back(&state);
+      continue;
+    }
+    auto& unavailable = is_backing_off ? drawn.backing_off : drawn.over_rate;
+    if (unavailable.size() < count) {
+      unavailable.push_back(&state);
     }
   }
 }
 
-// Draws targets that the request may go to, at most `count` of them. Targets that back off, or
-// whose failure domain is cut off, are drawn only if there are no others: one that may have
-// recovered is better than none.
-std::vector<target_picker::target_state*> target_picker::DrawCandidates(const request& wanted,
-                                                                        std::size_t count,
-                                                                        instant now,
-                                                                        random_source& random) {
+// Draws targets that the request may go to, at most `count` of them.
+target_picker::candidates target_picker::DrawCandidates(const request& wanted, std::size_t count,
+                                                        instant now, random_source& random) {
   std::vector<draw_pool> own;
   std::vector<draw_pool> others;
   for (auto& [domain, targets] : targets_by_domain_) {
@@ -114,20 +123,39 @@
   DrawFrom(own, wanted, std::min(kMinComparedInDomain, count), now, random, drawn);
   DrawFrom(others, wanted, count, now, random, drawn);
   DrawFrom(own, wanted, count, now, random, drawn);
-  return drawn.available.empty() ? drawn.backing_off : drawn.available;
+  return drawn;
 }
 
-std::optional<published_target> target_picker::Pick(const request& wanted, instant now,
-                                                    random_source& random) {
+std::optional<picked_target> target_picker::Pick(const request& wanted, instant now,
+                                                 random_source& random) {
+  picks_.OnEvent(now);
   // The nodes agree on the target of a key only if each one knows all of them.
   const std::size_t count = wanted.rendezvous_key ? targets_.size() : kMaxCompared;
-  const std::vector<target_state*> candidates = DrawCandidates(wanted, count, now, random);
+  candidates drawn = DrawCandidates(wanted, count, now, random);
+  if (wanted.rendezvous_key) {
+    // A declared rate must not let two nodes choose different targets: the request waits.
+    drawn.available.insert(drawn.available.end(), drawn.over_rate.begin(), drawn.over_rate.end());
+  }
+  // A target that may have recovered is better than none, but one that declares a rate is
+  // reachable.
+  const bool is_over_rate = drawn.available.empty() && !drawn.over_rate.empty();
+  const std::vector<target_state*>& candidates = !drawn.available.empty() ? drawn.available
+                                                 : is_over_rate           ? drawn.over_rate
+                                                                          : drawn.backing_off;
   if (candidates.empty()) {
     return std::nullopt;
   }
-  if (wanted.rendezvous_key) {
-    return PickByRendezvousHash(candidates, *wanted.rendezvous_key)->target;
-  }
+  const target_state& picked = wanted.rendezvous_key
+                                   ? *PickByRendezvousHash(candidates, *wanted.rendezvous_key)
+                                   : *PickByCost(candidates, wanted, now, random);
+  return picked_target{.target = picked.target,
+                       .awaits_turn = is_over_rate || wanted.rendezvous_key.has_value(),
+                       .declared = picked.rate.BeliefAt(now)};
+}
+
+target_picker::target_state* target_picker::PickByCost(const std::vector<target_state*>& candidates,
+                                                       const request& wanted, instant now,
+                                                       random_source& random) {
   figures_.RemoveStale(now);
   const double mean_service = figures_.MeanServiceMicros();
   const target_load::request sent{
@@ -135,7 +163,11 @@
   target_state* best = nullptr;
   double best_cost = 0.0;
   for (target_state* const candidate : candidates) {
-    const double cost = candidate->load.Cost(candidate->target, sent, mean_service, now) *
+    if (IsTryDue(*candidate, now)) {
+      return candidate;
+    }
+    const double cost = candidate->load.Cost(candidate->target, sent, mean_service,
+                                             candidate->rate.UseAt(now), now) *
                         (1.0 + kCostJitter * random.Fraction());
     if (best == nullptr || cost < best_cost) {
       best = candidate;
@@ -146,7 +178,7 @@
     // One request at a time tests whether the target is reachable again.
     best->backoff_until = now + kFirstBackoff;
   }
-  return best->target;
+  return best;
 }
 
 // Highest random weight (rendezvous) hashing: if a target is added or removed, only the requests of
@@ -179,9 +211,23 @@
          state.load.ReportAge(now) > kReachabilityTimeout;
 }
 
-void target_picker::OnSent(std::string_view id) {
+void target_picker::OnSent(std::string_view id, instant now) {
   if (target_state* state = Find(id)) {
     state->load.OnSent();
+    state->rate.OnSent(now);
+  }
+}
+
+void target_picker::OnRateReport(std::string_view id, const std::optional<rate_report>& report,
+                                 instant now) {
+  if (target_state* state = Find(id)) {
+    state->rate.OnReport(report, now);
+  }
+}
+
+void target_picker::OnOverRate(std::string_view id, instant now) {
+  if (target_state* state = Find(id)) {
+    state->rate.OnTurnedAway(now);
   }
 }
 
--- a/modules/cuminferry_policy/placement/target_picker.h
+++ b/modules/cuminferry_policy/placement/target_picker.h
@@ -11,6 +11,9 @@
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_policy/declared/event_rate.h"
+#include "cuminferry_policy/declared/target_rate.h"
+#include "cuminferry_policy/placement/picked_target.h"
 #include "cuminferry_policy/placement/published_target.h"
 #include "cuminferry_policy/placement/service_figures.h"
 #include "cuminferry_policy/placement/target_load.h"
@@ -27,6 +30,9 @@
     are full, their waiting times. A target's own service time counts in full only for urgent
     requests.
 
+    A target whose backend server declares a rate gets what this node may send to it, and more only
+    if there is no other target.
+
     A pick costs the targets that it compares, however many there are.
 
     All figures come from the reports that the targets' nodes send with every answer and from the
@@ -53,6 +59,9 @@
       the cost of its failures is then several times its run time. */
   static constexpr double kOutlierSuccessRatio = 0.85;
   static constexpr duration kMaxReportAge = service_figures::kMaxReportAge;
+  /** Part of a target's usual requests that is sent at the least to one that declares a rate, to
+      learn from the answers when the declaration is over. */
+  static constexpr double kTryShare = 0.2;
 
   target_picker() = default;
   // A copy would refer to the targets of the original.
@@ -88,7 +97,7 @@
   };
 
   /** Returns the target to send to, or nullopt if all were tried. */
-  std::optional<published_target> Pick(const request& wanted, instant now, random_source& random);
+  std::optional<picked_target> Pick(const request& wanted, instant now, random_source& random);
 
   /** Whether the target fails so much more than the best one that requests avoid it. Its slots
       are then free while other targets carry its load. That free capacity must not be reported:
@@ -100,10 +109,15 @@
 
   //============================================================================
   /** Notes that a request was sent to the target. */
-  void OnSent(std::string_view id);
+  void OnSent(std::string_view id, instant now);
   /** Notes that a request to the target has finished, with any outcome. */
   void OnDone(std::string_view id);
   void OnReport(std::string_view id, const target_report& report, instant now);
+  /** Notes what the target's node reported of the rate that its backend server declares; nothing
+      where it declares none. */
+  void OnRateReport(std::string_view id, const std::optional<rate_report>& report, instant now);
+  /** Notes that the target's node had no turn for a request within the declared rate. */
+  void OnOverRate(std::string_view id, instant now);
   /** Notes that the target or its node is unreachable, or that a request to it was lost. */
   void OnUnreachable(std::string_view id, instant now);
   /** Notes that the target's node refused a request although this node's figures showed free
@@ -111,9 +125,12 @@
   void OnTargetFull(std::string_view id, instant now);
 
  private:
+  static constexpr duration kPickAveragingTime = std::chrono::seconds(2);
+
   struct target_state {
     published_target target;
     target_load load;
+    target_rate rate;
     std::uint32_t failures = 0;
     instant backoff_until{};
   };
@@ -127,23 +144,29 @@
   };
   struct candidates {
     std::vector<target_state*> available;
+    /** Targets to which this node may send nothing now for the sake of the rate they declare. */
+    std::vector<target_state*> over_rate;
     /** Targets that back off or whose failure domain is cut off. */
     std::vector<target_state*> backing_off;
   };
 
   static target_state* PickByRendezvousHash(const std::vector<target_state*>& candidates,
                                             std::uint64_t key);
-  std::vector<target_state*> DrawCandidates(const request& wanted, std::size_t count, instant now,
-                                            random_source& random);
+  target_state* PickByCost(const std::vector<target_state*>& candidates, const request& wanted,
+                           instant now, random_source& random);
+  candidates DrawCandidates(const request& wanted, std::size_t count, instant now,
+                            random_source& random);
   /** Draws from the pools until there are `count` available targets or no more to draw. */
-  static void DrawFrom(std::span<draw_pool> pools, const request& wanted, std::size_t count,
-                       instant now, random_source& random, candidates& drawn);
+  void DrawFrom(std::span<draw_pool> pools, const request& wanted, std::size_t count, instant now,
+                random_source& random, candidates& drawn) const;
+  bool IsTryDue(const target_state& state, instant now) const;
   target_state* Find(std::string_view id);
   void RemoveFromDomain(target_map::iterator removed);
 
   target_map targets_;
   std::map<std::string, domain_targets, std::less<>> targets_by_domain_;
   service_figures figures_;
+  event_rate picks_{kPickAveragingTime};
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/serving/slot_gate.cpp
+++ b/modules/cuminferry_policy/serving/slot_gate.cpp
@@ -20,7 +20,7 @@
 
 void slot_gate::SetSlots(std::uint32_t slots) { learning_.SetSlots(slots); }
 
-void slot_gate::Learn(instant now) { learning_.Step(!queue_.empty(), now); }
+void slot_gate::Learn(instant now) { learning_.Step(!queue_.empty() && lacks_slots(), now); }
 
 void slot_gate::OnRun(std::uint32_t limit_at_start, double relative_time) {
   if (limit_at_start > 0) {
@@ -48,21 +48,40 @@
   return std::min(deadline_start, in_time_start);
 }
 
-duration slot_gate::ExpectedWait(instant last_useful_start) const {
-  const auto requests_ahead =
-      std::distance(queue_.begin(), queue_.upper_bound({last_useful_start, kMaxId}));
-  const double turns = static_cast<double>(requests_ahead + 1) / limit();
-  return duration(static_cast<duration::rep>(turns * mean_service_micros_));
+std::size_t slot_gate::RequestsAhead(instant last_useful_start) const {
+  return static_cast<std::size_t>(
+      std::distance(queue_.begin(), queue_.upper_bound({last_useful_start, kMaxId})));
+}
+
+duration slot_gate::ExpectedWait(std::size_t requests_ahead, instant now) const {
+  const duration wait_for_turn = pacer_.WaitFor(requests_ahead + 1, now);
+  if (!lacks_slots() && pacer_.is_limited()) {
+    return wait_for_turn;
+  }
+  const double rounds = static_cast<double>(requests_ahead + 1) / limit();
+  const duration wait_for_slot(static_cast<duration::rep>(rounds * mean_service_micros_));
+  return std::max(wait_for_slot, wait_for_turn);
+}
+
+duration slot_gate::MaxWaitForTurn() const {
+  const std::chrono::duration<double> few_turns(kMinQueuedTurns / pacer_.rate());
+  return std::max(kMaxTurnQueueTime, std::chrono::round<duration>(few_turns));
 }
 
 slot_verdict slot_gate::Offer(const slot_request& request, instant now) {
-  if (running_ < limit() && queue_.empty()) {
+  if (!lacks_slots() && queue_.empty() && pacer_.TryTake(now)) {
     ++running_;
     return slot_verdict::kStart;
   }
   const instant last_useful_start = LastUsefulStart(request, now);
-  const duration expected = ExpectedWait(last_useful_start);
-  if (waiting() >= limit() * kMaxQueuedPerSlot || now + expected > last_useful_start) {
+  const duration expected = ExpectedWait(RequestsAhead(last_useful_start), now);
+  // Requests that wait for a turn show that other targets have no room either.
+  if (!request.awaits_turn && queue_.empty() && pacer_.WaitFor(1, now) > kMaxTurnWait) {
+    return slot_verdict::kOverRate;
+  }
+  const bool waits_too_long = pacer_.is_limited() && expected > MaxWaitForTurn();
+  if (waiting() >= limit() * kMaxQueuedPerSlot || now + expected > last_useful_start ||
+      waits_too_long) {
     longest_wait_ = std::max(longest_wait_, expected);
     return slot_verdict::kRefuse;
   }
@@ -80,7 +99,7 @@
 void slot_gate::Release() { running_ -= running_ > 0 ? 1 : 0; }
 
 std::optional<std::uint64_t> slot_gate::StartNext(instant now) {
-  if (running_ >= limit() || queue_.empty()) {
+  if (lacks_slots() || queue_.empty() || !pacer_.TryTake(now)) {
     return std::nullopt;
   }
   const std::uint64_t id = queue_.begin()->second;
@@ -122,6 +141,11 @@
   return longest;
 }
 
+std::optional<instant> slot_gate::NextTurn(instant now) const {
+  const bool waits = !queue_.empty() && !lacks_slots() && pacer_.is_limited();
+  return waits ? std::optional(now + pacer_.WaitFor(1, now)) : std::nullopt;
+}
+
 std::optional<instant> slot_gate::next_expiry() const {
   return queue_.empty() ? std::nullopt : std::optional<instant>(queue_.begin()->first);
 }
--- a/modules/cuminferry_policy/serving/slot_gate.h
+++ b/modules/cuminferry_policy/serving/slot_gate.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_policy/declared/send_pacer.h"
 #include "cuminferry_policy/serving/slot_learning.h"
 
 namespace cuminferry {
@@ -27,17 +28,27 @@
   duration objective{};
   /** Mean run time of its row; zero means the mean of all runs. */
   duration run_time{};
+  /** Whether it waits for a turn where the backend server declares a rate, as its calling node
+      knows no target with room for it. */
+  bool awaits_turn = false;
 };
 
-enum class slot_verdict : std::uint8_t { kStart, kWait, kRefuse };
+enum class slot_verdict : std::uint8_t {
+  kStart,
+  kWait,
+  kRefuse,
+  /** No turn within the rate that the backend server declares; another target may have one. */
+  kOverRate,
+};
 
 /** Decides which requests the own backend server runs now, which wait and which are refused.
 
     The backend server's own queue is in order of arrival and slows down all requests in it. Under
     a load above the slots the gate therefore leaves that queue empty and queues requests here,
     the most urgent first. A request waits only while it can still complete in time. One that
-    can't is refused while its caller can still do something else. The class does no I/O and is
-    not thread-safe; its owner synchronizes access.
+    can't is refused while its caller can still do something else. Where the backend server declares
+    a rate, a request also needs a turn within that rate. The class does no I/O and is not
+    thread-safe; its owner synchronizes access.
 */
 class slot_gate {
  public:
@@ -47,6 +58,13 @@
   /** Factor on the mean run time that is reserved for a request's own run. The factor is above 1,
       as run times vary. */
   static constexpr double kRunTimeMargin = 1.5;
+  /** A request whose calling node may know another target waits for a turn no longer than this: to
+      send it there takes less time. */
+  static constexpr duration kMaxTurnWait = std::chrono::milliseconds(20);
+  /** Requests wait for turns no longer than this, or than kMinQueuedTurns turns take: a longer queue
+      is served no faster, and the admission level would swing by seconds. */
+  static constexpr duration kMaxTurnQueueTime = std::chrono::milliseconds(300);
+  static constexpr double kMinQueuedTurns = 4.0;
   /** Maximum number of waiting requests for each slot. Requests in a longer queue are never served
       in time and only take memory. */
   static constexpr std::uint32_t kMaxQueuedPerSlot = 8;
@@ -68,6 +86,11 @@
   /** Removes a waiting request whose caller cancelled it; returns false where it doesn't wait. */
   bool Remove(std::uint64_t id);
 
+  /** Sets the rate that the backend server declares; nothing where it declares none. */
+  void SetRate(const std::optional<double>& rate, instant now) { pacer_.SetRate(rate, now); }
+  bool has_rate() const { return pacer_.is_limited(); }
+  /** Takes a turn for a repeat in a slot that is already taken; returns false where none is due. */
+  bool TryTakeTurn(instant now) { return pacer_.TryTake(now); }
   /** Sets the published number of slots of the backend server. */
   void SetSlots(std::uint32_t slots);
   /** Updates the number of requests that may run from the observed runs. To be called
@@ -78,7 +101,7 @@
       @param relative_time   run time divided by the mean run time of its row */
   void OnRun(std::uint32_t limit_at_start, double relative_time);
   /** Returns the limit where all slots are taken, and zero where some are free. */
-  std::uint32_t limit_when_full() const { return running_ >= limit() ? limit() : 0; }
+  std::uint32_t limit_when_full() const { return lacks_slots() ? limit() : 0; }
 
   //============================================================================
   /** Returns the longest wait since the last call, which controls the admission level. It covers
@@ -92,6 +115,10 @@
   duration service_time() const;
   /** Returns when the next waiting request expires; nothing where none waits. */
   std::optional<instant> next_expiry() const;
+  /** Returns when the next waiting request gets a turn; nothing where none waits for one. */
+  std::optional<instant> NextTurn(instant now) const;
+  /** Whether requests wait for slots, and not for turns. */
+  bool lacks_slots() const { return running_ >= limit(); }
 
  private:
   struct waiting_request {
@@ -100,9 +127,12 @@
   };
 
   instant LastUsefulStart(const slot_request& request, instant now) const;
-  duration ExpectedWait(instant last_useful_start) const;
+  duration MaxWaitForTurn() const;
+  duration ExpectedWait(std::size_t requests_ahead, instant now) const;
+  std::size_t RequestsAhead(instant last_useful_start) const;
 
   slot_learning learning_;
+  send_pacer pacer_;
   std::uint32_t running_ = 0;
   double mean_service_micros_;
   duration longest_wait_{};
--- a/modules/cuminferry_relay/path/backend_declaration.cpp
+++ b/modules/cuminferry_relay/path/backend_declaration.cpp
@@ -1,8 +1,6 @@
 #include "cuminferry_relay/path/backend_declaration.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <string_view>
 #include <vector>
 
@@ -15,14 +13,6 @@
 constexpr std::size_t kMaxRateLength = 32;
 constexpr std::string_view kIsLeaving = "1";
 
-std::optional<double> ParseRate(std::string_view text) {
-  double rate = 0.0;
-  const char* end = text.data() + text.size();
-  const auto [read_to, failure] = std::from_chars(text.data(), end, rate, std::chars_format::fixed);
-  const bool is_number = failure == std::errc() && read_to == end && std::isfinite(rate);
-  return is_number && rate >= 0.0 ? std::optional(rate) : std::nullopt;
-}
-
 }  // namespace
 
 backend_declaration backend_declaration::ReadFrom(const http_head& answer,
@@ -37,9 +27,10 @@
   }
   const std::string_view text = TrimBlanks(rates.front());
   if (rates.size() == 1 && text.size() <= kMaxRateLength) {
-    found.rate = ParseRate(text);
+    found.rate = ParseDecimalNumber(text);
   }
-  if (!found.rate) {
+  if (!found.rate || *found.rate < 0.0) {
+    found.rate.reset();
     found.error = MakeStatus(result_code::kBadAnswerHeader,
                              names.rate + ": " + std::string(text.substr(0, kMaxRateLength)));
   }
--- a/modules/cuminferry_relay/path/backend_declarations.cpp
+++ b/modules/cuminferry_relay/path/backend_declarations.cpp
@@ -5,7 +5,7 @@
 namespace cuminferry {
 namespace {
 
-// Shown by the gauge where no rate is declared; zero is a rate.
+// Shown by log and gauge where no rate is declared; zero is a rate.
 constexpr double kNoRate = -1.0;
 
 }  // namespace
@@ -25,23 +25,63 @@
   }
   const backend_declaration declared =
       backend_declaration::ReadFrom(answer, node_.settings.headers);
-  const instant now = node_.loop.Now();
   if (!declared.error.ok()) {
     OnError(declared.error);
   }
   bool is_changed = false;
   if (declared.rate) {
-    is_changed = rate_.OnDeclared(instance, *declared.rate, now);
+    is_changed = rate_.OnDeclared(instance, *declared.rate, node_.loop.Now());
     has_logged_error_ = false;
   } else if (declared.error.ok() && !rejection) {
     is_changed = rate_.OnNotDeclared(instance, sent_at);
   }
+  UpdatePace();
   if (is_changed) {
-    node_.log.LogChange("backend.declared",
-                        {{"target", instance}, {"rate", declared.rate.value_or(kNoRate)}});
+    OnRateChanged(instance, "answer");
+  }
+}
+
+// What was declared by an earlier run of the backend server doesn't count.
+void backend_declarations::OnRequest(std::string_view instance, const rate_request& told) {
+  const bool is_listed = instance == listed_id_ && listed_started_millis_ != 0;
+  if (!told.declared || (is_listed && told.started_millis != listed_started_millis_)) {
+    return;
+  }
+  if (rate_.OnBelief(instance, *told.declared, node_.loop.Now())) {
+    OnRateChanged(instance, "calling_node");
+  }
+}
+
+void backend_declarations::OnInstancesChanged() {
+  const service_instance* own = node_.OwnInstance();
+  if (own == nullptr) {
+    return;
+  }
+  const bool is_another_run =
+      own->id != listed_id_ || own->started_millis != listed_started_millis_;
+  const bool had_another = !listed_id_.empty();
+  listed_id_ = own->id;
+  listed_started_millis_ = own->started_millis;
+  if (is_another_run && had_another && rate()) {
+    rate_.Forget();
+    OnRateChanged(own->id, "other_run");
   }
 }
 
+void backend_declarations::OnRateChanged(std::string_view instance, std::string_view source) {
+  UpdatePace();
+  const auto belief = rate();
+  node_.log.LogChange("backend.declared", {{"target", instance},
+                                           {"rate", belief ? belief->rate : kNoRate},
+                                           {"age_us", belief ? belief->age.count() : 0},
+                                           {"from", source}});
+}
+
+void backend_declarations::UpdatePace() {
+  const instant now = node_.loop.Now();
+  gate_.SetRate(rate_.PacedRateAt(now), now);
+}
+
 void backend_declarations::OnError(const absl::Status& error) {
   node_.metrics.OnBadDeclaration();
   if (!std::exchange(has_logged_error_, true)) {
@@ -49,9 +89,26 @@
   }
 }
 
+void backend_declarations::Step(duration wait) {
+  rate_.Step(wait, node_.loop.Now());
+  if (!rate() && gate_.has_rate()) {
+    // No answer has confirmed it for too long.
+    OnRateChanged(listed_id_, "silence");
+  }
+  UpdatePace();
+}
+
+void backend_declarations::AddReport(http_head& answer) const {
+  answer.Remove(kRateField);
+  if (const auto report = rate_.ReportAt(node_.loop.Now())) {
+    answer.Set(kRateField, ToText(*report));
+  }
+}
+
 void backend_declarations::SetGauges(relay_metrics& metrics) const {
-  const auto belief = rate_.BeliefAt(node_.loop.Now());
+  const auto belief = rate();
   metrics.SetGauge("cuminferry_declared_rate", belief ? belief->rate : kNoRate);
+  metrics.SetGauge("cuminferry_declared_rate_age_seconds", belief ? ToSeconds(belief->age) : 0.0);
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/backend_declarations.h
+++ b/modules/cuminferry_relay/path/backend_declarations.h
@@ -1,35 +1,63 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "cuminferry_relay/path/answer_check.h"
 #include "cuminferry_relay/path/backend_declaration.h"
+#include "cuminferry_relay/path/rate_headers.h"
 #include "cuminferry_relay/path/relay_board.h"
 
 namespace cuminferry {
 
-/** Keeps what the own backend server declares of itself, and shows it in log and metrics. */
+/** Keeps what the own backend server declares of itself, has its gate act on it, tells calling
+    nodes, and shows it in log and metrics. */
 class backend_declarations {
  public:
-  explicit backend_declarations(relay_board& node) : node_(node) {}
+  backend_declarations(relay_board& node, slot_gate& gate) : node_(node), gate_(gate) {}
 
+  //============================================================================
   /** An answer that the own backend server sent to a request.
       @param instance   id of the instance that the request was meant for
       @param sent_at    when the request was sent to it
       @param rejection  why the answer is not passed on, if it isn't. @see InvalidAnswerOutcome */
   void OnAnswer(const http_head& answer, std::string_view instance, instant sent_at,
                 const std::optional<relay_outcome>& rejection);
+  /** A calling node told what it knows of the instance that its request is meant for. */
+  void OnRequest(std::string_view instance, const rate_request& told);
+  /** The list of instances has changed. */
+  void OnInstancesChanged();
 
+  //============================================================================
+  void OnArrival(const rate_control::arrival& arrived) {
+    rate_.OnArrival(arrived, node_.loop.Now());
+  }
+  void OnSent() { rate_.OnSent(); }
+  /** To be called each rate_control::kPeriod. @param wait  longest wait for a turn */
+  void Step(duration wait);
+
+  /** The rate in force; nothing where none is declared. */
+  std::optional<rate_belief> rate() const { return rate_.BeliefAt(node_.loop.Now()); }
+  /** Share of the load that is admitted for the sake of the rate. */
+  double admitted_share() const { return rate() ? rate_.share() : 1.0; }
+  /** Adds the field that tells calling nodes of the rate. */
+  void AddReport(http_head& answer) const;
   void SetGauges(relay_metrics& metrics) const;
 
  private:
   bool IsOwnAnswer(const http_head& answer, const std::optional<relay_outcome>& rejection) const;
   void OnError(const absl::Status& error);
+  void UpdatePace();
+  void OnRateChanged(std::string_view instance, std::string_view source);
 
   relay_board& node_;
-  declared_rate rate_;
+  slot_gate& gate_;
+  rate_control rate_;
+  // The listed instance, to notice another run of the backend server.
+  std::string listed_id_;
+  std::int64_t listed_started_millis_ = 0;
   bool has_logged_error_ = false;
 };
 
--- a/modules/cuminferry_relay/path/outbound_answer.cpp
+++ b/modules/cuminferry_relay/path/outbound_answer.cpp
@@ -23,6 +23,7 @@
   }
   head.Remove(kLoadField);
   head.Remove(kRepeatsField);
+  head.Remove(kRateField);
   head.Remove(kOutcomeField);
   head.RemoveConnectionFields();
   const bool failed = head.status >= http_status::kFirstServerError;
@@ -57,6 +58,9 @@
   }
   target_picker& picker = board.PickerOf(record.service);
   picker.OnReport(record.target_id, load->report, now);
+  const std::string* rate_field = head.Find(kRateField);
+  picker.OnRateReport(record.target_id,
+                      rate_field == nullptr ? std::nullopt : ParseRateReport(*rate_field), now);
   const bool counts = !picker.IsOutlier(record.target_id, now);
   board.admission.OnAnswer(route->name, counts ? load->limit : std::nullopt, load->from_clients,
                            now);
@@ -152,6 +156,11 @@
   if (why == relay_outcome::kFull) {
     board.PickerOf(record.service).OnTargetFull(record.target_id, now);
   }
+  if (why == relay_outcome::kOverRate) {
+    // Where no other target has room, the request may wait for a turn at this one.
+    board.PickerOf(record.service).OnOverRate(record.target_id, now);
+    tried_targets.erase(record.target_id);
+  }
   if (why == relay_outcome::kLeaving || why == relay_outcome::kOtherInstance) {
     board.on_instance_absent(record.target_id);
   }
--- a/modules/cuminferry_relay/path/outbound_placement.cpp
+++ b/modules/cuminferry_relay/path/outbound_placement.cpp
@@ -31,7 +31,7 @@
     return;
   }
   target_picker& picker = board.PickerOf(record.service);
-  const auto target = picker.Pick(
+  const auto picked = picker.Pick(
       {.tried_targets = tried_targets,
        .own_domain = board.settings.failure_domain,
        .urgent = !record.nested && route->objective < kUrgentObjective,
@@ -41,20 +41,22 @@
        .rendezvous_key =
            suspect_digest ? std::optional(suspect_digest->first_64_bits()) : std::nullopt},
       now, board.random);
-  if (!target) {
+  if (!picked) {
     FailUnplaced("no_target");
     return;
   }
+  const published_target& target = picked->target;
   ++record.placements;
-  tried_targets.insert(target->id);
-  record.target_id = target->id;
-  target_peer = board.PeerAddressOf(target->backend);
-  target_domain = target->failure_domain;
+  tried_targets.insert(target.id);
+  record.target_id = target.id;
+  record.declared = picked->declared;
+  target_peer = board.PeerAddressOf(target.backend);
+  target_domain = target.failure_domain;
   sent_at = now;
   board.domains.OnProbeSent(target_domain, now);
   outcome.reset();
   body_released = !MustAwaitContinue(picker, now);
-  picker.OnSent(record.target_id);
+  picker.OnSent(record.target_id, now);
   std::weak_ptr<outbound_call> weak = self->weak_from_this();
   const auto with = [weak](auto action) {
     if (const auto call = weak.lock()) {
@@ -62,7 +64,7 @@
     }
   };
   upstream = board.ClientFor(target_peer)
-                 .Send(RequestHeadFor(*target, now), kMaxPeerIdleTime,
+                 .Send(RequestHeadFor(*picked, now), kMaxPeerIdleTime,
                        {.on_head =
                             [with](http_head head) {
                               with([&](state& at) { at.OnAnswerHead(std::move(head)); });
@@ -162,7 +164,7 @@
   Place();
 }
 
-http_head outbound_call::state::RequestHeadFor(const published_target& target, instant now) const {
+http_head outbound_call::state::RequestHeadFor(const picked_target& picked, instant now) const {
   const relay_header_names& names = board.settings.headers;
   http_head head = client->request();
   head.RemoveConnectionFields();
@@ -195,7 +197,7 @@
     head.Set(names.customer, key_holder->name);
   }
   head.Set(names.caller_service, board.settings.service);
-  head.Set(names.expected_instance, target.id);
+  head.Set(names.expected_instance, picked.target.id);
   head.Set(names.deadline,
            std::to_string(
                std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count()));
@@ -204,6 +206,13 @@
   if (!has_turn) {
     head.Set(kNoTurnField, "1");
   }
+  head.Remove(kRateField);
+  const rate_request rate{.declared = picked.declared,
+                          .started_millis = picked.target.started_millis,
+                          .awaits_turn = picked.awaits_turn};
+  if (rate.is_needed()) {
+    head.Set(kRateField, rate.ToText());
+  }
   head.Remove(kSuspectField);
   if (suspect_digest) {
     head.Set(kSuspectField, suspect_digest->ToText());
--- a/modules/cuminferry_relay/path/outbound_record.cpp
+++ b/modules/cuminferry_relay/path/outbound_record.cpp
@@ -8,13 +8,22 @@
   if (!log.TryReserveLine(true)) {
     return;
   }
-  log.LogRequest("request.turned_away", {{"id", request_id},
-                                         {"row", row},
-                                         {"service", service},
-                                         {"target", target_id},
-                                         {"why", ToText(why)},
-                                         {"placements", placements},
-                                         {"reached", backend_placements}});
+  nlohmann::ordered_json detail{{"id", request_id},
+                                {"row", row},
+                                {"service", service},
+                                {"target", target_id},
+                                {"why", ToText(why)},
+                                {"placements", placements},
+                                {"reached", backend_placements}};
+  AddDeclared(detail);
+  log.LogRequest("request.turned_away", std::move(detail));
+}
+
+void outbound_record::AddDeclared(nlohmann::ordered_json& detail) const {
+  if (declared) {
+    detail["declared_rate"] = RoundForLog(declared->rate);
+    detail["declared_age_us"] = declared->age.count();
+  }
 }
 
 void outbound_record::LogResult(decision_log& log, std::string_view result, duration took) const {
@@ -26,6 +35,7 @@
     detail["target"] = target_id;
     detail["placements"] = placements;
     detail["nested"] = nested;
+    AddDeclared(detail);
   }
   if (!customer.empty()) {
     detail["customer"] = customer;
--- a/modules/cuminferry_relay/path/outbound_record.h
+++ b/modules/cuminferry_relay/path/outbound_record.h
@@ -26,6 +26,8 @@
   std::size_t placements = 0;
   /** Number of placements that may have reached a backend server. */
   std::uint32_t backend_placements = 0;
+  /** What was known of the rate that the last target declares, and the age of that. */
+  std::optional<rate_belief> declared;
   /** The request was sent by a backend server, not by a client. */
   bool nested = false;
   /** Fraction of the customer's requests that its limit admitted, if the request was refused
@@ -50,6 +52,9 @@
   /** Logs the request's result; called only if decision_log::TryReserveLine() returned true.
       @param took  from the request's head until its completion */
   void LogResult(decision_log& log, std::string_view result, duration took) const;
+
+ private:
+  void AddDeclared(nlohmann::ordered_json& detail) const;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/outbound_state.h
+++ b/modules/cuminferry_relay/path/outbound_state.h
@@ -11,6 +11,7 @@
 #include "cuminferry_relay/path/buffered_failure.h"
 #include "cuminferry_relay/path/outbound_call.h"
 #include "cuminferry_relay/path/outbound_record.h"
+#include "cuminferry_relay/path/rate_headers.h"
 #include "cuminferry_relay/path/request_body_buffer.h"
 
 namespace cuminferry {
@@ -58,7 +59,7 @@
   void SendBufferedBody();
   void OnInterimAnswer(int status);
   void OnAnswerTimeout();
-  http_head RequestHeadFor(const published_target& target, instant now) const;
+  http_head RequestHeadFor(const picked_target& picked, instant now) const;
 
   //============================================================================
   // Answers.
--- a/modules/cuminferry_relay/path/peer_headers.cpp
+++ b/modules/cuminferry_relay/path/peer_headers.cpp
@@ -16,8 +16,9 @@
 // Encodes the validity time of a request without a key.
 constexpr std::int64_t kNoKey = -1;
 
-constexpr std::array<std::pair<relay_outcome, std::string_view>, 15> kOutcomes{{
+constexpr std::array<std::pair<relay_outcome, std::string_view>, 16> kOutcomes{{
     {relay_outcome::kFull, "full"},
+    {relay_outcome::kOverRate, "over-rate"},
     {relay_outcome::kLeaving, "leaving"},
     {relay_outcome::kDown, "down"},
     {relay_outcome::kStaleKey, "stale-key"},
@@ -165,15 +166,16 @@
 }
 
 bool WasCounted(relay_outcome outcome) {
-  return outcome != relay_outcome::kLeaving && outcome != relay_outcome::kDown &&
-         outcome != relay_outcome::kUnconfirmed && outcome != relay_outcome::kBlocked;
+  return outcome != relay_outcome::kLeaving && outcome != relay_outcome::kOverRate &&
+         outcome != relay_outcome::kDown && outcome != relay_outcome::kUnconfirmed &&
+         outcome != relay_outcome::kBlocked;
 }
 
 bool ReachedBackend(relay_outcome outcome) {
-  return outcome != relay_outcome::kFull && outcome != relay_outcome::kLeaving &&
-         outcome != relay_outcome::kDown && outcome != relay_outcome::kUnconfirmed &&
-         outcome != relay_outcome::kNoRepeats && outcome != relay_outcome::kStaleKey &&
-         outcome != relay_outcome::kBlocked;
+  return outcome != relay_outcome::kFull && outcome != relay_outcome::kOverRate &&
+         outcome != relay_outcome::kLeaving && outcome != relay_outcome::kDown &&
+         outcome != relay_outcome::kUnconfirmed && outcome != relay_outcome::kNoRepeats &&
+         outcome != relay_outcome::kStaleKey && outcome != relay_outcome::kBlocked;
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/peer_headers.h
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -100,6 +100,8 @@
 enum class relay_outcome : std::uint8_t {
   /** The gate can't grant a slot within the remaining time. */
   kFull,
+  /** No turn within the rate that the backend server declares. */
+  kOverRate,
   /** The backend server is draining or its node is stopping. */
   kLeaving,
   /** No connection to the backend server. */
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -150,6 +150,11 @@
   repeats.SetTargets(targets_of_service_);
 }
 
+const service_instance* relay_board::OwnInstance() const {
+  const auto own = instances_.find(settings.backend);
+  return own == instances_.end() ? nullptr : &own->second;
+}
+
 target_picker& relay_board::PickerOf(const std::string& service) { return pickers_[service]; }
 
 void relay_board::ApplyBounds(const relay_settings& changed) {
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -43,6 +43,8 @@
   bool IsDrainingOrRemoved(std::string_view instance_id) const {
     return draining_ids_.contains(instance_id) || removed_ids_.contains(instance_id);
   }
+  /** The listed instance at the address of the own backend server; nullptr where there is none. */
+  const service_instance* OwnInstance() const;
   /** Slots of the own backend server; 0 until known. */
   std::uint32_t own_slots() const { return own_slots_; }
   /** Determines which node this one queries for updates of the published items. */
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -58,10 +58,16 @@
     key_valid_until_ = arrived_ + *header_.key_valid_for;
   }
   has_turn_ = request.Find(kNoTurnField) == nullptr;
+  const std::string* expected = request.Find(header_names.expected_instance);
+  if (const std::string* field = request.Find(kRateField)) {
+    if (const auto told = rate_request::Parse(*field)) {
+      awaits_turn_ = told->awaits_turn;
+      context_.declarations.OnRequest(expected == nullptr ? "" : *expected, *told);
+    }
+  }
   if (const std::string* caller = request.Find(header_names.caller_service)) {
     node.origins.OnArrival(header_.row, *caller);
   }
-  const std::string* expected = request.Find(header_names.expected_instance);
   const bool gone = expected != nullptr &&
                     (node.IsDrainingOrRemoved(*expected) || context_.IsKnownAbsent(*expected));
   if (node.refuses_runs || gone) {
@@ -118,25 +124,36 @@
   const duration run_time = context_.run_times.MeanOf(header_.row, context_.gate.service_time());
   const double counted = header_.is_already_counted ? 0.0 : header_.stands_for;
   const duration work(static_cast<duration::rep>(counted * static_cast<double>(run_time.count())));
-  context_.level.OnArrival(header_.age, work, header_.admitted_share);
   const slot_verdict verdict = context_.gate.Offer({.id = id_,
                                                     .priority = header_.priority,
                                                     .nested = header_.nested,
                                                     .deadline_left = left,
                                                     .objective_left = header_.objective_left,
                                                     .objective = header_.objective,
-                                                    .run_time = run_time},
+                                                    .run_time = run_time,
+                                                    .awaits_turn = awaits_turn_},
                                                    node.loop.Now());
+  const bool is_over_rate = verdict == slot_verdict::kOverRate;
+  context_.declarations.OnArrival({.requests = counted,
+                                   .admitted_share = header_.admitted_share,
+                                   .awaits_turn = awaits_turn_,
+                                   .is_over_rate = is_over_rate});
+  if (!is_over_rate) {
+    context_.level.OnArrival(header_.age, work, header_.admitted_share);
+  }
   switch (verdict) {
     case slot_verdict::kStart:
       OnSlotGranted();
       break;
     case slot_verdict::kWait:
-      context_.ScheduleExpiry();
+      context_.ScheduleWaiting();
       break;
     case slot_verdict::kRefuse:
       AnswerWithOutcome(relay_outcome::kFull);
       break;
+    case slot_verdict::kOverRate:
+      AnswerWithOutcome(relay_outcome::kOverRate);
+      break;
   }
 }
 
@@ -232,6 +249,7 @@
   head.Remove(kCallField);
   head.Remove(kNoTurnField);
   head.Remove(kSuspectField);
+  head.Remove(kRateField);
   if (header_.awaits_release) {
     head.framing = header_.framing;
     head.length = header_.body_length;
@@ -268,6 +286,7 @@
 
 void serving_call::Send() {
   ++send_count_;
+  context_.declarations.OnSent();
   sent_at_ = context_.node.loop.Now();
   context_.node.metrics.OnSentToBackend();
   outcome_.reset();
@@ -385,7 +404,8 @@
 // Repeats a request that the backend server rejected although its gate had a free slot.
 bool serving_call::TrySendRepeat() {
   if (detached_ || send_count_ >= kMaxSends || !request_body_.is_complete() ||
-      context_.node.loop.Now() >= deadline_ || IsKeyStale() || !TakeRepeat()) {
+      context_.node.loop.Now() >= deadline_ || IsKeyStale() ||
+      !context_.gate.TryTakeTurn(context_.node.loop.Now()) || !TakeRepeat()) {
     return false;
   }
   Send();
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -79,6 +79,8 @@
   std::optional<request_digest> suspect_digest_;
   // The request may be repeated while repeats are scarce.
   bool has_turn_ = true;
+  // @see picked_target
+  bool awaits_turn_ = false;
   instant arrived_;
   slot_run run_;
   instant deadline_{};
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -21,6 +21,7 @@
 // Bounds the length of the log line about a crash, which may abort hundreds of runs.
 constexpr std::size_t kMaxLoggedIds = 32;
 constexpr duration kMinExpiryInterval = std::chrono::milliseconds(10);
+constexpr duration kMinTurnInterval = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -31,9 +32,10 @@
                .silence_timeout = kBackendSilenceTimeout,
                .idle_timeout = kDefaultBackendIdleTime}),
       gate(kDefaultSlotCount),
-      declarations(node),
+      declarations(node, gate),
       step_timer_(node.loop),
       expiry_timer_(node.loop),
+      turn_timer_(node.loop),
       crash_detector_(
           node.loop, node.settings.backend, node.random.Next(),
           [this](const backend_crash_detector::crash_finding& found) { OnLossCauseKnown(found); }) {
@@ -43,7 +45,10 @@
 void serving_context::Step() {
   gate.Learn(node.loop.Now());
   const duration wait = gate.TakeLongestWait(node.loop.Now());
-  level.Step(wait, gate.running(), gate.limit(), gate.service_time());
+  declarations.Step(wait);
+  const bool waits_for_slots = gate.lacks_slots() || !gate.has_rate();
+  level.Step(waits_for_slots ? wait : duration::zero(), gate.running(), gate.limit(),
+             gate.service_time());
   if (level.open() == was_level_open_) {
     return;
   }
@@ -65,7 +70,7 @@
       started->OnSlotGranted();
     }
   }
-  ScheduleExpiry();
+  ScheduleWaiting();
 }
 
 void serving_context::StartNextSuspects(std::uint64_t completed_id) {
@@ -78,14 +83,20 @@
   }
 }
 
-void serving_context::ScheduleExpiry() {
-  const auto next = gate.next_expiry();
-  if (!next) {
+void serving_context::ScheduleWaiting() {
+  const instant now = node.loop.Now();
+  if (const auto next = gate.next_expiry()) {
+    expiry_timer_.StartOnce(std::max<duration>(*next - now, kMinExpiryInterval),
+                            [this] { OnExpiry(); });
+  } else {
     expiry_timer_.Stop();
-    return;
   }
-  const duration left = std::max<duration>(*next - node.loop.Now(), duration::zero());
-  expiry_timer_.StartOnce(std::max(left, kMinExpiryInterval), [this] { OnExpiry(); });
+  if (const auto turn = gate.NextTurn(now)) {
+    turn_timer_.StartOnce(std::max<duration>(*turn - now, kMinTurnInterval),
+                          [this] { StartWaiting(); });
+  } else {
+    turn_timer_.Stop();
+  }
 }
 
 void serving_context::OnExpiry() {
@@ -96,7 +107,7 @@
       expired->AnswerWithOutcome(relay_outcome::kFull);
     }
   }
-  ScheduleExpiry();
+  ScheduleWaiting();
 }
 
 void serving_context::OnBackendDown() { backend_down_until_ = node.loop.Now() + kBackendDownTime; }
@@ -152,7 +163,7 @@
 
 std::optional<row_limit> serving_context::LimitFor(
     std::string_view row, const std::optional<double>& admitted_share) const {
-  const row_limit own_limit{.share = level.share(),
+  const row_limit own_limit{.share = std::min(level.share(), declarations.admitted_share()),
                             .cost = run_times.MeanOf(row, gate.service_time()),
                             .service = node.settings.service};
   return LimitToReport(row, own_limit, admitted_share, node.attribution, node.admission,
@@ -182,6 +193,7 @@
   if (repeats.is_scarce()) {
     answer.Set(kRepeatsField, repeats.ToText());
   }
+  declarations.AddReport(answer);
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -28,8 +28,9 @@
   /** Starts the suspects that may run now that another one has completed.
       @param completed_id  identifier of the completed request in `calls` */
   void StartNextSuspects(std::uint64_t completed_id);
-  /** Schedules the check for expired requests at the time when the next one expires. */
-  void ScheduleExpiry();
+  /** Schedules what is due for waiting requests: the check for expired ones when the next one
+      expires, and the start of one that waits for a turn. */
+  void ScheduleWaiting();
   /** The backend server took no connection: it gets no requests for 200 ms. */
   void OnBackendDown();
   bool backend_down() const { return node.loop.Now() < backend_down_until_; }
@@ -71,6 +72,7 @@
 
   loop_timer step_timer_;
   loop_timer expiry_timer_;
+  loop_timer turn_timer_;
   recent_success success_rate_;
   backend_crash_detector crash_detector_;
   // Runs that lost their connections, while it is not known whether the backend server crashed.
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -36,6 +36,7 @@
   const std::uint32_t slots = state_->context.node.own_slots();
   if (slots > 0) {
     state_->context.gate.SetSlots(slots);
+    state_->context.declarations.OnInstancesChanged();
     state_->context.StartWaiting();
   }
 }
--- a/tests/relay/call_graph_world.cpp
+++ b/tests/relay/call_graph_world.cpp
@@ -185,6 +185,7 @@
       target_node.waiting.emplace(current_call->id, current_call);
       break;
     case slot_verdict::kRefuse:
+    case slot_verdict::kOverRate:
       SendAnswer(current_call, false);
       break;
   }
--- a/tests/relay/placement_comparison.cpp
+++ b/tests/relay/placement_comparison.cpp
@@ -154,8 +154,8 @@
     const auto picked = pickers_[caller].Pick(
         {.tried_targets = none, .own_domain = std::to_string(caller % kDomains)}, events_.now(),
         random_);
-    pickers_[caller].OnSent(picked->id);
-    const std::size_t to = std::stoul(picked->id);
+    pickers_[caller].OnSent(picked->target.id, events_.now());
+    const std::size_t to = std::stoul(picked->target.id);
     const auto heard = heard_at_.find({caller, to});
     if (IsMeasured() && heard != heard_at_.end()) {
       heard_ages_ += ToSeconds(events_.now() - heard->second);
--- a/tests/relay/target_picker_test.cpp
+++ b/tests/relay/target_picker_test.cpp
@@ -308,11 +308,12 @@
   std::optional<published_target> Pick(target_picker& picker,
                                        const std::set<std::string>& tried_targets, instant now,
                                        bool urgent = false, double body_bytes = 0.0) {
-    return picker.Pick({.tried_targets = tried_targets,
-                        .own_domain = "a",
-                        .urgent = urgent,
-                        .body_bytes = body_bytes},
-                       now, random_);
+    const auto picked = picker.Pick({.tried_targets = tried_targets,
+                                     .own_domain = "a",
+                                     .urgent = urgent,
+                                     .body_bytes = body_bytes},
+                                    now, random_);
+    return picked ? std::optional(picked->target) : std::nullopt;
   }
 
   // How many of 100 picks return this target.
