--- a/modules/cuminferry_policy/serving/slot_gate.h
+++ b/modules/cuminferry_policy/serving/slot_gate.h
@@ -61,8 +61,8 @@
   /** A request whose calling node may know another target waits for a turn no longer than this: to
       send it there takes less time. */
   static constexpr duration kMaxTurnWait = std::chrono::milliseconds(20);
-  /** Requests wait for turns no longer than this, or than kMinQueuedTurns turns take: a longer queue
-      is served no faster, and the admission level would swing by seconds. */
+  /** Requests wait for turns no longer than this, or than kMinQueuedTurns turns take: a longer
+     queue is served no faster, and the admission level would swing by seconds. */
   static constexpr duration kMaxTurnQueueTime = std::chrono::milliseconds(300);
   static constexpr double kMinQueuedTurns = 4.0;
   /** Maximum number of waiting requests for each slot. Requests in a longer queue are never served
