Send nothing more to a backend server that declares that it leaves

Change: the node beside the backend server marks the instance by id and run on the first such answer, also of one that is turned away, of a call, or late; what waits for a slot, for a turn or for its body goes elsewhere, and nothing is sent again. All its answers tell calling nodes (with the run, so that a node which still lists the earlier run doesn't take out the later one), and these take it out of their choice whatever the list says, also when the entry expires and comes back. A later run of the same id is free of it. Ruled out: waiting for the platform's list (the fault itself); a mark without its run (sites whose ids stay would lose a restarted instance for good); announcing it to all nodes: a node that was told nothing learns it with its first request there. Conclusion: what a backend server says of itself goes before what is listed of it.

--- a/modules/cuminferry_relay/path/backend_declarations.cpp
+++ b/modules/cuminferry_relay/path/backend_declarations.cpp
@@ -28,6 +28,11 @@
   if (!declared.error.ok()) {
     OnError(declared.error);
   }
+  if (declared.leaving &&
+      node_.OnDeclaredLeaving(node_.settings.service, instance, node_.RunOf(instance))) {
+    node_.log.LogChange("backend.leaving", {{"target", instance}});
+    on_leaving_();
+  }
   bool is_changed = false;
   if (declared.rate) {
     is_changed = rate_.OnDeclared(instance, *declared.rate, node_.loop.Now());
@@ -98,7 +103,11 @@
   UpdatePace();
 }
 
-void backend_declarations::AddReport(http_head& answer) const {
+void backend_declarations::AddReport(std::string_view instance, http_head& answer) const {
+  answer.Remove(kLeavingField);
+  if (const auto run = node_.LeavingRunOf(instance)) {
+    answer.Set(kLeavingField, std::to_string(*run));
+  }
   answer.Remove(kRateField);
   if (const auto report = rate_.ReportAt(node_.loop.Now())) {
     answer.Set(kRateField, ToText(*report));
@@ -109,6 +118,9 @@
   const auto belief = rate();
   metrics.SetGauge("cuminferry_declared_rate", belief ? belief->rate : kNoRate);
   metrics.SetGauge("cuminferry_declared_rate_age_seconds", belief ? ToSeconds(belief->age) : 0.0);
+  metrics.SetGauge("cuminferry_declared_rate_level", admitted_share());
+  metrics.SetGauge("cuminferry_targets_declared_leaving",
+                   static_cast<double>(node_.declared_leaving_count()));
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/backend_declarations.h
+++ b/modules/cuminferry_relay/path/backend_declarations.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "cuminferry_relay/path/answer_check.h"
 #include "cuminferry_relay/path/backend_declaration.h"
@@ -16,7 +18,9 @@
     nodes, and shows it in log and metrics. */
 class backend_declarations {
  public:
-  backend_declarations(relay_board& node, slot_gate& gate) : node_(node), gate_(gate) {}
+  /** @param on_leaving  called once the backend server has declared that it leaves */
+  backend_declarations(relay_board& node, slot_gate& gate, std::function<void()> on_leaving)
+      : node_(node), gate_(gate), on_leaving_(std::move(on_leaving)) {}
 
   //============================================================================
   /** An answer that the own backend server sent to a request.
@@ -42,8 +46,9 @@
   std::optional<rate_belief> rate() const { return rate_.BeliefAt(node_.loop.Now()); }
   /** Share of the load that is admitted for the sake of the rate. */
   double admitted_share() const { return rate() ? rate_.share() : 1.0; }
-  /** Adds the field that tells calling nodes of the rate. */
-  void AddReport(http_head& answer) const;
+  /** Adds the fields that tell a calling node what the instance that its request was meant for has
+      declared. */
+  void AddReport(std::string_view instance, http_head& answer) const;
   void SetGauges(relay_metrics& metrics) const;
 
  private:
@@ -54,6 +59,7 @@
 
   relay_board& node_;
   slot_gate& gate_;
+  std::function<void()> on_leaving_;
   rate_control rate_;
   // The listed instance, to notice another run of the backend server.
   std::string listed_id_;
--- a/modules/cuminferry_relay/path/outbound_answer.cpp
+++ b/modules/cuminferry_relay/path/outbound_answer.cpp
@@ -24,6 +24,7 @@
   head.Remove(kLoadField);
   head.Remove(kRepeatsField);
   head.Remove(kRateField);
+  head.Remove(kLeavingField);
   head.Remove(kOutcomeField);
   head.RemoveConnectionFields();
   const bool failed = head.status >= http_status::kFirstServerError;
@@ -58,6 +59,13 @@
   }
   target_picker& picker = board.PickerOf(record.service);
   picker.OnReport(record.target_id, load->report, now);
+  const std::string* leaving_field = head.Find(kLeavingField);
+  const auto leaving_run = leaving_field == nullptr ? std::nullopt : ParseDecimal(*leaving_field);
+  if (leaving_run && board.OnDeclaredLeaving(record.service, record.target_id,
+                                             static_cast<std::int64_t>(*leaving_run))) {
+    board.log.LogChange("target.leaving",
+                        {{"target", record.target_id}, {"service", record.service}});
+  }
   const std::string* rate_field = head.Find(kRateField);
   picker.OnRateReport(record.target_id,
                       rate_field == nullptr ? std::nullopt : ParseRateReport(*rate_field), now);
--- a/modules/cuminferry_relay/path/peer_headers.h
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -22,6 +22,9 @@
 inline constexpr std::string_view kNoTurnField = "Relay-No-Turn";
 /** Header field of an answer that reports scarce repeats. @see repeat_report */
 inline constexpr std::string_view kRepeatsField = "Relay-Repeats";
+/** Header field of an answer that says that the instance which the request was meant for has
+    declared that it leaves. Its value is the start time of that run. @see service_instance */
+inline constexpr std::string_view kLeavingField = "Relay-Leaving";
 /** Path at which a node serves its replica of the published items. Each format of the reply has
     a path of its own, so that a node of another version gets status 400 and reads the platform
     itself. */
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -15,9 +15,9 @@
 // An idle connection to another node may be reused for this long. The accepting node keeps idle
 // connections open for longer.
 constexpr duration kMaxPeerIdleTime = std::chrono::seconds(60);
-// Number of ids of removed instances that are remembered. Requests that were sent before their
-// removal are under way for seconds at most.
-constexpr std::size_t kMaxRemovedIds = 16'384;
+// Number of ids of removed instances, and of those that declared that they leave, that are
+// remembered. Requests that were sent before are under way for seconds at most.
+constexpr std::size_t kMaxRecentIds = 16'384;
 
 }  // namespace
 
@@ -27,7 +27,9 @@
       random(random_source::FromMachine()),
       log(loop, settings.instance),
       repeats(settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window),
-      limits(settings.customers.limits, random.Fraction()) {}
+      limits(settings.customers.limits, random.Fraction()),
+      removed_ids_(kMaxRecentIds),
+      declared_leaving_(kMaxRecentIds) {}
 
 void relay_board::SetTable(std::shared_ptr<const route_table> table) { table_ = std::move(table); }
 
@@ -53,19 +55,25 @@
     own_slots_ = added.slots;
   }
   targets_of_service_ += added.service == settings.service ? 1 : 0;
-  removed_ids_.erase(added.id);
+  removed_ids_.Erase(added.id);
   target_picker& picker = pickers_[added.service];
   if (added.draining) {
     draining_ids_.insert(added.id);
     picker.RemoveTarget(added.id);
     return;
   }
-  picker.SetTarget({.id = added.id,
-                    .started_millis = added.started_millis,
-                    .backend = added.backend,
-                    .failure_domain = added.failure_domain,
-                    .slots = added.slots,
-                    .warmed_up_at = loop.Now() + added.warm_up_time});
+  const auto leaving_run = declared_leaving_.RunOf(added.id);
+  if (leaving_run && *leaving_run >= added.started_millis) {
+    picker.RemoveTarget(added.id);
+  } else {
+    declared_leaving_.Erase(added.id);
+    picker.SetTarget({.id = added.id,
+                      .started_millis = added.started_millis,
+                      .backend = added.backend,
+                      .failure_domain = added.failure_domain,
+                      .slots = added.slots,
+                      .warmed_up_at = loop.Now() + added.warm_up_time});
+  }
   coordinators.AddNode({.backend = added.backend, .failure_domain = added.failure_domain});
   tree_.Add(added.backend, added.failure_domain);
 }
@@ -75,7 +83,7 @@
   targets_of_service_ -= removed.service == settings.service ? 1 : 0;
   if (!is_same_target) {
     pickers_[removed.service].RemoveTarget(removed.id);
-    RememberRemoved(removed.id);
+    removed_ids_.Insert(removed.id, removed.started_millis);
   }
   if (removed.draining) {
     draining_ids_.erase(removed.id);
@@ -85,14 +93,23 @@
   tree_.Remove(removed.backend, removed.failure_domain);
 }
 
-void relay_board::RememberRemoved(const std::string& id) {
-  if (removed_ids_.insert(id).second) {
-    removed_order_.push_back(id);
-  }
-  if (removed_order_.size() > kMaxRemovedIds) {
-    removed_ids_.erase(removed_order_.front());
-    removed_order_.pop_front();
+std::int64_t relay_board::RunOf(std::string_view instance_id) const {
+  const auto found = std::ranges::find_if(
+      instances_, [instance_id](const auto& listed) { return listed.second.id == instance_id; });
+  return found == instances_.end() ? removed_ids_.RunOf(instance_id).value_or(0)
+                                   : found->second.started_millis;
+}
+
+bool relay_board::OnDeclaredLeaving(const std::string& service, std::string_view instance_id,
+                                    std::int64_t started_millis) {
+  const auto known = declared_leaving_.RunOf(instance_id);
+  const bool is_known = known && *known >= started_millis;
+  if (is_known || started_millis < RunOf(instance_id)) {
+    return false;
   }
+  declared_leaving_.Insert(instance_id, started_millis);
+  pickers_[service].RemoveTarget(instance_id);
+  return true;
 }
 
 void relay_board::DropUnlistedClients() {
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,6 +10,7 @@
 #include "cuminferry_relay/http/http_client.h"
 #include "cuminferry_relay/path/decision_log.h"
 #include "cuminferry_relay/path/peer_headers.h"
+#include "cuminferry_relay/path/recent_ids.h"
 #include "cuminferry_relay/path/relay_metrics.h"
 #include "cuminferry_relay/path/relay_settings.h"
 
@@ -39,10 +39,29 @@
   std::size_t draining_count() const { return draining_ids_.size(); }
   /** Number of services that have or had instances. */
   std::size_t service_count() const { return pickers_.size(); }
-  /** Whether an instance is listed as draining or is no longer listed. */
-  bool IsDrainingOrRemoved(std::string_view instance_id) const {
-    return draining_ids_.contains(instance_id) || removed_ids_.contains(instance_id);
+  /** Whether an instance has declared that it leaves, is listed as draining or is no longer
+      listed. */
+  bool IsLeavingOrRemoved(std::string_view instance_id) const {
+    return HasDeclaredLeaving(instance_id) || draining_ids_.contains(instance_id) ||
+           removed_ids_.Contains(instance_id);
   }
+  /** Start time of the run that is, or was last, listed under this id; 0 where none is known.
+      @see service_instance */
+  std::int64_t RunOf(std::string_view instance_id) const;
+  /** A run of an instance has declared in an answer that it leaves. It gets nothing more, whatever
+      the list says, until a later run is listed. Returns whether that is new.
+      @param started_millis  start time of the run. @see RunOf */
+  bool OnDeclaredLeaving(const std::string& service, std::string_view instance_id,
+                         std::int64_t started_millis);
+  /** Start time of the run that declared that it leaves; nothing where none did. */
+  std::optional<std::int64_t> LeavingRunOf(std::string_view instance_id) const {
+    return declared_leaving_.RunOf(instance_id);
+  }
+  bool HasDeclaredLeaving(std::string_view instance_id) const {
+    return declared_leaving_.Contains(instance_id);
+  }
+  /** Number of instances that have declared that they leave; of too many, the latest. */
+  std::size_t declared_leaving_count() const { return declared_leaving_.size(); }
   /** The listed instance at the address of the own backend server; nullptr where there is none. */
   const service_instance* OwnInstance() const;
   /** Slots of the own backend server; 0 until known. */
@@ -119,7 +138,6 @@
   void RemovePeerOf(const endpoint& backend);
   void AddInstance(const service_instance& added);
   void RemoveInstance(const service_instance& removed, bool is_same_target);
-  void RememberRemoved(const std::string& id);
   void DropUnlistedClients();
 
   std::shared_ptr<const route_table> table_;
@@ -133,9 +151,8 @@
   // Number of instances whose nodes have this peer address.
   std::map<endpoint, std::size_t> instances_by_peer_;
   std::set<std::string, std::less<>> draining_ids_;
-  // Ids of removed instances, also in the order of their removal.
-  std::set<std::string, std::less<>> removed_ids_;
-  std::deque<std::string> removed_order_;
+  recent_ids removed_ids_;
+  recent_ids declared_leaving_;
   std::uint32_t own_slots_ = 0;
   std::size_t targets_of_service_ = 0;
   dissemination_tree tree_;
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -58,18 +58,18 @@
     key_valid_until_ = arrived_ + *header_.key_valid_for;
   }
   has_turn_ = request.Find(kNoTurnField) == nullptr;
-  const std::string* expected = request.Find(header_names.expected_instance);
   if (const std::string* field = request.Find(kRateField)) {
     if (const auto told = rate_request::Parse(*field)) {
       awaits_turn_ = told->awaits_turn;
-      context_.declarations.OnRequest(expected == nullptr ? "" : *expected, *told);
+      context_.declarations.OnRequest(ExpectedInstance(), *told);
     }
   }
   if (const std::string* caller = request.Find(header_names.caller_service)) {
     node.origins.OnArrival(header_.row, *caller);
   }
-  const bool gone = expected != nullptr &&
-                    (node.IsDrainingOrRemoved(*expected) || context_.IsKnownAbsent(*expected));
+  const std::string_view expected = ExpectedInstance();
+  const bool gone =
+      !expected.empty() && (node.IsLeavingOrRemoved(expected) || context_.IsKnownAbsent(expected));
   if (node.refuses_runs || gone) {
     AnswerWithOutcome(relay_outcome::kLeaving);
     return;
@@ -196,7 +196,31 @@
   }
 }
 
+std::string_view serving_call::ExpectedInstance() const {
+  const std::string* expected =
+      peer_->request().Find(context_.node.settings.headers.expected_instance);
+  return expected == nullptr ? std::string_view() : *expected;
+}
+
+bool serving_call::IsInstanceLeaving() const {
+  return context_.node.HasDeclaredLeaving(ExpectedInstance());
+}
+
+bool serving_call::WithdrawFromLeaving() {
+  if (ended_ || run_.has_begun() || !IsInstanceLeaving()) {
+    return false;
+  }
+  ReleaseGrantedSlot();
+  context_.gate.Remove(id_);
+  return true;
+}
+
 void serving_call::OnSlotGranted() {
+  if (IsInstanceLeaving()) {
+    context_.gate.Release();
+    AnswerWithOutcome(relay_outcome::kLeaving);
+    return;
+  }
   if (header_.may_be_repeat && !TakeRepeat()) {
     context_.gate.Release();
     AnswerWithOutcome(relay_outcome::kNoRepeats);
@@ -338,12 +362,11 @@
   context_.OnAnswer();
   const relay_header_names& header_names = context_.node.settings.headers;
   outcome_ = InvalidAnswerOutcome(head, header_names);
-  const std::string* expected = peer_->request().Find(header_names.expected_instance);
-  if (outcome_ == relay_outcome::kOtherInstance && expected != nullptr) {
-    context_.OnOtherInstance(*expected);
+  const std::string_view expected = ExpectedInstance();
+  if (outcome_ == relay_outcome::kOtherInstance && !expected.empty()) {
+    context_.OnOtherInstance(expected);
   }
-  context_.declarations.OnAnswer(head, expected == nullptr ? std::string_view() : *expected,
-                                 sent_at_, outcome_);
+  context_.declarations.OnAnswer(head, expected, sent_at_, outcome_);
   context_.node.repeats.OnSendResult(outcome_ == relay_outcome::kTurnedAway);
   backend_failed_ = head.status >= http_status::kFirstServerError;
   backend_timed_out_ = head.status == http_status::kGatewayTimeout;
@@ -358,7 +381,7 @@
   }
   head.RemoveConnectionFields();
   head.Remove(kOutcomeField);
-  context_.AddReports(header_, head);
+  context_.AddReports(header_, expected, head);
   answer_started_ = true;
   request_body_.Drop();
   interim_timer_.Stop();
@@ -404,7 +427,7 @@
 // Repeats a request that the backend server rejected although its gate had a free slot.
 bool serving_call::TrySendRepeat() {
   if (detached_ || send_count_ >= kMaxSends || !request_body_.is_complete() ||
-      context_.node.loop.Now() >= deadline_ || IsKeyStale() ||
+      context_.node.loop.Now() >= deadline_ || IsKeyStale() || IsInstanceLeaving() ||
       !context_.gate.TryTakeTurn(context_.node.loop.Now()) || !TakeRepeat()) {
     return false;
   }
@@ -517,7 +540,7 @@
     http_head head = MakeAnswer(IsCertainlyNotRun(outcome) ? http_status::kUnavailable
                                                            : http_status::kBadGateway);
     head.Set(kOutcomeField, std::string(ToText(outcome)));
-    context_.AddReports(header_, head);
+    context_.AddReports(header_, ExpectedInstance(), head);
     peer_->Answer(std::move(head), "");
   }
   Complete(ToText(outcome));
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -32,6 +32,9 @@
   void OnSlotGranted();
   /** The request, a suspect, may run now that another suspect has completed. */
   void OnSuspectTurn();
+  /** Gives up the slot, or the place in the queue, of a request that has not begun to run and whose
+      instance has declared that it leaves. Returns whether it is such a request. */
+  bool WithdrawFromLeaving();
   /** Answers the calling node with the reason why there is no answer of the backend server. */
   void AnswerWithOutcome(relay_outcome outcome);
   /** The backend server crashed while it ran this request, and the crash has been announced.
@@ -47,6 +50,9 @@
   void WaitForIsolation(const request_digest& suspect);
   void RequestSlot();
 
+  /** Id of the instance that the request is meant for; empty where any may run it. */
+  std::string_view ExpectedInstance() const;
+  bool IsInstanceLeaving() const;
   bool IsKeyStale() const;
   bool IsBlocked() const;
   /** Schedules an interim answer, which shows the calling node that the request is alive. */
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -32,7 +32,7 @@
                .silence_timeout = kBackendSilenceTimeout,
                .idle_timeout = kDefaultBackendIdleTime}),
       gate(kDefaultSlotCount),
-      declarations(node, gate),
+      declarations(node, gate, [this] { OnBackendLeaving(); }),
       step_timer_(node.loop),
       expiry_timer_(node.loop),
       turn_timer_(node.loop),
@@ -110,6 +110,20 @@
   ScheduleWaiting();
 }
 
+// Requests that have not begun to run can still run elsewhere. All of them leave the queue before
+// the first is answered, as each answer starts what waits.
+void serving_context::OnBackendLeaving() {
+  std::vector<std::shared_ptr<serving_call>> withdrawn;
+  for (const auto& [id, call] : calls) {
+    if (call->WithdrawFromLeaving()) {
+      withdrawn.push_back(call);
+    }
+  }
+  for (const auto& call : withdrawn) {
+    call->AnswerWithOutcome(relay_outcome::kLeaving);
+  }
+}
+
 void serving_context::OnBackendDown() { backend_down_until_ = node.loop.Now() + kBackendDownTime; }
 
 void serving_context::OnOtherInstance(std::string_view expected) {
@@ -183,7 +197,8 @@
           .items_revision = node.items.latest_change()};
 }
 
-void serving_context::AddReports(const call_header& request, http_head& answer) const {
+void serving_context::AddReports(const call_header& request, std::string_view instance,
+                                 http_head& answer) const {
   answer.Set(kLoadField, LoadReportFor(request).ToText());
   const instant now = node.loop.Now();
   const repeat_report repeats{
@@ -193,7 +208,7 @@
   if (repeats.is_scarce()) {
     answer.Set(kRepeatsField, repeats.ToText());
   }
-  declarations.AddReport(answer);
+  declarations.AddReport(instance, answer);
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -49,8 +49,10 @@
   /** The backend server has answered a request. */
   void OnAnswer() { crash_detector_.OnAnswer(); }
 
-  /** Adds to an answer the fields that report the load, and scarce repeats. */
-  void AddReports(const call_header& request, http_head& answer) const;
+  /** Adds to an answer the fields that report the load, scarce repeats, and what the backend server
+      declares.
+      @param instance  id of the instance that the request was meant for */
+  void AddReports(const call_header& request, std::string_view instance, http_head& answer) const;
 
   relay_board& node;
   http_client backend;
@@ -67,6 +69,7 @@
   void OnLossCauseKnown(const backend_crash_detector::crash_finding& found);
   void OnBackendCrash(std::uint64_t crash_id, std::vector<std::shared_ptr<serving_call>> runs);
   void OnExpiry();
+  void OnBackendLeaving();
   std::optional<row_limit> LimitFor(std::string_view row,
                                     const std::optional<double>& admitted_share) const;
 
