Explain which backend server declared what, since when and at what cost

Cause: log and metrics had the declared rate, but no command led from a request that was turned away for it to the declaration, no page named events and metrics, and a rate that changes a little with each answer would have written a line each time. Change: explain knows the reason over-rate, shows the rate and its age as the ingress node knew them, and the latest declarations of the targets in question from the logs of their nodes. backend.declared is written on begin and end, and once a second at most in between.

--- a/extras/ctl/commands/explain_command.cpp
+++ b/extras/ctl/commands/explain_command.cpp
@@ -144,6 +144,39 @@
   }
 }
 
+// Adds what the targets of the request had declared when it was tried there: for each target and
+// kind of declaration the latest line of its node before the last try.
+void AddDeclarations(const std::vector<std::string>& paths, std::vector<log_entry>& entries) {
+  std::map<std::string, std::int64_t> last_tries;
+  for (const log_entry& entry : entries) {
+    const bool names_declaration =
+        entry.line.contains("declared_rate") || TextOf(entry.line, "why") == "leaving";
+    if (names_declaration && entry.line.contains("target")) {
+      std::int64_t& last = last_tries[TextOf(entry.line, "target")];
+      last = std::max(last, entry.wall_micros);
+    }
+  }
+  for (const auto& last : last_tries) {
+    const std::string& target = last.first;
+    const std::int64_t last_try = last.second;
+    std::map<std::string, log_entry> latest;
+    std::vector<log_entry> found;
+    std::string unreadable;
+    const auto is_declaration = [&](const log_entry& entry) {
+      return (entry.event == "backend.declared" || entry.event == "backend.leaving") &&
+             TextOf(entry.line, "target") == target && entry.wall_micros <= last_try;
+    };
+    ReadLogs(paths, target, is_declaration, found, unreadable);
+    std::ranges::stable_sort(found, {}, &log_entry::wall_micros);
+    for (log_entry& entry : found) {
+      latest.insert_or_assign(entry.event, std::move(entry));
+    }
+    for (auto& [event, entry] : latest) {
+      entries.push_back(std::move(entry));
+    }
+  }
+}
+
 // Explains the value of a log line's reason or result to an operator.
 std::string MeaningOf(const std::string& why) {
   static const std::map<std::string, std::string> kMeanings = {
@@ -152,6 +185,9 @@
        "entry before they cost it anything"},
       {"full", "no slot of the backend server would have been free in time"},
       {"leaving", "the backend server or its node was leaving"},
+      {"over-rate",
+       "it had no turn within the requests a second that the backend server declares to take: it "
+       "has not run"},
       {"down", "no connection to the target's node or to its backend server"},
       {"unconfirmed",
        "no answer of the target's node, which had not been permitted to run the request"},
@@ -197,11 +233,37 @@
   return words;
 }
 
+// Describes what the ingress node knew of the rate that the target declares.
+std::string DescribeDeclaredRate(const json& line) {
+  if (!line.contains("declared_rate")) {
+    return "";
+  }
+  return " (the target declared " + TextOf(line, "declared_rate") + " requests a second, " +
+         MillisOf(line, "declared_age_us") + " before)";
+}
+
+std::string DescribeDeclaration(const log_entry& entry) {
+  const json& line = entry.line;
+  const std::string target = "target " + TextOf(line, "target");
+  if (entry.event == "backend.leaving") {
+    return target + " declared that it leaves";
+  }
+  if (line.value("rate", 0.0) < 0.0) {
+    return target + " declared a rate no longer";
+  }
+  return target + " declared to take " + TextOf(line, "rate") +
+         " requests a second, from here on (heard from: " + TextOf(line, "from") + ")";
+}
+
 std::string Describe(const log_entry& entry) {
   const json& line = entry.line;
   if (entry.event == "request.turned_away") {
     return "try " + TextOf(line, "placements") + " at target " + TextOf(line, "target") + " of " +
-           TextOf(line, "service") + " brought no answer: " + MeaningOf(TextOf(line, "why"));
+           TextOf(line, "service") + " brought no answer: " + MeaningOf(TextOf(line, "why")) +
+           DescribeDeclaredRate(line);
+  }
+  if (entry.event == "backend.declared" || entry.event == "backend.leaving") {
+    return DescribeDeclaration(entry);
   }
   if (entry.event == "serving.end") {
     return "at the backend server: " + MeaningOf(TextOf(line, "result")) + "; waited " +
@@ -222,7 +284,7 @@
       words += line.contains("limited_by") ? ", limited by " + TextOf(line, "limited_by") : "";
       words += ")";
     }
-    return words + DescribeCustomer(line);
+    return words + DescribeDeclaredRate(line) + DescribeCustomer(line);
   }
   if (entry.event == "suspect.ran") {
     const std::string customer = TextOf(line, "customer");
@@ -263,6 +325,7 @@
     return exit_code::kFileUnreadable;
   }
   AddCrashes(paths, entries);
+  AddDeclarations(paths, entries);
   if (entries.empty()) {
     output.out << "no line speaks of " << id
                << "; lines over a node's rate are left out and counted (log.left_out)\n";
--- a/modules/cuminferry_relay/path/backend_declarations.cpp
+++ b/modules/cuminferry_relay/path/backend_declarations.cpp
@@ -7,6 +7,8 @@
 
 // Shown by log and gauge where no rate is declared; zero is a rate.
 constexpr double kNoRate = -1.0;
+// A rate that each answer declares a little different would fill the log.
+constexpr duration kMinLogInterval = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -76,6 +78,13 @@
 void backend_declarations::OnRateChanged(std::string_view instance, std::string_view source) {
   UpdatePace();
   const auto belief = rate();
+  const instant now = node_.loop.Now();
+  const bool has_begun_or_ended = belief.has_value() != was_rate_logged_;
+  if (!has_begun_or_ended && now - rate_logged_at_ < kMinLogInterval) {
+    return;
+  }
+  was_rate_logged_ = belief.has_value();
+  rate_logged_at_ = now;
   node_.log.LogChange("backend.declared", {{"target", instance},
                                            {"rate", belief ? belief->rate : kNoRate},
                                            {"age_us", belief ? belief->age.count() : 0},
--- a/modules/cuminferry_relay/path/backend_declarations.h
+++ b/modules/cuminferry_relay/path/backend_declarations.h
@@ -65,6 +65,9 @@
   std::string listed_id_;
   std::int64_t listed_started_millis_ = 0;
   bool has_logged_error_ = false;
+  // The latest line about the rate said that one is in force.
+  bool was_rate_logged_ = false;
+  instant rate_logged_at_{};
 };
 
 }  // namespace cuminferry
--- a/tests/table/explain_command_test.cpp
+++ b/tests/table/explain_command_test.cpp
@@ -34,6 +34,15 @@
 {"time_us":30,"instance":"node-a","event":"request.end","id":"later","result":"refused","us":40,"row":"map","table":3,"suspect":"ab12","why":"ends_targets"}
 )";
 
+constexpr char kDeclarationLog[] =
+    R"({"time_us":1000,"instance":"node-c","event":"backend.declared","target":"i-8","rate":20.0,"age_us":0,"from":"answer"}
+{"time_us":5000,"instance":"node-c","event":"backend.declared","target":"i-8","rate":10.0,"age_us":0,"from":"answer"}
+{"time_us":5500,"instance":"node-d","event":"backend.declared","target":"i-9","rate":3.0,"age_us":0,"from":"answer"}
+{"time_us":6000,"instance":"node-c","event":"backend.leaving","target":"i-8"}
+{"time_us":7000,"instance":"node-a","event":"request.turned_away","id":"rate1","row":"permit","service":"permits","target":"i-8","why":"over-rate","placements":1,"reached":0,"declared_rate":10.0,"declared_age_us":2000}
+{"time_us":9000,"instance":"node-c","event":"backend.declared","target":"i-8","rate":-1.0,"age_us":0,"from":"answer"}
+)";
+
 struct command_result {
   ctl::exit_code code;
   std::string out;
@@ -55,6 +64,7 @@
   CPPUNIT_TEST(Explain_CallsOfTheRequest_AreMarked);
   CPPUNIT_TEST(Explain_RequestsOfCustomers_NameCustomerAndReason);
   CPPUNIT_TEST(Explain_BlockedRequest_ShowsTheCrashesBehindIt);
+  CPPUNIT_TEST(Explain_RequestOverDeclaredRate_ShowsWhoDeclaredItAndSinceWhen);
   CPPUNIT_TEST(Explain_UnknownId_SaysWhyItMayBeMissing);
   CPPUNIT_TEST(Explain_FileMissing_ReportsAnErrorCode);
   CPPUNIT_TEST_SUITE_END();
@@ -67,6 +77,7 @@
     std::ofstream(folder_ / "a.log") << kIngressLog;
     std::ofstream(folder_ / "c.log") << kCustomerLog;
     std::ofstream(folder_ / "d.log") << kSuspectLog;
+    std::ofstream(folder_ / "e.log") << kDeclarationLog;
     std::ofstream(folder_ / "b.log") << kServingLog;
   }
 
@@ -111,6 +122,22 @@
     CPPUNIT_ASSERT(unknown.find("a key that no customer has") != std::string::npos);
   }
 
+  void Explain_RequestOverDeclaredRate_ShowsWhoDeclaredItAndSinceWhen() {
+    const std::string out = Run({"explain", "rate1", "--logs", folder_.string()}).out;
+    const auto declared =
+        out.find("node-c  target i-8 declared to take 10.0 requests a second, from here on");
+    const auto leaving = out.find("node-c  target i-8 declared that it leaves");
+    const auto turned_away = out.find("no turn within the requests a second");
+    CPPUNIT_ASSERT(declared < leaving);
+    CPPUNIT_ASSERT(leaving < turned_away);
+    CPPUNIT_ASSERT(turned_away != std::string::npos);
+    CPPUNIT_ASSERT(out.find("(the target declared 10.0 requests a second, 2.0 ms before)") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(out.find("20.0") == std::string::npos);
+    CPPUNIT_ASSERT(out.find("i-9") == std::string::npos);
+    CPPUNIT_ASSERT(out.find("no longer") == std::string::npos);
+  }
+
   void Explain_UnknownId_SaysWhyItMayBeMissing() {
     const command_result result = Run({"explain", "beef", "--logs", folder_.string()});
     CPPUNIT_ASSERT(result.code == ctl::exit_code::kFoundProblems);
