Have the soak's backend servers declare a rate, and that they leave

Change: two more harms, drawn from a random stream of their own (earlier seeds keep the rest of their plans): a rate of 4 a second for 7 s, and leaving while the store lists the target as ready. The ledger counts as clients and backend servers see it: arrivals in each window of 4 s from processes that had passed the declaration on half a second before, calls too, with no excuse for cuts and pauses; and any arrival at a target after its leaving was passed on. Ruled out: counting only where no fault touched the node (a fault is nearly always under way then, and the check found nothing on the old program).

--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -133,6 +133,7 @@
           fmt::format("status 200 without the complete answer of the backend server: {}, {} bytes",
                       request_->id, body_.size()));
     }
+    RecordDeclarations();
     const bool stays_open = head_.keep_alive && options_.reuse_connection;
     if (MeansNotRun(status)) {
       Finish(request_outcome::kRefused);
@@ -146,6 +147,20 @@
     }
   }
 
+  void RecordDeclarations() {
+    const std::string* target = head_.Find(soak_client::kTargetField);
+    if (target == nullptr) {
+      return;
+    }
+    const auto record = [&](std::string_view field, declared_period::kind type) {
+      if (head_.Find(field) != nullptr) {
+        owner_.ledger_.OnToldOf(type, std::stoul(*target), *request_, owner_.loop_.Now());
+      }
+    };
+    record("Server-Limit", declared_period::kind::kRate);
+    record("Server-Leaving", declared_period::kind::kLeaving);
+  }
+
   void Abandon() {
     const auto keep = shared_from_this();
     Finish(request_outcome::kAbandoned);
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -40,6 +40,8 @@
   /** The body of `length` bytes that a backend server sends in answer to this request. */
   static std::string BodyFor(const std::string& id, std::size_t length);
   static std::string SignatureFor(const std::string& id, std::size_t length);
+  /** Header field of an answer that holds the number of the backend server. */
+  static constexpr std::string_view kTargetField = "Soak-Target";
 
  private:
   class session;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -45,6 +46,8 @@
 constexpr int kMaxCrashes = 6;
 constexpr int kCrashingRequests = 12;
 constexpr duration kCrashingInterval = milliseconds(400);
+// Requests a second; a backend server usually gets several times as many.
+constexpr double kDeclaredRate = 4.0;
 constexpr duration kCrashRestartDelay = milliseconds(800);
 constexpr duration kAbandonAfter = milliseconds(40);
 constexpr double kAbandonedShare = 0.03;
@@ -247,7 +250,8 @@
             .node_number = node.number,
             .service = ServiceOf(node.number),
             .called_row = calls ? std::string(kCalledRow) : "",
-            .on_crash = [this, &node] { OnCrashingRequest(node); }},
+            .on_crash = [this, &node] { OnCrashingRequest(node); },
+            .node_incarnation = [&node] { return node.incarnation; }},
         ledger_, random_);
     node.draining = false;
     Publish(node);
@@ -464,6 +468,12 @@
       case soak_action::kCrashing:
         SendCrashing();
         break;
+      case soak_action::kTargetLimits:
+        DeclareRate(node, event.span);
+        break;
+      case soak_action::kTargetLeaves:
+        DeclareLeaving(node);
+        break;
       case soak_action::kBurst:
         burst_factor_ = kBurstFactor;
         After(event.span, [this] { burst_factor_ = 1.0; });
@@ -660,6 +670,39 @@
     After(span, [this, &node] { StartTarget(node); });
   }
 
+  void DeclareRate(soak_node& node, duration span) {
+    if (!node.target) {
+      return;
+    }
+    node.target->DeclareRate(kDeclaredRate);
+    ledger_.OnDeclared({.type = declared_period::kind::kRate,
+                        .target = node.target_number,
+                        .rate = kDeclaredRate,
+                        .begin = loop_.Now(),
+                        .end = loop_.Now() + span});
+    After(span, [&node, target = node.target_number] {
+      if (node.target && node.target_number == target) {
+        node.target->DeclareRate(std::nullopt);
+      }
+    });
+  }
+
+  // The store goes on listing the backend server as ready until its entry expires.
+  void DeclareLeaving(soak_node& node) {
+    if (!node.target) {
+      return;
+    }
+    node.target->DeclareLeaving();
+    ledger_.OnDeclared({.type = declared_period::kind::kLeaving,
+                        .target = node.target_number,
+                        .begin = loop_.Now()});
+    After(kDrainTime, [this, &node, target = node.target_number] {
+      if (node.target_number == target) {
+        Crash(node, seconds(1));
+      }
+    });
+  }
+
   void Replace(soak_node& node) {
     if (!node.target || node.draining) {
       return;
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -43,6 +43,15 @@
   return *runs_.back();
 }
 
+void soak_ledger::OnToldOf(declared_period::kind type, std::size_t target,
+                           const sent_request& answered, instant now) {
+  for (declared_period& declared : declared_) {
+    if (declared.type == type && declared.target == target && now >= declared.begin) {
+      declared.told.try_emplace({answered.node, answered.incarnation}, now);
+    }
+  }
+}
+
 const std::vector<const observed_run*>& soak_ledger::RunsOf(const std::string& id) const {
   static const std::vector<const observed_run*> none;
   const auto found = runs_by_id_.find(id);
@@ -73,6 +82,8 @@
   CheckEdits(found);
   CheckRegression(found);
   CheckDraining(found);
+  CheckDeclaredRates(found);
+  CheckDeclaredLeaving(found);
   CheckRepeats(found);
   CheckFaultFreePeriods(found);
   return found;
@@ -218,6 +229,56 @@
   }
 }
 
+void soak_ledger::CheckDeclaredRates(violations& into) const {
+  for (const declared_period& declared : declared_) {
+    if (declared.type != declared_period::kind::kRate) {
+      continue;
+    }
+    std::vector<instant> arrivals;
+    for (const auto& run : runs_) {
+      const auto sent = requests_.find(run->id);
+      if (run->target != declared.target || sent == requests_.end() ||
+          run->arrived < declared.begin + kRateStartTime || run->arrived > declared.end) {
+        continue;
+      }
+      const auto told = declared.told.find({sent->second.node, sent->second.incarnation});
+      if (told != declared.told.end() && run->arrived >= told->second + kNoticeTime) {
+        arrivals.push_back(run->arrived);
+      }
+    }
+    const double allowed = kRateFactor * declared.rate * ToSeconds(kRateWindow) + kRateSlack;
+    for (const instant begin : arrivals) {
+      const auto seen = std::ranges::count_if(
+          arrivals, [begin](instant at) { return at >= begin && at <= begin + kRateWindow; });
+      if (static_cast<double>(seen) > allowed) {
+        into.push_back(fmt::format("target {} declares {} a second and received {} from {:.3f} s",
+                                   declared.target, declared.rate, seen,
+                                   ToSeconds(begin.time_since_epoch())));
+        break;
+      }
+    }
+  }
+}
+
+void soak_ledger::CheckDeclaredLeaving(violations& into) const {
+  for (const declared_period& declared : declared_) {
+    if (declared.type != declared_period::kind::kLeaving) {
+      continue;
+    }
+    for (const auto& run : runs_) {
+      const auto sent = requests_.find(run->id);
+      if (run->target != declared.target || sent == requests_.end()) {
+        continue;
+      }
+      const auto told = declared.told.find({sent->second.node, sent->second.incarnation});
+      if (told != declared.told.end() && sent->second.sent > told->second + kNoticeTime) {
+        into.push_back(fmt::format("reached target {} that had declared that it leaves: {}",
+                                   run->target, Describe(sent->second)));
+      }
+    }
+  }
+}
+
 void soak_ledger::CheckRepeats(violations& into) const {
   std::map<std::string, std::vector<instant>> requests;
   std::map<std::string, std::vector<instant>> repeats;
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
@@ -50,6 +51,7 @@
   std::size_t target = 0;
   std::string service;
   std::string caller_service;
+  instant arrived{};
   instant began{};
   instant ended{};
   /** The backend server ran the request; otherwise it rejected or never started it. */
@@ -72,6 +74,20 @@
   instant end{};
 };
 
+/** A time in which a backend server declares something in its answers. */
+struct declared_period {
+  enum class kind : std::uint8_t { kRate, kLeaving };
+
+  kind type = kind::kRate;
+  std::size_t target = 0;
+  /** Requests a second; kRate only. */
+  double rate = 0.0;
+  instant begin{};
+  instant end{};
+  /** When each process of a node first passed on such an answer, by node and incarnation. */
+  std::map<std::pair<std::size_t, int>, instant> told;
+};
+
 /** Records what was sent, run and answered in one soak, and checks the guarantees.
     The records come from the soak's own clients and backend servers only, never from
     what the nodes report. */
@@ -85,6 +101,15 @@
   static constexpr duration kAnswerSlack = std::chrono::milliseconds(500);
   static constexpr double kRepeatRatio = 0.2;
   static constexpr duration kRepeatWindow = std::chrono::seconds(10);
+  /** A node keeps to what a backend server declares this long after it passed on the first such
+      answer. */
+  static constexpr duration kNoticeTime = std::chrono::milliseconds(500);
+  /** A backend server that declares a rate gets at most kRateFactor times as much and kRateSlack
+      requests more in any window, from kRateStartTime after the first declaration. */
+  static constexpr duration kRateWindow = std::chrono::seconds(4);
+  static constexpr duration kRateStartTime = std::chrono::seconds(1);
+  static constexpr double kRateFactor = 1.5;
+  static constexpr double kRateSlack = 5.0;
 
   explicit soak_ledger(double repeat_allowance) : repeat_allowance_(repeat_allowance) {}
 
@@ -98,6 +123,11 @@
   void OnEdit(int number, instant at) { edits_[number] = at; }
   /** Records when the store accepted that this backend server drains. */
   void OnDraining(std::size_t target, instant at) { draining_[target] = at; }
+  void OnDeclared(declared_period declared) { declared_.push_back(std::move(declared)); }
+  /** An answer of this target in which it declares something was passed on to a client or, as the
+      answer of a call, to a backend server. */
+  void OnToldOf(declared_period::kind type, std::size_t target, const sent_request& answered,
+                instant now);
   /** Between `begin` and `end` no fault is active: at least 90 % of requests must succeed. */
   void OnFaultFreePeriod(instant begin, instant end) {
     fault_free_periods_.emplace_back(begin, end);
@@ -127,6 +157,8 @@
   void CheckEdits(violations& into) const;
   void CheckRegression(violations& into) const;
   void CheckDraining(violations& into) const;
+  void CheckDeclaredRates(violations& into) const;
+  void CheckDeclaredLeaving(violations& into) const;
   void CheckRepeats(violations& into) const;
   void CheckFaultFreePeriods(violations& into) const;
 
@@ -137,6 +169,7 @@
   std::deque<disturbance> disturbances_;
   std::map<int, instant> edits_;
   std::map<std::size_t, instant> draining_;
+  std::vector<declared_period> declared_;
   std::vector<std::pair<instant, instant>> fault_free_periods_;
   violations violations_;
 };
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -14,7 +14,7 @@
     "store-reset",   "store-down",     "store-silent",  "store-forgets", "target-slow",
     "target-loses",  "target-damages", "target-sheds",  "target-crash",  "stop",
     "reload",        "edit",           "edits",         "replace",       "burst",
-    "store-returns", "crashing"};
+    "store-returns", "crashing",       "target-limits", "target-leaves"};
 // Actions from this one on are drawn separately.
 constexpr auto kDrawableActions = static_cast<std::uint64_t>(soak_action::kStoreReturns);
 constexpr auto kFirstPlanned = static_cast<std::uint64_t>(soak_action::kStop);
@@ -23,6 +23,11 @@
 constexpr std::uint64_t kExtraEvents = 5;
 constexpr milliseconds kMinSpan{200};
 constexpr milliseconds kMaxSpan{3'000};
+// A declared rate is kept within 4 s, and after its end traffic is back before a fault-free period.
+constexpr milliseconds kDeclaredTime{7'000};
+constexpr milliseconds kDeclaredStartWindow{1'000};
+// Makes the random stream of declarations differ from the others of the same seed.
+constexpr std::uint64_t kDeclarationStream = 0x5DEC'1A4E;
 // Planned events start within this time, so that a drain completes within kPlannedTime.
 constexpr milliseconds kPlannedStartWindow{3'000};
 
@@ -40,6 +45,7 @@
 soak_plan soak_plan::Draw(std::uint64_t seed, std::size_t nodes, int rounds) {
   random_source random(seed);
   random_source separate_random(~seed);
+  random_source declaration_random(seed ^ kDeclarationStream);
   soak_plan plan;
   duration now = kStartTime;
   const auto draw = [&](std::uint64_t first, duration begin, duration latest, duration end) {
@@ -66,10 +72,20 @@
                              .node = static_cast<std::size_t>(separate_random.Below(nodes))});
     }
   };
+  const auto draw_declaration = [&](soak_action action) {
+    if (declaration_random.Below(2) == 0) {
+      plan.events.push_back({.action = action,
+                             .start = now + Between(declaration_random, {}, kDeclaredStartWindow),
+                             .span = kDeclaredTime,
+                             .node = static_cast<std::size_t>(declaration_random.Below(nodes))});
+    }
+  };
   for (int round = 0; round < rounds; ++round) {
     draw(0, now, kFaultTime - kMinSpan, now + kFaultTime);
     draw_separately(soak_action::kStoreReturns);
     draw_separately(soak_action::kCrashing);
+    draw_declaration(soak_action::kTargetLimits);
+    draw_declaration(soak_action::kTargetLeaves);
     now += kFaultTime;
     add_fault_free_period();
     draw(kFirstPlanned, now, kPlannedStartWindow, now + kPlannedTime);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -40,6 +40,8 @@
   // Drawn from a separate random stream, so that earlier seeds give the same plans.
   kStoreReturns,  ///< the store is restored from a backup that is as old as the span
   kCrashing,      ///< a request that crashes backend servers is sent repeatedly
+  kTargetLimits,  ///< a backend server declares a rate in its answers
+  kTargetLeaves,  ///< a backend server declares that it leaves, is listed as ready, and ends
 };
 
 std::string_view ToText(soak_action action);
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -90,6 +90,7 @@
                                       .target = owner_.options_.number,
                                       .service = owner_.options_.service,
                                       .caller_service = Field("Cuminferry-Caller-Service"),
+                                      .arrived = owner_.loop_.Now(),
                                       .began = owner_.loop_.Now()});
     const std::string expected = Field("Cuminferry-Expect-Instance");
     if (!expected.empty() && expected != owner_.options_.id) {
@@ -119,6 +120,13 @@
     head.reason = "Status";
     head.Set("Cuminferry-Request-Id", id_);
     head.Set("Keep-Alive", "timeout=10");
+    head.Set(std::string(soak_client::kTargetField), std::to_string(owner_.options_.number));
+    if (owner_.declared_rate_) {
+      head.Set("Server-Limit", fmt::format("{:.1f}", *owner_.declared_rate_));
+    }
+    if (owner_.declares_leaving_) {
+      head.Set("Server-Leaving", "1");
+    }
     head.framing = body_framing::kLength;
     return head;
   }
@@ -137,6 +145,7 @@
                                .row = owner_.options_.called_row,
                                .service = "maps",
                                .node = owner_.options_.node_number,
+                               .incarnation = owner_.options_.node_incarnation(),
                                .idempotent = true,
                                .nested = true,
                                .timeout = kCallTimeout});
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -47,6 +48,8 @@
     std::uint32_t slots = 20;
     /** Called when a request that crashes the backend server has run for 10 ms. */
     std::function<void()> on_crash = {};
+    /** Number of starts of its node's process so far. */
+    std::function<int()> node_incarnation = [] { return 0; };
   };
   /** A request whose path contains this crashes the backend server that runs it. */
   static constexpr std::string_view kCrashPathPart = "crash";
@@ -58,6 +61,10 @@
   soak_target& operator=(const soak_target&) = delete;
 
   void SetFault(const target_fault& fault) { fault_ = fault; }
+  /** All later answers, also rejections, declare this rate; nothing: none. */
+  void DeclareRate(const std::optional<double>& rate) { declared_rate_ = rate; }
+  /** All later answers, also rejections, declare that the backend server leaves. */
+  void DeclareLeaving() { declares_leaving_ = true; }
   /** All later answers carry "Connection: close". */
   void StartDraining() { draining_ = true; }
 
@@ -72,6 +79,8 @@
   random_source& random_;
   target_fault fault_;
   bool draining_ = false;
+  std::optional<double> declared_rate_;
+  bool declares_leaving_ = false;
   std::uint32_t running_ = 0;
   std::uint64_t calls_made_ = 0;
   soak_client caller_;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -26,11 +26,16 @@
     "waited "
     "up to 21.5 s, and edits and drains of that time were not in force";
 
-constexpr std::array kSeeds{regression_seed{14, kLostWatches}, regression_seed{17, kLostWatches},
-                            regression_seed{18, kLostWatches}, regression_seed{23, kLostWatches},
-                            regression_seed{24, kLostWatches}, regression_seed{34, kLostWatches},
-                            regression_seed{38, kLostWatches}, regression_seed{39, kLostWatches},
-                            regression_seed{47, kLostWatches}, regression_seed{52, kLostWatches}};
+constexpr char kDeclarations[] =
+    "nobody read the rate that a backend server declares, nor that it leaves";
+
+constexpr std::array kSeeds{
+    regression_seed{14, kLostWatches},     regression_seed{17, kLostWatches},
+    regression_seed{18, kLostWatches},     regression_seed{23, kLostWatches},
+    regression_seed{24, kLostWatches},     regression_seed{34, kLostWatches},
+    regression_seed{38, kLostWatches},     regression_seed{39, kLostWatches},
+    regression_seed{47, kLostWatches},     regression_seed{52, kLostWatches},
+    regression_seed{5'001, kDeclarations}, regression_seed{5'003, kDeclarations}};
 
 constexpr duration kMaxRunTime = seconds(120);
 
@@ -130,6 +135,8 @@
   CPPUNIT_TEST(Ledger_LateAnswer_IsFound);
   CPPUNIT_TEST(Ledger_EditNotInForceOrUndone_IsFound);
   CPPUNIT_TEST(Ledger_LeavingTargetRuns_IsFound);
+  CPPUNIT_TEST(Ledger_DeclaredRateExceeded_IsFound);
+  CPPUNIT_TEST(Ledger_ReachesTargetThatDeclaredLeaving_IsFound);
   CPPUNIT_TEST(Ledger_TooManyRepeats_AreFound);
   CPPUNIT_TEST(Ledger_FewServedInCalm_IsFound);
   CPPUNIT_TEST(Proxy_Delay_HoldsBytesBack);
@@ -210,6 +217,34 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.ViolationCount());
   }
 
+  // Guards against a check that never finds anything, as no answer counts as passed on.
+  void Ledger_DeclaredRateExceeded_IsFound() {
+    single_request told(true);
+    const instant begin = told.sent_at - seconds(5);
+    told.ledger.OnDeclared({.target = 1, .begin = begin, .end = told.sent_at + seconds(9)});
+    for (int arrival = 0; arrival <= static_cast<int>(soak_ledger::kRateSlack); ++arrival) {
+      told.Run().arrived = told.sent_at;
+    }
+    const std::size_t without = told.ViolationCount();
+    told.ledger.OnToldOf(declared_period::kind::kRate, 1, *told.request,
+                         told.sent_at - milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(without, told.ViolationCount());
+    told.ledger.OnDeclared({.target = 1, .begin = begin, .end = told.sent_at + seconds(9)});
+    told.ledger.OnToldOf(declared_period::kind::kRate, 1, *told.request,
+                         told.sent_at - milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(without + 1, told.ViolationCount());
+  }
+
+  void Ledger_ReachesTargetThatDeclaredLeaving_IsFound() {
+    single_request told;
+    told.ledger.OnDeclared(
+        {.type = declared_period::kind::kLeaving, .target = 1, .begin = told.sent_at - seconds(1)});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, told.ViolationCount());
+    told.ledger.OnToldOf(declared_period::kind::kLeaving, 1, *told.request,
+                         told.sent_at - milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.ViolationCount());
+  }
+
   void Ledger_TooManyRepeats_AreFound() {
     single_request repeated(true);
     repeated.Run();
