Read what a calling node's request says in one place

Ruled out: a change of behaviour. A suspect that is turned away before it came to the isolation is now removed from it when it ends, where it isn't; that does nothing.

--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -17,8 +17,6 @@
 constexpr duration kMaxIdleForAtMostOnce = std::chrono::seconds(1);
 // Time after the deadline in which the backend server may still send its own timeout answer.
 constexpr duration kDeadlineSlack = std::chrono::milliseconds(50);
-// Applies where the ingress node does not pass on a deadline.
-constexpr duration kDefaultRunLimit = std::chrono::seconds(30);
 // An answer that takes longer is preceded by an interim answer, by which the calling node
 // distinguishes a long run from a lost connection or an unresponsive node.
 constexpr duration kInterimDelay = std::chrono::milliseconds(50);
@@ -36,6 +34,7 @@
       id_(id),
       peer_(std::move(peer)),
       header_(std::move(header)),
+      request_(serving_request::ReadFrom(peer_->request(), context.node.settings.headers)),
       arrived_(context.node.loop.Now()),
       run_(context, header_, arrived_),
       deadline_timer_(context.node.loop),
@@ -44,30 +43,17 @@
 void serving_call::Begin() {
   relay_board& node = context_.node;
   InstallPeerHooks();
-  const http_head& request = peer_->request();
-  const relay_header_names& header_names = node.settings.headers;
-  if (const std::string* id = request.Find(header_names.request_id)) {
-    request_id_ = *id;
-  }
-  duration left = kDefaultRunLimit;
-  if (const std::string* field = request.Find(header_names.deadline)) {
-    left = std::chrono::milliseconds(ParseDecimal(*field).value_or(0));
-  }
-  deadline_ = arrived_ + left;
+  deadline_ = arrived_ + request_.time_left;
   if (header_.key_valid_for) {
     key_valid_until_ = arrived_ + *header_.key_valid_for;
   }
-  has_turn_ = request.Find(kNoTurnField) == nullptr;
-  if (const std::string* field = request.Find(kRateField)) {
-    if (const auto told = rate_request::Parse(*field)) {
-      awaits_turn_ = told->awaits_turn;
-      context_.declarations.OnRequest(ExpectedInstance(), *told);
-    }
+  const std::string& expected = request_.expected_instance;
+  if (request_.rate) {
+    context_.declarations.OnRequest(expected, *request_.rate);
   }
-  if (const std::string* caller = request.Find(header_names.caller_service)) {
-    node.origins.OnArrival(header_.row, *caller);
+  if (!request_.caller_service.empty()) {
+    node.origins.OnArrival(header_.row, request_.caller_service);
   }
-  const std::string_view expected = ExpectedInstance();
   const bool gone =
       !expected.empty() && (node.IsLeavingOrRemoved(expected) || context_.IsKnownAbsent(expected));
   if (node.refuses_runs || gone) {
@@ -79,11 +65,8 @@
     return;
   }
   ScheduleInterimAnswer();
-  if (const std::string* field = request.Find(kSuspectField)) {
-    suspect_digest_ = request_digest::Parse(*field);
-  }
-  if (suspect_digest_) {
-    WaitForIsolation(*suspect_digest_);
+  if (request_.suspect_digest) {
+    WaitForIsolation(*request_.suspect_digest);
   } else {
     RequestSlot();
   }
@@ -131,12 +114,12 @@
                                                     .objective_left = header_.objective_left,
                                                     .objective = header_.objective,
                                                     .run_time = run_time,
-                                                    .awaits_turn = awaits_turn_},
+                                                    .awaits_turn = request_.awaits_turn()},
                                                    node.loop.Now());
   const bool is_over_rate = verdict == slot_verdict::kOverRate;
   context_.declarations.OnArrival({.requests = counted,
                                    .admitted_share = header_.admitted_share,
-                                   .awaits_turn = awaits_turn_,
+                                   .awaits_turn = request_.awaits_turn(),
                                    .is_over_rate = is_over_rate});
   if (!is_over_rate) {
     context_.level.OnArrival(header_.age, work, header_.admitted_share);
@@ -196,14 +179,8 @@
   }
 }
 
-std::string_view serving_call::ExpectedInstance() const {
-  const std::string* expected =
-      peer_->request().Find(context_.node.settings.headers.expected_instance);
-  return expected == nullptr ? std::string_view() : *expected;
-}
-
 bool serving_call::IsInstanceLeaving() const {
-  return context_.node.HasDeclaredLeaving(ExpectedInstance());
+  return context_.node.HasDeclaredLeaving(request_.expected_instance);
 }
 
 bool serving_call::WithdrawFromLeaving() {
@@ -245,15 +222,15 @@
 bool serving_call::IsKeyStale() const { return context_.node.loop.Now() > key_valid_until_; }
 
 bool serving_call::IsBlocked() const {
-  return suspect_digest_ &&
-         context_.node.suspects.StatusOf(*suspect_digest_, context_.node.loop.Now()) ==
+  return request_.suspect_digest &&
+         context_.node.suspects.StatusOf(*request_.suspect_digest, context_.node.loop.Now()) ==
              suspect_status::kBlocked;
 }
 
 // Repeats are limited here for all calling nodes together.
 bool serving_call::TakeRepeat() {
   const bool granted =
-      context_.node.repeats.TakeOne(header_.nested, context_.node.loop.Now(), has_turn_);
+      context_.node.repeats.TakeOne(header_.nested, context_.node.loop.Now(), request_.has_turn);
   if (granted) {
     context_.node.metrics.OnRepeat(header_.row);
   }
@@ -267,24 +244,6 @@
   }
 }
 
-http_head serving_call::RequestForBackend() const {
-  http_head head = peer_->request();
-  head.RemoveConnectionFields();
-  head.Remove(kCallField);
-  head.Remove(kNoTurnField);
-  head.Remove(kSuspectField);
-  head.Remove(kRateField);
-  if (header_.awaits_release) {
-    head.framing = header_.framing;
-    head.length = header_.body_length;
-  }
-  const auto left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - context_.node.loop.Now());
-  head.Set(context_.node.settings.headers.deadline,
-           std::to_string(std::max<std::int64_t>(1, left.count())));
-  return head;
-}
-
 void serving_call::StartRun() {
   slot_granted_ = false;
   if (IsKeyStale()) {
@@ -322,7 +281,9 @@
     }
   };
   backend_ = context_.backend.Send(
-      RequestForBackend(), at_most_once ? kMaxIdleForAtMostOnce : kMaxIdleForRepeatable,
+      HeadForBackend(peer_->request(), header_, deadline_ - sent_at_,
+                     context_.node.settings.headers),
+      at_most_once ? kMaxIdleForAtMostOnce : kMaxIdleForRepeatable,
       {.on_head =
            [if_alive](http_head head) {
              if_alive([&](serving_call& self) { self.OnAnswerHead(std::move(head)); });
@@ -355,14 +316,13 @@
 
 bool serving_call::IsAnswer(const http_head& head) const {
   const std::string* echoed = head.Find(context_.node.settings.headers.request_id);
-  return echoed == nullptr || request_id_.empty() || *echoed == request_id_;
+  return echoed == nullptr || request_.id.empty() || *echoed == request_.id;
 }
 
 void serving_call::OnAnswerHead(http_head head) {
   context_.OnAnswer();
-  const relay_header_names& header_names = context_.node.settings.headers;
-  outcome_ = InvalidAnswerOutcome(head, header_names);
-  const std::string_view expected = ExpectedInstance();
+  outcome_ = InvalidAnswerOutcome(head, context_.node.settings.headers);
+  const std::string& expected = request_.expected_instance;
   if (outcome_ == relay_outcome::kOtherInstance && !expected.empty()) {
     context_.OnOtherInstance(expected);
   }
@@ -412,11 +372,11 @@
     AnswerWithOutcome(*outcome_);
     return;
   }
-  if (suspect_digest_ && !backend_timed_out_) {
+  if (request_.suspect_digest && !backend_timed_out_) {
     // An error answer also shows that the request did not crash the backend server. A run that its
     // deadline ended might have crashed it later.
     context_.node.on_suspects(
-        {{.event_kind = suspect_event::kind::kCleared, .digest = *suspect_digest_}});
+        {{.event_kind = suspect_event::kind::kCleared, .digest = *request_.suspect_digest}});
   }
   if (!detached_) {
     peer_->Finish();
@@ -458,13 +418,10 @@
 }
 
 suspect_registry::running_request serving_call::ToRunningRequest() const {
-  const http_head& request = peer_->request();
-  const std::string* customer = request.Find(context_.node.settings.headers.customer);
-  const request_parts parts =
-      request_body_.PartsOf(request, customer == nullptr ? std::string_view() : *customer);
+  const request_parts parts = request_body_.PartsOf(peer_->request(), request_.customer);
   return {.digest = request_digest::Of(parts),
           .route_hash = RouteHashOf(parts),
-          .isolated = suspect_digest_.has_value()};
+          .isolated = request_.suspect_digest.has_value()};
 }
 
 void serving_call::OnCrashAnnounced(std::uint64_t crash_id, const request_digest& digest) {
@@ -478,12 +435,10 @@
   // Hundreds of requests may have been running for the first time, so the log limit applies to
   // them.
   if (crashes > 1 || node.log.TryReserveLine(true)) {
-    const http_head& request = peer_->request();
-    const std::string* customer = request.Find(node.settings.headers.customer);
-    node.log.LogRequest("suspect.ran", {{"id", request_id_},
+    node.log.LogRequest("suspect.ran", {{"id", request_.id},
                                         {"row", header_.row},
-                                        {"path", request.target},
-                                        {"customer", customer == nullptr ? "" : *customer},
+                                        {"path", peer_->request().target},
+                                        {"customer", request_.customer},
                                         {"suspect", digest.ToText()},
                                         {"end", crash_id},
                                         {"ends", crashes},
@@ -540,7 +495,7 @@
     http_head head = MakeAnswer(IsCertainlyNotRun(outcome) ? http_status::kUnavailable
                                                            : http_status::kBadGateway);
     head.Set(kOutcomeField, std::string(ToText(outcome)));
-    context_.AddReports(header_, ExpectedInstance(), head);
+    context_.AddReports(header_, request_.expected_instance, head);
     peer_->Answer(std::move(head), "");
   }
   Complete(ToText(outcome));
@@ -567,14 +522,14 @@
   serving_context& context = context_;
   const auto self_reference = shared_from_this();
   context.calls.erase(id_);
-  if (suspect_digest_) {
+  if (request_.suspect_digest) {
     context.StartNextSuspects(id_);
   }
   context.StartWaiting();
 }
 
 void serving_call::LogCompletion(std::string_view result, duration waited, duration ran_for) const {
-  context_.node.log.LogRequest("serving.end", {{"id", request_id_},
+  context_.node.log.LogRequest("serving.end", {{"id", request_.id},
                                                {"row", header_.row},
                                                {"result", result},
                                                {"nested", header_.nested},
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -7,6 +7,7 @@
 #include "cuminferry_relay/http/http_server.h"
 #include "cuminferry_relay/path/request_body_buffer.h"
 #include "cuminferry_relay/path/serving_context.h"
+#include "cuminferry_relay/path/serving_request.h"
 #include "cuminferry_relay/path/slot_run.h"
 
 namespace cuminferry {
@@ -41,7 +42,7 @@
       @param digest  digest that ToRunningRequest() returned */
   void OnCrashAnnounced(std::uint64_t crash_id, const request_digest& digest);
 
-  const std::string& request_id() const { return request_id_; }
+  const std::string& request_id() const { return request_.id; }
   /** Describes the request as one of those that were running when the backend server crashed. */
   suspect_registry::running_request ToRunningRequest() const;
 
@@ -50,8 +51,6 @@
   void WaitForIsolation(const request_digest& suspect);
   void RequestSlot();
 
-  /** Id of the instance that the request is meant for; empty where any may run it. */
-  std::string_view ExpectedInstance() const;
   bool IsInstanceLeaving() const;
   bool IsKeyStale() const;
   bool IsBlocked() const;
@@ -63,7 +62,6 @@
   void ReleaseGrantedSlot();
   void StartRun();
   void Send();
-  http_head RequestForBackend() const;
   bool IsAnswer(const http_head& head) const;
   void OnAnswerHead(http_head head);
   void OnAnswerBody(std::string_view bytes);
@@ -80,13 +78,7 @@
   std::uint64_t id_;
   std::shared_ptr<server_exchange> peer_;
   call_header header_;
-  std::string request_id_;
-  // Set where the request has run at a backend server that crashed.
-  std::optional<request_digest> suspect_digest_;
-  // The request may be repeated while repeats are scarce.
-  bool has_turn_ = true;
-  // @see picked_target
-  bool awaits_turn_ = false;
+  serving_request request_;
   instant arrived_;
   slot_run run_;
   instant deadline_{};
