--- a/tests/relay/declared_leaving_test.cpp
+++ b/tests/relay/declared_leaving_test.cpp
@@ -1,4 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
 
 #include "relay/declaring_fleet.h"
 
@@ -30,6 +33,7 @@
   CPPUNIT_TEST(Leaving_EarlierRunDeclaredIt_LaterRunGetsRequests);
   CPPUNIT_TEST(Leaving_DeclarationOfEarlierRunArrivesLate_LaterRunKeepsItsRequests);
   CPPUNIT_TEST(Leaving_ListedAnewAfterItsRemoval_StaysWithoutRequests);
+  CPPUNIT_TEST(Leaving_AnyHistory_OnlyALaterRunIsPicked);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,6 +89,34 @@
     CPPUNIT_ASSERT(board_.IsLeavingOrRemoved("i-1"));
   }
 
+  void Leaving_AnyHistory_OnlyALaterRunIsPicked() {
+    const bool holds = rc::check("a listed run is picked unless it or a later one leaves", [this] {
+      List(std::nullopt);
+      const auto first = last_run_ + 1;
+      std::int64_t leaving = 0;
+      std::optional<std::int64_t> listed;
+      const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+      for (const int step : steps) {
+        const std::int64_t known = std::max(first, last_run_);
+        if (step == 0) {
+          listed.reset();
+        } else if (step <= 2) {
+          last_run_ = known + (step == 1 ? 1 : 0);
+          listed = last_run_;
+        } else {
+          // A node whose list is newer or older than this one's was told.
+          const std::int64_t run = known + *rc::gen::inRange(-1, 2);
+          board_.OnDeclaredLeaving("maps", "i-1", run);
+          leaving = run >= board_.RunOf("i-1") ? std::max(leaving, run) : leaving;
+        }
+        List(listed ? std::optional(Listed(*listed)) : std::nullopt);
+        RC_ASSERT(IsPicked() == (listed && *listed > leaving));
+      }
+      last_run_ += 2;
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
  private:
   void List(std::optional<service_instance> instance) {
     board_.ApplyInstances(
@@ -98,6 +130,8 @@
   }
 
   event_loop loop_;
+  // The latest run that was listed; later histories continue from there.
+  std::int64_t last_run_ = 0;
   relay_board board_{loop_, {.instance = "node", .service = "permits"}};
 };
 
