Name the controller of declarations apart from a single declaration

Cause: backend_declaration (one answer) and backend_declarations (what is kept, paced and told) differed by a letter; rate_control passed a rate on only to ask whether there was one, in two places. Change: declaration_controller; rate_control::Start.

--- a/modules/cuminferry_policy/declared/rate_control.cpp
+++ b/modules/cuminferry_policy/declared/rate_control.cpp
@@ -15,26 +15,27 @@
 
 double rate_control::PacedRate(double declared) { return std::max(declared, send_pacer::kMinRate); }
 
-void rate_control::StartFrom(const std::optional<double>& before, double rate) {
-  if (!before) {
-    callers_.Start(PacedRate(rate));
-    level_ = {};
-    use_ = 1.0;
-  }
+void rate_control::Start(double rate) {
+  callers_.Start(PacedRate(rate));
+  level_ = {};
+  use_ = 1.0;
 }
 
 bool rate_control::OnDeclared(std::string_view instance, double rate, instant now) {
-  const auto before = declared_.BeliefAt(now);
-  StartFrom(before ? std::optional(before->rate) : std::nullopt, rate);
+  if (!declared_.BeliefAt(now)) {
+    Start(rate);
+  }
   return declared_.OnDeclared(instance, rate, now);
 }
 
 bool rate_control::OnBelief(std::string_view instance, const rate_belief& belief, instant now) {
-  const auto before = declared_.BeliefAt(now);
+  const bool was_in_force = declared_.BeliefAt(now).has_value();
   if (!declared_.OnBelief(instance, belief, now)) {
     return false;
   }
-  StartFrom(before ? std::optional(before->rate) : std::nullopt, belief.rate);
+  if (!was_in_force) {
+    Start(belief.rate);
+  }
   return true;
 }
 
--- a/modules/cuminferry_policy/declared/rate_control.h
+++ b/modules/cuminferry_policy/declared/rate_control.h
@@ -65,7 +65,8 @@
   double share() const { return level_.share(); }
 
  private:
-  void StartFrom(const std::optional<double>& before, double rate);
+  /** A rate comes into force. */
+  void Start(double rate);
   /** Requests a second that are sent at this declared rate. */
   static double PacedRate(double declared);
 
--- a/modules/cuminferry_relay/path/backend_declarations.cpp
+++ b/modules/cuminferry_relay/path/declaration_controller.cpp
@@ -1,4 +1,4 @@
-#include "cuminferry_relay/path/backend_declarations.h"
+#include "cuminferry_relay/path/declaration_controller.h"
 
 #include <utility>
 
@@ -13,15 +13,15 @@
 }  // namespace
 
 // A damaged answer, and that of another instance, say nothing about this one.
-bool backend_declarations::IsOwnAnswer(const http_head& answer,
-                                       const std::optional<relay_outcome>& rejection) const {
+bool declaration_controller::IsOwnAnswer(const http_head& answer,
+                                         const std::optional<relay_outcome>& rejection) const {
   return rejection != relay_outcome::kOtherInstance && rejection != relay_outcome::kDamaged &&
          answer.Find(node_.settings.headers.request_id) != nullptr;
 }
 
-void backend_declarations::OnAnswer(const http_head& answer, std::string_view instance,
-                                    instant sent_at,
-                                    const std::optional<relay_outcome>& rejection) {
+void declaration_controller::OnAnswer(const http_head& answer, std::string_view instance,
+                                      instant sent_at,
+                                      const std::optional<relay_outcome>& rejection) {
   if (!IsOwnAnswer(answer, rejection)) {
     return;
   }
@@ -49,7 +49,7 @@
 }
 
 // What was declared by an earlier run of the backend server doesn't count.
-void backend_declarations::OnRequest(std::string_view instance, const rate_request& told) {
+void declaration_controller::OnRequest(std::string_view instance, const rate_request& told) {
   const bool is_listed = instance == listed_id_ && listed_started_millis_ != 0;
   if (!told.declared || (is_listed && told.started_millis != listed_started_millis_)) {
     return;
@@ -59,7 +59,7 @@
   }
 }
 
-void backend_declarations::OnInstancesChanged() {
+void declaration_controller::OnInstancesChanged() {
   const service_instance* own = node_.OwnInstance();
   if (own == nullptr) {
     return;
@@ -75,7 +75,7 @@
   }
 }
 
-void backend_declarations::OnRateChanged(std::string_view instance, std::string_view source) {
+void declaration_controller::OnRateChanged(std::string_view instance, std::string_view source) {
   UpdatePace();
   const auto belief = rate();
   const instant now = node_.loop.Now();
@@ -91,19 +91,19 @@
                                            {"from", source}});
 }
 
-void backend_declarations::UpdatePace() {
+void declaration_controller::UpdatePace() {
   const instant now = node_.loop.Now();
   gate_.SetRate(rate_.PacedRateAt(now), now);
 }
 
-void backend_declarations::OnError(const absl::Status& error) {
+void declaration_controller::OnError(const absl::Status& error) {
   node_.metrics.OnBadDeclaration();
   if (!std::exchange(has_logged_error_, true)) {
     node_.log.LogChange("backend.declaration_refused", {{"error", std::string(error.message())}});
   }
 }
 
-void backend_declarations::Step(duration wait) {
+void declaration_controller::Step(duration wait) {
   rate_.Step(wait, node_.loop.Now());
   if (!rate() && gate_.has_rate()) {
     // No answer has confirmed it for too long.
@@ -112,7 +112,7 @@
   UpdatePace();
 }
 
-void backend_declarations::AddReport(std::string_view instance, http_head& answer) const {
+void declaration_controller::AddReport(std::string_view instance, http_head& answer) const {
   answer.Remove(kLeavingField);
   if (const auto run = node_.LeavingRunOf(instance)) {
     answer.Set(kLeavingField, std::to_string(*run));
@@ -123,7 +123,7 @@
   }
 }
 
-void backend_declarations::SetGauges(relay_metrics& metrics) const {
+void declaration_controller::SetGauges(relay_metrics& metrics) const {
   const auto belief = rate();
   metrics.SetGauge("cuminferry_declared_rate", belief ? belief->rate : kNoRate);
   metrics.SetGauge("cuminferry_declared_rate_age_seconds", belief ? ToSeconds(belief->age) : 0.0);
--- a/modules/cuminferry_relay/path/backend_declarations.h
+++ b/modules/cuminferry_relay/path/declaration_controller.h
@@ -16,10 +16,10 @@
 
 /** Keeps what the own backend server declares of itself, has its gate act on it, tells calling
     nodes, and shows it in log and metrics. */
-class backend_declarations {
+class declaration_controller {
  public:
   /** @param on_leaving  called once the backend server has declared that it leaves */
-  backend_declarations(relay_board& node, slot_gate& gate, std::function<void()> on_leaving)
+  declaration_controller(relay_board& node, slot_gate& gate, std::function<void()> on_leaving)
       : node_(node), gate_(gate), on_leaving_(std::move(on_leaving)) {}
 
   //============================================================================
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -7,7 +7,7 @@
 
 #include "cuminferry_relay/http/http_client.h"
 #include "cuminferry_relay/path/backend_crash_detector.h"
-#include "cuminferry_relay/path/backend_declarations.h"
+#include "cuminferry_relay/path/declaration_controller.h"
 #include "cuminferry_relay/path/relay_board.h"
 
 namespace cuminferry {
@@ -60,7 +60,7 @@
   admission_level level;
   row_run_times run_times;
   suspect_isolation isolation;
-  backend_declarations declarations;
+  declaration_controller declarations;
   std::unordered_map<std::uint64_t, std::shared_ptr<serving_call>> calls;
 
  private:
