--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -180,6 +180,9 @@
   settings.repeat_window = changed.repeat_window;
   settings.grace = changed.grace;
   settings.customers = changed.customers;
+  settings.drain = changed.drain;
+  settings.order = changed.order;
+  settings.customer_shares = changed.customer_shares;
   limits.SetBounds(settings.customers.limits);
   repeats = repeat_budget(settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window);
   repeats.SetTargets(targets_of_service_);
--- a/modules/cuminferry_relay/path/relay_settings.cpp
+++ b/modules/cuminferry_relay/path/relay_settings.cpp
@@ -1,5 +1,6 @@
 #include "cuminferry_relay/path/relay_settings.h"
 
+#include <array>
 #include <chrono>
 
 #include "cuminferry_table/reading/object_reader.h"
@@ -48,6 +49,14 @@
   reader.Decimal("repeat_allowance", output.repeat_allowance, 0.0, kMaxAllowance, kOptional);
   ReadSeconds(reader, "repeat_window_s", output.repeat_window);
   ReadSeconds(reader, "grace_s", output.grace);
+  ReadSeconds(reader, "drain_s", output.drain);
+}
+
+void ReadQueueOrder(object_reader& reader, relay_settings& output) {
+  const std::array<std::string, 2> accepted{"deadline", "importance"};
+  std::string order = accepted.front();
+  reader.Choice("queue_order", order, kOptional, accepted);
+  output.order = order == accepted.back() ? queue_order::kImportance : queue_order::kDeadline;
 }
 
 void ReadCustomerBounds(object_reader& reader, relay_settings& output) {
@@ -57,6 +66,7 @@
   reader.Decimal("limit_excess", output.customers.limits.excess, 0.0, kMaxExcess, kOptional);
   reader.Decimal("limit_allowance", output.customers.limits.allowance, 0.0, kMaxAllowance,
                  kOptional);
+  reader.Flag("customer_shares", output.customer_shares, kOptional);
 }
 
 }  // namespace
@@ -69,6 +79,7 @@
     ReadIdentity(reader, settings);
     ReadAddresses(reader, settings);
     ReadBounds(reader, settings);
+    ReadQueueOrder(reader, settings);
     ReadCustomerBounds(reader, settings);
   });
   if (!read.ok()) {
--- a/modules/cuminferry_relay/path/relay_settings.h
+++ b/modules/cuminferry_relay/path/relay_settings.h
@@ -2,6 +2,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +53,14 @@
   bool operator==(const customer_bounds&) const = default;
 };
 
+/** Order in which requests wait for a slot of the backend server. */
+enum class queue_order : std::uint8_t {
+  /** The one that has to start first goes first. */
+  kDeadline,
+  /** The most important goes first, and among equals the one that has to start first. */
+  kImportance,
+};
+
 /** Settings of one node of the HTTP relay, read from JSON with comments. */
 struct relay_settings {
   std::string instance;
@@ -87,6 +96,14 @@
 
   customer_bounds customers;
 
+  /** Time within which a backend server that leaves must get no more requests. Zero where no such
+      bound is known: instances that are no longer listed then get no requests at all. */
+  duration drain{};
+  queue_order order = queue_order::kDeadline;
+  /** Whether customers of the same rank get fair shares where not all their requests can be
+      admitted. */
+  bool customer_shares = false;
+
   /** Time from SIGTERM until the process is killed. */
   duration grace = std::chrono::seconds(6);
 
--- /dev/null
+++ b/modules/cuminferry_relay/path/unlisted_headers.cpp
@@ -0,0 +1,69 @@
+#include "cuminferry_relay/path/unlisted_headers.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <utility>
+#include <vector>
+
+namespace cuminferry {
+namespace {
+
+constexpr std::string_view kInstanceParameter = "id=";
+constexpr std::string_view kRunParameter = "run=";
+constexpr std::string_view kUnlistedParameter = "unlisted_ms=";
+
+std::int64_t ToMillis(duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+std::optional<unlisted_notice> ToNotice(std::string_view run, std::string_view unlisted_millis) {
+  const auto started = ParseInteger<std::int64_t>(run);
+  const auto unlisted_for = ParseInteger<std::int64_t>(unlisted_millis);
+  if (!started || !unlisted_for || *unlisted_for < 0) {
+    return std::nullopt;
+  }
+  return unlisted_notice{.started_millis = *started,
+                         .unlisted_for = std::chrono::milliseconds(*unlisted_for)};
+}
+
+// Returns the value of a parameter of the query; empty where it is absent.
+std::string_view ValueOf(std::string_view target, std::string_view parameter) {
+  const auto begin = target.find('?');
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  for (const std::string_view part : SplitText(target.substr(begin + 1), '&')) {
+    if (part.starts_with(parameter)) {
+      return part.substr(parameter.size());
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+std::string unlisted_notice::ToText() const {
+  return fmt::format("{} {}", started_millis, ToMillis(unlisted_for));
+}
+
+std::optional<unlisted_notice> unlisted_notice::Parse(std::string_view text) {
+  const std::vector<std::string_view> parts = SplitText(text, ' ');
+  return parts.size() < 2 ? std::nullopt : ToNotice(parts[0], parts[1]);
+}
+
+std::string registration_query::ToTarget() const {
+  return fmt::format("{}?{}{}&{}{}&{}{}", kRegistrationPath, kInstanceParameter, instance,
+                     kRunParameter, notice.started_millis, kUnlistedParameter,
+                     ToMillis(notice.unlisted_for));
+}
+
+std::optional<registration_query> registration_query::Parse(std::string_view target) {
+  const std::string_view instance = ValueOf(target, kInstanceParameter);
+  const auto notice = ToNotice(ValueOf(target, kRunParameter), ValueOf(target, kUnlistedParameter));
+  if (instance.empty() || !notice) {
+    return std::nullopt;
+  }
+  return registration_query{.instance = std::string(instance), .notice = *notice};
+}
+
+}  // namespace cuminferry
--- a/tests/relay/relay_settings_test.cpp
+++ b/tests/relay/relay_settings_test.cpp
@@ -39,6 +39,9 @@
     settings["limit_window_s"] = 1.5;
     settings["limit_excess"] = 0.25;
     settings["limit_allowance"] = 4.1;
+    settings["drain_s"] = 2.5;
+    settings["queue_order"] = "importance";
+    settings["customer_shares"] = true;
     std::vector<table_problem> problems;
     const auto read = relay_settings::Parse(settings.dump(), problems);
     CPPUNIT_ASSERT_MESSAGE(std::string(read.status().message()), read.ok());
@@ -50,6 +53,9 @@
     CPPUNIT_ASSERT(read->customers.withdrawal_time == std::chrono::milliseconds(4'999));
     CPPUNIT_ASSERT(read->customers.limits.window == std::chrono::milliseconds(1'500));
     CPPUNIT_ASSERT_EQUAL(4.1, read->customers.limits.allowance);
+    CPPUNIT_ASSERT(read->drain == std::chrono::milliseconds(2'500));
+    CPPUNIT_ASSERT(read->order == queue_order::kImportance);
+    CPPUNIT_ASSERT(read->customer_shares);
   }
 
   void Settings_BoundsOmitted_HaveDefaults() {
@@ -58,13 +64,17 @@
     CPPUNIT_ASSERT(read.ok());
     CPPUNIT_ASSERT(!read->customers.withdrawal_strict);
     CPPUNIT_ASSERT(read->grace == std::chrono::seconds(6));
+    CPPUNIT_ASSERT(read->drain == duration::zero());
+    CPPUNIT_ASSERT(read->order == queue_order::kDeadline);
+    CPPUNIT_ASSERT(!read->customer_shares);
   }
 
   void Settings_InvalidBounds_AreRejectedWithTheirPlace() {
     const std::vector<std::pair<std::string, json>> bad{
         {"repeat_allowance", -1}, {"repeat_ratio", 1.5},   {"grace_s", "6"},
         {"withdrawal_s", 0},      {"limit_excess", -0.25}, {"limit_window_s", nullptr},
-        {"limit_allowance", 1e9}};
+        {"limit_allowance", 1e9}, {"drain_s", -1},         {"queue_order", "arrival"},
+        {"customer_shares", 1}};
     for (const auto& [key, value] : bad) {
       json settings = Settings();
       settings[key] = value;
