Retain instances whose items were removed while their nodes confirm them

Cause: an entry is removed three renewals after its machine lost the platform. Where the machines of a whole service lose it, every caller drops all targets of the service, although each of them serves and can be reached.

Ruled out: retaining removed entries for a fixed time, as after an outage of the platform. Also ruled out: a longer time without confirmation during the relist time; the time counts from the removal, so that an unconfirmed instance is dropped no later than before.

Change: instance_list retains an instance that was listed as ready and whose item no longer exists, for unlisted_retention::unconfirmed after the removal and for unlisted_retention::confirmed after each confirmation of its run. A denial drops it; another instance listed at its address replaces it. Retention is off by default; no caller sets it yet.

--- a/modules/cuminferry_fleet/cuminferry_fleet.h
+++ b/modules/cuminferry_fleet/cuminferry_fleet.h
@@ -23,4 +23,5 @@
 #include "cuminferry_fleet/replica/paged_update.h"
 #include "cuminferry_fleet/replica/refresh_planner.h"
 #include "cuminferry_fleet/replica/start_referrals.h"
+#include "cuminferry_fleet/replica/unlisted_queries.h"
 #include "cuminferry_fleet/replica/watch_schedule.h"
--- a/modules/cuminferry_fleet/replica/instance_list.cpp
+++ b/modules/cuminferry_fleet/replica/instance_list.cpp
@@ -1,6 +1,7 @@
 #include "cuminferry_fleet/replica/instance_list.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace cuminferry {
@@ -56,8 +57,15 @@
     return true;
   }
   entry& of = known->second;
+  if (of.is_retained && IsDistrusted(now) && of.unlisted_since < restored_at_) {
+    // The restored publisher may have lost the removal. The instance is retained by confirmation
+    // meanwhile.
+    withheld_.insert_or_assign(found.id, std::move(found));
+    return false;
+  }
   missing_.erase(found.id);
   of.listed = true;
+  of.is_retained = false;
   if (IsDistrusted(now) && of.instance.draining && !found.draining) {
     found.draining = true;
     draining_retained_.insert(found.id);
@@ -75,14 +83,23 @@
   return true;
 }
 
-void instance_list::SetMissing(std::string_view id) {
+void instance_list::SetMissing(std::string_view id, bool is_item_gone, instant now) {
   if (const auto withheld = withheld_.find(id); withheld != withheld_.end()) {
     withheld_.erase(withheld);
   }
   const auto known = entries_.find(id);
-  if (known != entries_.end() && std::exchange(known->second.listed, false)) {
+  if (known == entries_.end()) {
+    return;
+  }
+  entry& of = known->second;
+  if (std::exchange(of.listed, false)) {
     missing_.insert(known->first);
+    of.unlisted_since = now;
+    of.awaits_confirmation_since = now;
+    of.confirmed_at.reset();
+    of.is_retainable = !of.instance.draining;
   }
+  of.is_retainable = of.is_retainable && is_item_gone;
 }
 
 bool instance_list::Update(std::vector<service_instance> listed, instant now) {
@@ -93,12 +110,12 @@
   std::vector<instance_change> changes;
   for (const auto& [id, known] : entries_) {
     if (!ids.contains(id)) {
-      changes.push_back({.id = id, .listed = std::nullopt});
+      changes.push_back({.id = id, .listed = std::nullopt, .is_item_gone = true});
     }
   }
   for (const auto& [id, known] : withheld_) {
     if (!ids.contains(id)) {
-      changes.push_back({.id = id, .listed = std::nullopt});
+      changes.push_back({.id = id, .listed = std::nullopt, .is_item_gone = true});
     }
   }
   for (service_instance& found : listed) {
@@ -114,7 +131,7 @@
     if (change.listed) {
       changed = Take(*std::move(change.listed), now) || changed;
     } else {
-      SetMissing(change.id);
+      SetMissing(change.id, change.is_item_gone, now);
     }
   }
   const bool taken = TakeWithheld(now);
@@ -135,7 +152,7 @@
   }
   const bool changed = !withheld_.empty() || !draining_retained_.empty();
   for (auto& [id, found] : std::exchange(withheld_, {})) {
-    AddEntry(found);
+    Take(std::move(found), now);
   }
   for (const std::string& id : std::exchange(draining_retained_, {})) {
     service_instance& instance = entries_.find(id)->second.instance;
@@ -150,18 +167,70 @@
   if (now < retain_missing_until_ || missing_.empty()) {
     return false;
   }
-  for (const std::string& id : std::exchange(missing_, {})) {
-    const auto dropped = entries_.extract(id);
-    const endpoint address = dropped.mapped().instance.backend;
-    draining_retained_.erase(id);
-    removed_at_[id] = now;
-    removals_.emplace_back(now, id);
-    ids_at_[address].erase(id);
-    ChooseAt(address);
+  const std::set<std::string, std::less<>> candidates = missing_;
+  bool dropped = false;
+  for (const std::string& id : candidates) {
+    if (!Retain(id, entries_.find(id)->second, now)) {
+      Drop(id, now);
+      dropped = true;
+    }
+  }
+  return dropped;
+}
+
+// Whether an entry that is no longer listed still counts, now that the time is over in which all
+// of them do.
+bool instance_list::Retain(const std::string& id, entry& of, instant now) {
+  const bool is_new = !of.is_retained;
+  const auto ends_as = [&](retention_event_kind kind) {
+    if (!is_new) {
+      events_.push_back({.id = id, .service = of.instance.service, .kind = kind});
+    }
+    return false;
+  };
+  if (!IsHeld(of, now)) {
+    return ends_as(retention_event_kind::kNotConfirmed);
+  }
+  if (is_new) {
+    of.is_retained = true;
+    ChooseAt(of.instance.backend);
+  }
+  if (!IsChosen(id, of)) {
+    return ends_as(retention_event_kind::kReplaced);
+  }
+  if (is_new) {
+    events_.push_back(
+        {.id = id, .service = of.instance.service, .kind = retention_event_kind::kRetained});
   }
   return true;
 }
 
+bool instance_list::IsHeld(const entry& of, instant now) const {
+  if (!retention_.is_on() || !of.is_retainable) {
+    return false;
+  }
+  return now < of.awaits_confirmation_since + retention_.unconfirmed ||
+         (of.confirmed_at && now < *of.confirmed_at + retention_.confirmed);
+}
+
+bool instance_list::IsChosen(const std::string& id, const entry& of) const {
+  return at_address_.at(of.instance.backend) == id;
+}
+
+void instance_list::Drop(const std::string& id, instant now) {
+  const auto dropped = entries_.extract(id);
+  const entry& of = dropped.mapped();
+  const endpoint address = of.instance.backend;
+  // The publisher removed the entry when retention by confirmation began, at the latest.
+  const instant removed_at = of.is_retained ? of.unlisted_since : now;
+  missing_.erase(dropped.key());
+  draining_retained_.erase(dropped.key());
+  removed_at_[dropped.key()] = removed_at;
+  removals_.emplace_back(removed_at, dropped.key());
+  ids_at_[address].erase(dropped.key());
+  ChooseAt(address);
+}
+
 void instance_list::ForgetRemoved(instant now) {
   while (!removals_.empty() && now - removals_.front().first > kRemovedIdRetention) {
     const auto found = removed_at_.find(removals_.front().second);
@@ -173,6 +242,87 @@
   }
 }
 
+const instance_list::entry* instance_list::FindUnlisted(std::string_view id) const {
+  if (!may_have_unlisted() || !missing_.contains(id)) {
+    return nullptr;
+  }
+  const entry& of = entries_.find(id)->second;
+  return of.is_retainable ? &of : nullptr;
+}
+
+std::optional<instant> instance_list::UnlistedSince(std::string_view id) const {
+  const entry* found = FindUnlisted(id);
+  return found == nullptr ? std::nullopt : std::optional(found->unlisted_since);
+}
+
+bool instance_list::OnConfirmed(std::string_view id, std::int64_t started_millis, instant now) {
+  const entry* found = FindUnlisted(id);
+  if (found == nullptr) {
+    return false;
+  }
+  const std::int64_t known_run = found->instance.started_millis;
+  if (started_millis != 0 && known_run != 0 && started_millis != known_run) {
+    return false;
+  }
+  entries_.find(id)->second.confirmed_at = now;
+  return true;
+}
+
+bool instance_list::OnDenied(std::string_view id, instant now) {
+  if (FindUnlisted(id) == nullptr) {
+    return false;
+  }
+  Drop(std::string(id), now);
+  return true;
+}
+
+bool instance_list::AddUnlisted(const std::vector<unlisted_instance>& reported, instant now) {
+  bool changed = false;
+  for (const unlisted_instance& found : reported) {
+    const std::string& id = found.instance.id;
+    if (!retention_.is_on() || found.instance.draining || entries_.contains(id) ||
+        withheld_.contains(id) || removed_at_.contains(id)) {
+      continue;
+    }
+    AddEntry(found.instance);
+    entry& of = entries_.find(id)->second;
+    of.listed = false;
+    of.is_retainable = true;
+    of.unlisted_since = now - std::max(duration::zero(), found.unlisted_for);
+    of.awaits_confirmation_since = now;
+    missing_.insert(id);
+    changed = true;
+  }
+  const bool dropped = DropMissing(now);
+  return changed || dropped;
+}
+
+std::vector<unlisted_instance> instance_list::UnlistedInstances(instant now) const {
+  std::vector<unlisted_instance> unlisted;
+  if (!may_have_unlisted()) {
+    return unlisted;
+  }
+  for (const std::string& id : missing_) {
+    const entry& of = entries_.find(id)->second;
+    if (of.is_retainable && IsChosen(id, of)) {
+      unlisted.push_back({.instance = of.instance,
+                          .unlisted_for = now - of.unlisted_since,
+                          .confirmed_at = of.confirmed_at});
+    }
+  }
+  return unlisted;
+}
+
+std::set<std::string, std::less<>> instance_list::ListedServices() const {
+  std::set<std::string, std::less<>> services;
+  for (const auto& [id, known] : entries_) {
+    if (known.listed && !known.instance.draining) {
+      services.insert(known.instance.service);
+    }
+  }
+  return services;
+}
+
 bool instance_list::OnInstanceAbsent(std::string_view id) {
   const auto found = entries_.find(id);
   if (found == entries_.end() || found->second.reported_absent) {
@@ -197,7 +347,7 @@
   // counts: the reporting node may itself have been draining.
   const auto rank = [this](const std::string& id) {
     const entry& of = entries_.find(id)->second;
-    return std::pair(!of.reported_absent, of.instance.created);
+    return std::tuple(!of.reported_absent, !of.is_retained, of.instance.created);
   };
   at_address_[address] = *std::ranges::max_element(ids->second, {}, rank);
 }
--- a/modules/cuminferry_fleet/replica/instance_list.h
+++ b/modules/cuminferry_fleet/replica/instance_list.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -9,6 +11,8 @@
 #include <vector>
 
 #include "cuminferry_fleet/replica/service_instance.h"
+#include "cuminferry_fleet/replica/unlisted_instance.h"
+#include "cuminferry_fleet/replica/unlisted_retention.h"
 
 namespace cuminferry {
 
@@ -31,6 +35,12 @@
     The entry that was created last counts, unless a node reported that this instance is not
     at the address.
 
+    The entry of a backend server that lost its connection to the platform is removed as well,
+    although it serves and can be reached. If the machines of a whole service lose the platform,
+    the service would have no targets. Where the node beside a backend server can say whether it
+    serves, an instance that was listed as ready is therefore retained after its item was removed,
+    for as long as its node confirms it. @see unlisted_retention
+
     A change of one instance costs the entries at its address, however many are listed.
 */
 class instance_list {
@@ -62,6 +72,36 @@
       Returns whether another instance counts as the one at that address from now on. */
   bool OnInstanceAbsent(std::string_view id);
 
+  //============================================================================
+  // Retention of instances that are not listed, by confirmation.
+
+  /** Sets for how long instances whose items were removed are retained. */
+  void SetUnlistedRetention(const unlisted_retention& retention) { retention_ = retention; }
+  /** The node of an instance confirms that it serves. Returns whether the instance is unlisted here
+      and the confirmation is of the same run.
+      @param started_millis  start time of the run that is confirmed; 0 where it isn't known */
+  bool OnConfirmed(std::string_view id, std::int64_t started_millis, instant now);
+  /** The node of an instance denies that it serves: an unlisted one is dropped. Returns whether the
+      list changed. */
+  bool OnDenied(std::string_view id, instant now);
+  /** Adds instances that another node retains. They are retained here as if their items had just
+      been removed. Those that are known here, or were, are left out. Returns whether the list
+      changed. */
+  bool AddUnlisted(const std::vector<unlisted_instance>& reported, instant now);
+  /** Whether an instance counts although the platform doesn't list it, and is up for confirmation.
+   */
+  bool IsUnlisted(std::string_view id) const { return FindUnlisted(id) != nullptr; }
+  /** When the instance was first not listed; nothing if it is not unlisted. */
+  std::optional<instant> UnlistedSince(std::string_view id) const;
+  /** Returns the unlisted instances that count as the ones at their addresses, ordered by id. */
+  std::vector<unlisted_instance> UnlistedInstances(instant now) const;
+  /** Whether there may be unlisted instances; costs nothing. */
+  bool may_have_unlisted() const { return retention_.is_on() && !missing_.empty(); }
+  /** Returns the names of the services of listed instances. */
+  std::set<std::string, std::less<>> ListedServices() const;
+  /** Returns what began or ended by itself since the last call: retention, by removal or time. */
+  std::vector<retention_event> TakeRetentionEvents() { return std::exchange(events_, {}); }
+
   /** Returns the addresses whose instance may have changed since the last call. */
   std::vector<address_change> TakeChanges();
   /** Returns all ready and draining instances, one for each address, ordered by id. */
@@ -75,14 +115,28 @@
     service_instance instance;
     bool listed = true;
     bool reported_absent = false;
+    // The rest applies to an entry that is not listed.
+    instant unlisted_since{};
+    // The time without confirmation counts from here.
+    instant awaits_confirmation_since{};
+    std::optional<instant> confirmed_at{};
+    // Listed as ready until its item was removed.
+    bool is_retainable = false;
+    // Retained by confirmation; false while all missing entries are retained.
+    bool is_retained = false;
   };
 
   bool Take(service_instance found, instant now);
-  void SetMissing(std::string_view id);
+  void SetMissing(std::string_view id, bool is_item_gone, instant now);
   bool IsDistrusted(instant now) const { return now < distrust_until_; }
   bool WasRemoved(std::string_view id) const;
   bool TakeWithheld(instant now);
   bool DropMissing(instant now);
+  bool Retain(const std::string& id, entry& of, instant now);
+  void Drop(const std::string& id, instant now);
+  bool IsChosen(const std::string& id, const entry& of) const;
+  const entry* FindUnlisted(std::string_view id) const;
+  bool IsHeld(const entry& of, instant now) const;
   void ForgetRemoved(instant now);
 
   void AddEntry(service_instance found);
@@ -98,6 +152,8 @@
   // publisher lists them as ready.
   std::set<std::string, std::less<>> missing_;
   std::set<std::string, std::less<>> draining_retained_;
+  unlisted_retention retention_;
+  std::vector<retention_event> events_;
   instant retain_missing_until_{};
   instant restored_at_{};
   instant distrust_until_{};
--- a/modules/cuminferry_fleet/replica/service_instance.h
+++ b/modules/cuminferry_fleet/replica/service_instance.h
@@ -37,6 +37,9 @@
 struct instance_change {
   std::string id;
   std::optional<service_instance> listed;
+  /** Whether the item itself no longer exists. False where it still does, but another writer
+      overwrote it or the table doesn't declare its service. */
+  bool is_item_gone = false;
 };
 
 /** The instance that counts as the one at an address from now on; nothing where there is none. */
--- a/modules/cuminferry_relay/path/listed_instances.cpp
+++ b/modules/cuminferry_relay/path/listed_instances.cpp
@@ -16,7 +16,8 @@
     std::string id = found->id;
     changes.push_back({.id = std::move(id), .listed = std::move(found)});
   } else if (known != ids_by_key_.end()) {
-    changes.push_back({.id = known->second, .listed = std::nullopt});
+    changes.push_back(
+        {.id = known->second, .listed = std::nullopt, .is_item_gone = item == nullptr});
     ids_by_key_.erase(known);
   }
 }
--- a/tests/relay/instance_list_test.cpp
+++ b/tests/relay/instance_list_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "cuminferry_fleet/cuminferry_fleet.h"
 #include "support/property.h"
@@ -53,7 +54,22 @@
   CPPUNIT_TEST(OnPublisherReturned_RelistedAfterRelistTime_IsAdded);
   CPPUNIT_TEST(OnPublisherReturned_AfterDistrustTime_PublisherIsTrusted);
   CPPUNIT_TEST(Apply_RestartedUnderItsId_CountsAgain);
+  CPPUNIT_TEST(Unlisted_WithoutConfirmation_IsDroppedAfterUnconfirmedTime);
+  CPPUNIT_TEST(Unlisted_Confirmed_IsRetainedForConfirmedTime);
+  CPPUNIT_TEST(Unlisted_AnotherRunIsConfirmed_IsDropped);
+  CPPUNIT_TEST(Unlisted_Denied_IsDroppedImmediately);
+  CPPUNIT_TEST(Unlisted_WasDraining_IsDroppedImmediately);
+  CPPUNIT_TEST(Unlisted_ItemStillExists_IsDroppedImmediately);
+  CPPUNIT_TEST(Unlisted_AnotherIsListedAtItsAddress_IsReplaced);
+  CPPUNIT_TEST(Unlisted_ListedAgain_IsNotDeniedAnyMore);
+  CPPUNIT_TEST(Unlisted_MissingAfterRelistTime_IsRetainedByConfirmation);
+  CPPUNIT_TEST(Unlisted_RestoredPublisherListsIt_StaysUnlistedUntilTrusted);
+  CPPUNIT_TEST(Unlisted_RetentionSwitchedOff_IsDropped);
+  CPPUNIT_TEST(AddUnlisted_ReportedByAnotherNode_IsRetainedUntilConfirmed);
+  CPPUNIT_TEST(AddUnlisted_DroppedHereBefore_IsLeftOut);
+  CPPUNIT_TEST(TakeRetentionEvents_RetainedAndDropped_NamesEachOnce);
   CPPUNIT_TEST(TakeChanges_AnyHistory_DifferencesMakeTheWholeList);
+  CPPUNIT_TEST(TakeChanges_AnyHistoryWithRetention_DifferencesMakeTheWholeList);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -211,14 +227,219 @@
     CPPUNIT_ASSERT(Ids(list) == ids{"x"});
   }
 
+  //============================================================================
+  // Guards against requests to a backend server that has left: nobody confirms that it serves.
+  void Unlisted_WithoutConfirmation_IsDroppedAfterUnconfirmedTime() {
+    instance_list list = Retaining({Instance("x")});
+    CPPUNIT_ASSERT(!list.Apply({Removal("x")}, kRemoved));
+    CPPUNIT_ASSERT(list.IsUnlisted("x"));
+    CPPUNIT_ASSERT(list.UnlistedSince("x") == kRemoved);
+    CPPUNIT_ASSERT(!list.Expire(kRemoved + kRetention.unconfirmed - milliseconds(1)));
+    CPPUNIT_ASSERT(Ids(list) == ids{"x"});
+    CPPUNIT_ASSERT(list.Expire(kRemoved + kRetention.unconfirmed));
+    CPPUNIT_ASSERT(Ids(list).empty());
+    CPPUNIT_ASSERT(!list.IsUnlisted("x"));
+  }
+
+  // Guards against a service without targets while the platform can't be reached from its machines.
+  void Unlisted_Confirmed_IsRetainedForConfirmedTime() {
+    instance_list list = Retaining({Instance("x")});
+    list.Apply({Removal("x")}, kRemoved);
+    const instant confirmed = kRemoved + milliseconds(900);
+    CPPUNIT_ASSERT(list.OnConfirmed("x", 0, confirmed));
+    CPPUNIT_ASSERT(!list.Expire(confirmed + kRetention.confirmed - milliseconds(1)));
+    CPPUNIT_ASSERT(Ids(list) == ids{"x"});
+    CPPUNIT_ASSERT(list.Expire(confirmed + kRetention.confirmed));
+    CPPUNIT_ASSERT(!list.OnConfirmed("x", 0, confirmed + kRetention.confirmed));
+  }
+
+  // Guards against a late answer of an earlier run holding the entry of a later one.
+  void Unlisted_AnotherRunIsConfirmed_IsDropped() {
+    service_instance run = Instance("x");
+    run.started_millis = 2'000;
+    instance_list list = Retaining({run});
+    list.Apply({Removal("x")}, kRemoved);
+    CPPUNIT_ASSERT(!list.OnConfirmed("x", 1'000, kRemoved));
+    CPPUNIT_ASSERT(list.Expire(kRemoved + kRetention.unconfirmed));
+    CPPUNIT_ASSERT(Ids(list).empty());
+  }
+
+  void Unlisted_Denied_IsDroppedImmediately() {
+    instance_list list = Retaining({Instance("x"), Instance("listed", kAddress)});
+    list.Apply({Removal("x")}, kRemoved);
+    list.OnConfirmed("x", 0, kRemoved);
+    CPPUNIT_ASSERT(list.OnDenied("x", kRemoved));
+    CPPUNIT_ASSERT(!list.OnDenied("x", kRemoved));
+    CPPUNIT_ASSERT(!list.OnDenied("listed", kRemoved));
+    CPPUNIT_ASSERT(Ids(list) == ids{"listed"});
+  }
+
+  // Guards against requests to an instance that was listed as draining before its entry was
+  // removed.
+  void Unlisted_WasDraining_IsDroppedImmediately() {
+    instance_list list = Retaining({DrainingInstance("x")});
+    CPPUNIT_ASSERT(list.Apply({Removal("x")}, kRemoved));
+    CPPUNIT_ASSERT(Ids(list).empty());
+  }
+
+  // Guards against an entry that another program overwrote, with an unknown service perhaps, being
+  // retained.
+  void Unlisted_ItemStillExists_IsDroppedImmediately() {
+    instance_list list = Retaining({Instance("x")});
+    CPPUNIT_ASSERT(list.Apply({{.id = "x", .listed = std::nullopt}}, kRemoved));
+    CPPUNIT_ASSERT(Ids(list).empty());
+  }
+
+  // Guards against requests for an instance whose address another one has got.
+  void Unlisted_AnotherIsListedAtItsAddress_IsReplaced() {
+    instance_list list = Retaining({Instance("old", kAddress, 20)});
+    list.Apply({Removal("old")}, kRemoved);
+    list.OnConfirmed("old", 0, kRemoved);
+    const service_instance listed = Instance("new", kAddress, 10);
+    list.Apply({{.id = "new", .listed = listed}}, kRemoved + milliseconds(100));
+    CPPUNIT_ASSERT(Ids(list) == ids{"new"});
+    CPPUNIT_ASSERT(!list.IsUnlisted("old"));
+  }
+
+  // Guards against a late denial dropping an instance that the platform lists again.
+  void Unlisted_ListedAgain_IsNotDeniedAnyMore() {
+    instance_list list = Retaining({Instance("x")});
+    list.Apply({Removal("x")}, kRemoved);
+    list.Apply({{.id = "x", .listed = Instance("x")}}, kRemoved + milliseconds(100));
+    CPPUNIT_ASSERT(!list.IsUnlisted("x"));
+    CPPUNIT_ASSERT(!list.OnDenied("x", kRemoved + milliseconds(200)));
+    CPPUNIT_ASSERT(!list.Expire(kRemoved + seconds(60)));
+    CPPUNIT_ASSERT(Ids(list) == ids{"x"});
+  }
+
+  // Guards against a service losing its targets when the platform has recovered but the machines of
+  // the service don't reach it yet.
+  void Unlisted_MissingAfterRelistTime_IsRetainedByConfirmation() {
+    instance_list list = Retaining({Instance("x"), Instance("y", kAddress)});
+    list.OnPlatformRecovered(kRemoved);
+    list.Apply({Removal("x"), Removal("y")}, kRemoved);
+    list.OnConfirmed("x", 0, kRemoved + seconds(1));
+    CPPUNIT_ASSERT(!list.Expire(kRemoved + instance_list::kRelistTime - milliseconds(1)));
+    CPPUNIT_ASSERT(list.Expire(kRemoved + instance_list::kRelistTime));
+    CPPUNIT_ASSERT(Ids(list) == ids{"x"});
+  }
+
+  // Guards against requests to a backend server that has left because a restored publisher has lost
+  // its removal. Whether it serves is up to its node until the publisher is trusted.
+  void Unlisted_RestoredPublisherListsIt_StaysUnlistedUntilTrusted() {
+    instance_list list = Retaining({Instance("x")});
+    list.Apply({Removal("x")}, kRemoved);
+    list.OnConfirmed("x", 0, kRemoved);
+    const instant restored = kRemoved + milliseconds(100);
+    list.OnPublisherRestored(restored);
+    CPPUNIT_ASSERT(!list.Apply({{.id = "x", .listed = Instance("x")}}, restored));
+    CPPUNIT_ASSERT(list.IsUnlisted("x"));
+    CPPUNIT_ASSERT(list.OnDenied("x", restored + seconds(1)));
+    CPPUNIT_ASSERT(!list.Apply({{.id = "x", .listed = Instance("x")}}, restored + seconds(2)));
+    CPPUNIT_ASSERT(Ids(list).empty());
+    CPPUNIT_ASSERT(list.Expire(restored + instance_list::kDistrustTime));
+    CPPUNIT_ASSERT(Ids(list) == ids{"x"});
+    CPPUNIT_ASSERT(!list.IsUnlisted("x"));
+  }
+
+  void Unlisted_RetentionSwitchedOff_IsDropped() {
+    instance_list list = Retaining({Instance("x")});
+    list.Apply({Removal("x")}, kRemoved);
+    list.OnConfirmed("x", 0, kRemoved);
+    list.SetUnlistedRetention({});
+    CPPUNIT_ASSERT(!list.IsUnlisted("x"));
+    CPPUNIT_ASSERT(list.Expire(kRemoved + milliseconds(1)));
+    CPPUNIT_ASSERT(Ids(list).empty());
+  }
+
+  // Guards against a node that starts while a service is not listed having no targets for it, and
+  // against instances that only other nodes know staying for ever.
+  void AddUnlisted_ReportedByAnotherNode_IsRetainedUntilConfirmed() {
+    instance_list list = Retaining({Instance("listed", kAddress)});
+    const std::vector<unlisted_instance> reported{
+        {.instance = Instance("x"), .unlisted_for = seconds(3), .confirmed_at = std::nullopt},
+        {.instance = Instance("listed", kAddress),
+         .unlisted_for = seconds(3),
+         .confirmed_at = std::nullopt},
+        {.instance = DrainingInstance("leaving", {.address = 7, .port = 80}),
+         .unlisted_for = seconds(3),
+         .confirmed_at = std::nullopt}};
+    CPPUNIT_ASSERT(list.AddUnlisted(reported, kRemoved));
+    CPPUNIT_ASSERT((Ids(list) == ids{"listed", "x"}));
+    CPPUNIT_ASSERT(!list.IsUnlisted("listed"));
+    CPPUNIT_ASSERT(list.UnlistedSince("x") == kRemoved - seconds(3));
+    CPPUNIT_ASSERT(!list.Expire(kRemoved + kRetention.unconfirmed - milliseconds(1)));
+    CPPUNIT_ASSERT(list.Expire(kRemoved + kRetention.unconfirmed));
+    CPPUNIT_ASSERT(Ids(list) == ids{"listed"});
+  }
+
+  // Guards against two nodes passing on to each other an instance that left.
+  void AddUnlisted_DroppedHereBefore_IsLeftOut() {
+    instance_list list = Retaining({Instance("x")});
+    list.Apply({Removal("x")}, kRemoved);
+    list.OnDenied("x", kRemoved);
+    CPPUNIT_ASSERT(!list.AddUnlisted(
+        {{.instance = Instance("x"), .unlisted_for = seconds(1), .confirmed_at = std::nullopt}},
+        kRemoved + seconds(1)));
+    CPPUNIT_ASSERT(Ids(list).empty());
+  }
+
+  void TakeRetentionEvents_RetainedAndDropped_NamesEachOnce() {
+    instance_list list =
+        Retaining({Instance("x"), Instance("y", kAddress), DrainingInstance("z", kOtherAddress)});
+    list.Apply({Removal("x"), Removal("y"), Removal("z")}, kRemoved);
+    list.Expire(kRemoved + milliseconds(100));
+    CPPUNIT_ASSERT((EventsOf(list) == events{{"x", retention_event_kind::kRetained},
+                                             {"y", retention_event_kind::kRetained}}));
+    list.Apply({{.id = "new", .listed = Instance("new", kAddress, 30)}}, kRemoved + seconds(2));
+    CPPUNIT_ASSERT((EventsOf(list) == events{{"x", retention_event_kind::kNotConfirmed},
+                                             {"y", retention_event_kind::kNotConfirmed}}));
+  }
+
+  //============================================================================
   // Guards against targets, peers and the dissemination tree of a node drifting away from the list,
   // as they are brought up to date by differences only. One list receives the changes, another one
   // the whole list each time.
-  void TakeChanges_AnyHistory_DifferencesMakeTheWholeList() {
-    CheckProperty("differences make the whole list", [](std::uint64_t seed) {
+  void TakeChanges_AnyHistory_DifferencesMakeTheWholeList() { CheckDifferences({}); }
+
+  void TakeChanges_AnyHistoryWithRetention_DifferencesMakeTheWholeList() {
+    CheckDifferences(kRetention);
+  }
+
+ private:
+  using events = std::vector<std::pair<std::string, retention_event_kind>>;
+
+  static constexpr unlisted_retention kRetention =
+      unlisted_retention::ForDrainTime(milliseconds(2'500));
+  static constexpr instant kRemoved = kStart + seconds(10);
+  static constexpr endpoint kOtherAddress{.address = 0x0A010002, .port = 80};
+
+  static instance_list Retaining(std::vector<service_instance> listed) {
+    instance_list list;
+    list.SetUnlistedRetention(kRetention);
+    list.Update(std::move(listed), kStart);
+    return list;
+  }
+
+  static instance_change Removal(std::string id) {
+    return {.id = std::move(id), .listed = std::nullopt, .is_item_gone = true};
+  }
+
+  static events EventsOf(instance_list& list) {
+    events found;
+    for (const retention_event& event : list.TakeRetentionEvents()) {
+      found.emplace_back(event.id, event.kind);
+    }
+    return found;
+  }
+
+  static void CheckDifferences(const unlisted_retention& retention) {
+    CheckProperty("differences make the whole list", [&retention](std::uint64_t seed) {
       random_source random(seed);
       instance_list by_changes;
       instance_list by_whole_list;
+      by_changes.SetUnlistedRetention(retention);
+      by_whole_list.SetUnlistedRetention(retention);
       std::map<std::string, service_instance> published;
       std::map<endpoint, service_instance> at_address;
       instant now = kStart;
@@ -229,7 +450,7 @@
         std::vector<instance_change> changes;
         if (random.Below(4) == 0) {
           published.erase(id);
-          changes.push_back({.id = id, .listed = std::nullopt});
+          changes.push_back(Removal(id));
         } else {
           service_instance instance = Instance(
               id, {.address = static_cast<std::uint32_t>(random.Below(6)), .port = 80}, step);
@@ -245,6 +466,13 @@
           by_changes.OnPublisherRestored(now);
           by_whole_list.OnPublisherRestored(now);
         }
+        const std::string answered = std::to_string(random.Below(12));
+        if (random.Below(2) == 0) {
+          RC_ASSERT(by_changes.OnConfirmed(answered, 0, now) ==
+                    by_whole_list.OnConfirmed(answered, 0, now));
+        } else if (random.Below(4) == 0) {
+          RC_ASSERT(by_changes.OnDenied(answered, now) == by_whole_list.OnDenied(answered, now));
+        }
         by_changes.Apply(std::move(changes), now);
         std::vector<service_instance> listed;
         for (const auto& [known_id, instance] : published) {
@@ -269,7 +497,6 @@
     });
   }
 
- private:
   static service_instance DrainingInstance(std::string id, const endpoint& backend = {}) {
     service_instance instance = Instance(std::move(id), backend);
     instance.draining = true;
