Go on calling unlisted targets whose nodes confirm that they serve

Cause: a caller drops a target when its entry is removed, although the node beside it may know that it serves.

Ruled out: queries only. They confirm three instances of each service a second, so targets of a service with much traffic would be dropped before their turn; answers to requests confirm at no further message. Also ruled out: marking requests by the time of the removal at the platform, which callers don't know; they send the time since they learned of it.

Change: requests to unlisted targets carry Relay-Unlisted, and Relay-Serving in an answer confirms the run. The outcomes `leaving` and `other-instance` drop an unlisted target. unlisted_exchange sends GET /relay/registration to nodes that no answer has confirmed, answers GET /relay/unlisted at the peer and seed addresses, and queries it once at the node from which a node that starts copied its first items. Instances that declared that they leave, or whose service is no longer declared, are not retained. Log events instance.retained and instance.dropped, metric cuminferry_unlisted_targets, field unlisted_us in the lines of requests. All of it is off while the setting drain_s is absent.

--- a/modules/cuminferry_relay/path/item_exchange.cpp
+++ b/modules/cuminferry_relay/path/item_exchange.cpp
@@ -269,7 +269,11 @@
                            {"to", item_revision::ToText(update.complete_to)},
                            {"items", update.items.size()}});
     }
+    const bool is_first = board.items.complete_to() == 0;
     on.on_update(update);
+    if (is_first) {
+      on.on_copied(queried_peer);
+    }
   }
 
   void QuerySamePeer() {
--- a/modules/cuminferry_relay/path/item_exchange.h
+++ b/modules/cuminferry_relay/path/item_exchange.h
@@ -23,6 +23,9 @@
   struct hooks {
     /** Another node has sent a newer update. */
     std::function<void(const item_update&)> on_update;
+    /** This node, which had none, has got published items from the node at this address; called
+        after `on_update`. */
+    std::function<void(const endpoint& peer)> on_copied;
     /** Called with whether this node should watch the platform, on each change; initially it
         should not. */
     std::function<void(bool)> on_watching_change;
--- a/modules/cuminferry_relay/path/outbound_answer.cpp
+++ b/modules/cuminferry_relay/path/outbound_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/path/outbound_state.h"
+#include "cuminferry_relay/path/unlisted_headers.h"
 
 namespace cuminferry {
 
@@ -9,6 +10,11 @@
   answer_timer.Stop();
   const instant now = board.loop.Now();
   board.domains.OnReceived(target_domain, now);
+  if (const std::string* serving = head.Find(kServingField)) {
+    if (const auto run = ParseInteger<std::int64_t>(*serving)) {
+      board.on_instance_confirmed(record.target_id, *run);
+    }
+  }
   ApplyLoadReport(head, now);
   if (const std::string* field = head.Find(kOutcomeField)) {
     outcome = ParseOutcome(*field);
@@ -25,6 +31,7 @@
   head.Remove(kRepeatsField);
   head.Remove(kRateField);
   head.Remove(kLeavingField);
+  head.Remove(kServingField);
   head.Remove(kOutcomeField);
   head.RemoveConnectionFields();
   const bool failed = head.status >= http_status::kFirstServerError;
@@ -65,6 +72,9 @@
                                              static_cast<std::int64_t>(*leaving_run))) {
     board.log.LogChange("target.leaving",
                         {{"target", record.target_id}, {"service", record.service}});
+    if (board.unlisted_since(record.target_id)) {
+      board.on_target_denied(record.target_id, "declared_leaving");
+    }
   }
   const std::string* rate_field = head.Find(kRateField);
   picker.OnRateReport(record.target_id,
@@ -170,7 +180,7 @@
     tried_targets.erase(record.target_id);
   }
   if (why == relay_outcome::kLeaving || why == relay_outcome::kOtherInstance) {
-    board.on_instance_absent(record.target_id);
+    board.on_target_denied(record.target_id, ToText(why));
   }
   if (why == relay_outcome::kEnded || why == relay_outcome::kEndedAlone) {
     suspect_digest = request_digest::Of(Parts());
--- a/modules/cuminferry_relay/path/outbound_placement.cpp
+++ b/modules/cuminferry_relay/path/outbound_placement.cpp
@@ -2,6 +2,7 @@
 
 #include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/path/outbound_state.h"
+#include "cuminferry_relay/path/unlisted_headers.h"
 
 namespace cuminferry {
 namespace {
@@ -30,6 +31,9 @@
     FailUnplaced("stale_key");
     return;
   }
+  if (board.settings.drain > duration::zero()) {
+    board.unlisted.OnRequest(record.service, now);
+  }
   target_picker& picker = board.PickerOf(record.service);
   const auto picked = picker.Pick(
       {.tried_targets = tried_targets,
@@ -50,6 +54,8 @@
   tried_targets.insert(target.id);
   record.target_id = target.id;
   record.declared = picked->declared;
+  const auto unlisted_since = board.unlisted_since(target.id);
+  record.unlisted_for = unlisted_since ? std::optional(now - *unlisted_since) : std::nullopt;
   target_peer = board.PeerAddressOf(target.backend);
   target_domain = target.failure_domain;
   sent_at = now;
@@ -213,6 +219,12 @@
   if (rate.is_needed()) {
     head.Set(kRateField, rate.ToText());
   }
+  head.Remove(kUnlistedField);
+  if (record.unlisted_for) {
+    const unlisted_notice notice{.started_millis = picked.target.started_millis,
+                                 .unlisted_for = *record.unlisted_for};
+    head.Set(kUnlistedField, notice.ToText());
+  }
   head.Remove(kSuspectField);
   if (suspect_digest) {
     head.Set(kSuspectField, suspect_digest->ToText());
--- a/modules/cuminferry_relay/path/outbound_record.cpp
+++ b/modules/cuminferry_relay/path/outbound_record.cpp
@@ -16,6 +16,7 @@
                                 {"placements", placements},
                                 {"reached", backend_placements}};
   AddDeclared(detail);
+  AddUnlisted(detail);
   log.LogRequest("request.turned_away", std::move(detail));
 }
 
@@ -26,6 +27,12 @@
   }
 }
 
+void outbound_record::AddUnlisted(nlohmann::ordered_json& detail) const {
+  if (unlisted_for) {
+    detail["unlisted_us"] = unlisted_for->count();
+  }
+}
+
 void outbound_record::LogResult(decision_log& log, std::string_view result, duration took) const {
   nlohmann::ordered_json detail{{"id", request_id}, {"result", result}, {"us", took.count()}};
   if (!row.empty()) {
@@ -36,6 +43,7 @@
     detail["placements"] = placements;
     detail["nested"] = nested;
     AddDeclared(detail);
+    AddUnlisted(detail);
   }
   if (!customer.empty()) {
     detail["customer"] = customer;
--- a/modules/cuminferry_relay/path/outbound_record.h
+++ b/modules/cuminferry_relay/path/outbound_record.h
@@ -28,6 +28,8 @@
   std::uint32_t backend_placements = 0;
   /** What was known of the rate that the last target declares, and the age of that. */
   std::optional<rate_belief> declared;
+  /** Time for which the last target had not been listed; nothing if it was listed. */
+  std::optional<duration> unlisted_for;
   /** The request was sent by a backend server, not by a client. */
   bool nested = false;
   /** Fraction of the customer's requests that its limit admitted, if the request was refused
@@ -55,6 +57,7 @@
 
  private:
   void AddDeclared(nlohmann::ordered_json& detail) const;
+  void AddUnlisted(nlohmann::ordered_json& detail) const;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -107,6 +107,14 @@
   coordinator_picker coordinators;
   /** Called if a node or its backend server reports that this instance is not at its address. */
   std::function<void(std::string_view id)> on_instance_absent;
+  /** Called if a target's node answers that its backend server leaves or is another instance. */
+  std::function<void(std::string_view id, std::string_view why)> on_target_denied;
+  /** When an instance that counts as a target was first not listed; nothing for a listed one. */
+  std::function<std::optional<instant>(std::string_view id)> unlisted_since;
+  /** Called if the node of an unlisted instance confirms that it serves.
+      @param started_millis  start time of the run */
+  std::function<void(std::string_view id, std::int64_t started_millis)> on_instance_confirmed;
+  unlisted_queries unlisted;
   /** Queries a coordinator of the customer's limit and calls back once one has answered or
       none did. */
   std::function<void(const std::string& customer, std::function<void()> on_replied)>
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -10,6 +10,8 @@
 #include "cuminferry_relay/path/outbound_call.h"
 #include "cuminferry_relay/path/serving_side.h"
 #include "cuminferry_relay/path/suspect_exchange.h"
+#include "cuminferry_relay/path/unlisted_exchange.h"
+#include "cuminferry_relay/path/unlisted_headers.h"
 
 namespace cuminferry {
 namespace {
@@ -48,6 +50,7 @@
   item_exchange exchange;
   limit_exchange limits;
   suspect_exchange suspects;
+  unlisted_exchange unlisted;
   loop_timer expiry_timer;
   loop_timer drain_timer;
   std::unordered_map<outbound_call*, std::shared_ptr<outbound_call>> calls;
@@ -68,11 +71,13 @@
         serving(board),
         exchange(board,
                  {.on_update = [this](const item_update& update) { ApplyUpdate(update); },
+                  .on_copied = [this](const endpoint& peer) { unlisted.OnItemsCopied(peer); },
                   .on_watching_change = std::move(on_watching_change),
                   .unsettled_time =
                       [this] { return instances.RemainingRetention(this->board.loop.Now()); }}),
         limits(board),
         suspects(board),
+        unlisted(board, instances, [this] { ApplyInstances(); }),
         expiry_timer(loop),
         drain_timer(loop) {
     board.query_coordinator = [this](const std::string& customer,
@@ -87,6 +92,11 @@
         ApplyInstances();
       }
     };
+    board.on_target_denied = [this](std::string_view id, std::string_view why) {
+      if (!unlisted.OnDenied(id, why)) {
+        board.on_instance_absent(id);
+      }
+    };
   }
 
   absl::Status Listen() {
@@ -114,6 +124,8 @@
     status.Update(listen(seed, at.seed, peer_limits, [this](auto request) {
       if (request->request().target.starts_with(kItemsPath)) {
         exchange.OnRequest(*request);
+      } else if (request->request().target == kUnlistedPath) {
+        unlisted.OnRequest(*request);
       } else {
         request->Answer(MakeAnswer(http_status::kNotFound), "");
       }
@@ -143,6 +155,8 @@
       exchange.OnRequest(*request);
     } else if (request->request().target.starts_with(kSuspectsPath)) {
       suspects.OnRequest(request);
+    } else if (request->request().target == kUnlistedPath) {
+      unlisted.OnRequest(*request);
     } else if (request->request().target == kLimitsPath) {
       limits.OnRequest(std::move(request));
     } else {
@@ -185,6 +199,7 @@
       board.metrics.SetGauge("cuminferry_items_age_seconds", ToSeconds(*age));
     }
     serving.SetGauges(board.metrics);
+    unlisted.SetGauges(board.metrics);
     http_head head = MakeAnswer(http_status::kOk);
     head.Set("Content-Type", "text/plain; version=0.0.4");
     request.Answer(std::move(head), board.metrics.ToText());
@@ -248,6 +263,7 @@
   }
 
   void ApplyInstances() {
+    unlisted.OnInstancesChanged();
     const std::vector<address_change> changes = instances.TakeChanges();
     if (changes.empty()) {
       return;
@@ -352,6 +368,7 @@
 bool relay_node::ApplySettings(const relay_settings& changed) {
   relay_board& board = state_->board;
   board.ApplyBounds(changed);
+  state_->unlisted.ApplySettings();
   relay_settings in_force = board.settings;
   // The users of these two settings read them anew each time, so they take effect at once.
   in_force.platform = changed.platform;
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -206,6 +206,8 @@
 
 endpoint relay_fleet::PeerAddress(int node) const { return AddressOf(node, kPeerPort); }
 
+endpoint relay_fleet::SeedAddress(int node) const { return AddressOf(node, kSeedPort); }
+
 std::string relay_fleet::DomainOf(int node) const {
   return "domain-" + std::to_string(node % domains_);
 }
@@ -271,8 +273,12 @@
 void relay_fleet::PublishTo(int node, std::uint64_t version) {
   item_update update{.complete_to = version, .whole = true, .items = {}, .age_micros = 0};
   update.items.push_back({.key = "table", .value = std::to_string(version), .revision = version});
-  for (const service_instance& instance : Instances()) {
-    update.items.push_back({.key = "instance/" + instance.id, .value = "", .revision = 1});
+  const std::vector<service_instance> instances = Instances();
+  for (std::size_t listed = 0; listed < instances.size(); ++listed) {
+    if (!unlisted_.contains(static_cast<int>(listed))) {
+      update.items.push_back(
+          {.key = "instance/" + instances[listed].id, .value = "", .revision = 1});
+    }
   }
   this->node(node).OnItemUpdate(update);
   this->node(node).SetPlatformReachable(true);
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cuminferry_relay/cuminferry_relay.h"
@@ -82,6 +84,8 @@
   void PublishToAll(std::uint64_t version);
   /** Publishes this version of the table and all instances to one node. */
   void PublishTo(int node, std::uint64_t version);
+  /** Leaves these nodes' instances out of what is published from now on. Initially none. */
+  void SetUnlisted(std::set<int> nodes) { unlisted_ = std::move(nodes); }
   /** Sets the customers of the tables that are published from now on. Initially there are none. */
   void SetCustomers(std::vector<customer> customers) { customers_ = std::move(customers); }
   /** The routes of all tests. GET and POST under /once/ and /short/ run at most once, those under
@@ -113,6 +117,8 @@
   endpoint OutboundAddress(int node) const;
   /** The address on which a node accepts connections of other nodes. */
   endpoint PeerAddress(int node) const;
+  /** The address at which a node that has just started queries this one. */
+  endpoint SeedAddress(int node) const;
   /** Makes the platform stop answering this node without an error. */
   void CutFromPlatform(int node) { platform_reachable_.at(static_cast<std::size_t>(node)) = false; }
   void ReconnectPlatform(int node) {
@@ -147,6 +153,7 @@
   int address_block_;
   int domains_;
   std::vector<customer> customers_;
+  std::set<int> unlisted_;
   std::vector<bool> watches_platform_;
   std::vector<bool> platform_reachable_;
   loop_timer platform_timer_;
