Say in explain that a target was not listed, and query only about services in use

Cause: an operator could not see from explain that a request went to an unlisted target. The choice of queries copied all unlisted instances ten times a second.

Change: explain shows the time for which the target had not been listed. Candidates for queries are collected without copies and only for services that are in use or without listed instances. Further tests, one failure each: an instance declared that it leaves, before or after its removal; its service is no longer declared; the metric; an item that was overwritten isn't reported as gone.

Ruled out: an index of unlisted instances by service. Those of services that this node doesn't use are dropped after a second anyway.

--- a/extras/ctl/commands/explain_command.cpp
+++ b/extras/ctl/commands/explain_command.cpp
@@ -242,6 +242,14 @@
          MillisOf(line, "declared_age_us") + " before)";
 }
 
+// Says that the target counted although the platform did not list it.
+std::string DescribeUnlisted(const json& line) {
+  if (!line.contains("unlisted_us")) {
+    return "";
+  }
+  return " (the target had not been listed for " + MillisOf(line, "unlisted_us") + ")";
+}
+
 std::string DescribeDeclaration(const log_entry& entry) {
   const json& line = entry.line;
   const std::string target = "target " + TextOf(line, "target");
@@ -260,7 +268,7 @@
   if (entry.event == "request.turned_away") {
     return "try " + TextOf(line, "placements") + " at target " + TextOf(line, "target") + " of " +
            TextOf(line, "service") + " brought no answer: " + MeaningOf(TextOf(line, "why")) +
-           DescribeDeclaredRate(line);
+           DescribeDeclaredRate(line) + DescribeUnlisted(line);
   }
   if (entry.event == "backend.declared" || entry.event == "backend.leaving") {
     return DescribeDeclaration(entry);
@@ -284,7 +292,7 @@
       words += line.contains("limited_by") ? ", limited by " + TextOf(line, "limited_by") : "";
       words += ")";
     }
-    return words + DescribeDeclaredRate(line) + DescribeCustomer(line);
+    return words + DescribeDeclaredRate(line) + DescribeUnlisted(line) + DescribeCustomer(line);
   }
   if (entry.event == "suspect.ran") {
     const std::string customer = TextOf(line, "customer");
--- a/modules/cuminferry_fleet/replica/instance_list.cpp
+++ b/modules/cuminferry_fleet/replica/instance_list.cpp
@@ -167,15 +167,16 @@
   if (now < retain_missing_until_ || missing_.empty()) {
     return false;
   }
-  const std::set<std::string, std::less<>> candidates = missing_;
-  bool dropped = false;
-  for (const std::string& id : candidates) {
+  std::vector<std::string> ended;
+  for (const std::string& id : missing_) {
     if (!Retain(id, entries_.find(id)->second, now)) {
-      Drop(id, now);
-      dropped = true;
+      ended.push_back(id);
     }
   }
-  return dropped;
+  for (const std::string& id : ended) {
+    Drop(id, now);
+  }
+  return !ended.empty();
 }
 
 // Whether an entry that is no longer listed still counts, now that the time is over in which all
@@ -297,19 +298,27 @@
   return changed || dropped;
 }
 
-std::vector<unlisted_instance> instance_list::UnlistedInstances(instant now) const {
-  std::vector<unlisted_instance> unlisted;
+void instance_list::ForEachUnlisted(
+    const std::function<void(const service_instance&, const std::optional<instant>& confirmed_at)>&
+        on_each) const {
   if (!may_have_unlisted()) {
-    return unlisted;
+    return;
   }
   for (const std::string& id : missing_) {
     const entry& of = entries_.find(id)->second;
     if (of.is_retainable && IsChosen(id, of)) {
-      unlisted.push_back({.instance = of.instance,
-                          .unlisted_for = now - of.unlisted_since,
-                          .confirmed_at = of.confirmed_at});
+      on_each(of.instance, of.confirmed_at);
     }
   }
+}
+
+std::vector<unlisted_instance> instance_list::UnlistedInstances(instant now) const {
+  std::vector<unlisted_instance> unlisted;
+  ForEachUnlisted([&](const service_instance& found, const std::optional<instant>& confirmed_at) {
+    unlisted.push_back({.instance = found,
+                        .unlisted_for = now - entries_.find(found.id)->second.unlisted_since,
+                        .confirmed_at = confirmed_at});
+  });
   return unlisted;
 }
 
--- a/modules/cuminferry_fleet/replica/instance_list.h
+++ b/modules/cuminferry_fleet/replica/instance_list.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -95,6 +96,10 @@
   std::optional<instant> UnlistedSince(std::string_view id) const;
   /** Returns the unlisted instances that count as the ones at their addresses, ordered by id. */
   std::vector<unlisted_instance> UnlistedInstances(instant now) const;
+  /** Calls a function with each of them, without a copy. It must not change the list. */
+  void ForEachUnlisted(
+      const std::function<void(const service_instance&,
+                               const std::optional<instant>& confirmed_at)>& on_each) const;
   /** Whether there may be unlisted instances; costs nothing. */
   bool may_have_unlisted() const { return retention_.is_on() && !missing_.empty(); }
   /** Returns the names of the services of listed instances. */
--- a/modules/cuminferry_fleet/replica/unlisted_queries.cpp
+++ b/modules/cuminferry_fleet/replica/unlisted_queries.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <tuple>
-#include <utility>
 
 namespace cuminferry {
 
@@ -15,9 +14,10 @@
   }
 }
 
-bool unlisted_queries::IsWanted(const candidate& of, instant now) const {
-  const auto requested = requested_at_.find(of.service);
-  return !of.has_listed_others ||
+bool unlisted_queries::IsWanted(std::string_view service, bool has_listed_others,
+                                instant now) const {
+  const auto requested = requested_at_.find(service);
+  return !has_listed_others ||
          (requested != requested_at_.end() && now - requested->second <= kUseTime);
 }
 
@@ -27,19 +27,16 @@
          (!of.confirmed_at || now - *of.confirmed_at >= kQueryPeriod);
 }
 
-void unlisted_queries::UpdateKnown(std::span<const candidate> unlisted, instant now,
-                                   random_source& random) {
-  std::map<std::string, unlisted_state, std::less<>> before = std::exchange(known_, {});
-  for (const candidate& of : unlisted) {
-    const auto found = before.find(of.id);
-    if (found != before.end()) {
-      known_.emplace(of.id, found->second);
-      continue;
-    }
+unlisted_queries::unlisted_state& unlisted_queries::KnownOf(const candidate& of, instant now,
+                                                            random_source& random) {
+  const auto [found, is_new] = known_.try_emplace(of.id);
+  if (is_new) {
     const auto delay = static_cast<duration::rep>(
         random.Below(static_cast<std::uint64_t>(kMaxFirstDelay.count())));
-    known_.emplace(of.id, unlisted_state{.first_due_at = now + duration(delay)});
+    found->second.first_due_at = now + duration(delay);
   }
+  found->second.seen_at = now;
+  return found->second;
 }
 
 std::size_t unlisted_queries::Allowance(const std::string& service, instant now) {
@@ -52,27 +49,29 @@
 
 std::vector<std::string> unlisted_queries::TakeDue(std::span<const candidate> unlisted, instant now,
                                                    random_source& random) {
-  UpdateKnown(unlisted, now, random);
-  std::map<std::string_view, std::vector<const candidate*>> due_by_service;
+  std::map<std::string_view, std::vector<due_instance>> due_by_service;
   for (const candidate& of : unlisted) {
-    if (IsDue(of, known_.at(of.id), now) && IsWanted(of, now)) {
-      due_by_service[of.service].push_back(&of);
+    unlisted_state& known = KnownOf(of, now, random);
+    if (IsDue(of, known, now) && IsWanted(of.service, of.has_listed_others, now)) {
+      due_by_service[of.service].push_back({.of = &of, .known = &known});
     }
   }
   std::vector<std::string> chosen;
   for (auto& [service, due] : due_by_service) {
     // Among those that were never confirmed, the ones not asked yet come first, in random order.
-    std::ranges::sort(due, {}, [this](const candidate* of) {
-      const unlisted_state& known = known_.at(of->id);
-      return std::tuple(of->confirmed_at, known.queried_at, known.first_due_at);
+    std::ranges::sort(due, {}, [](const due_instance& one) {
+      return std::tuple(one.of->confirmed_at, one.known->queried_at, one.known->first_due_at);
     });
-    due.resize(std::min(due.size(), Allowance(due.front()->service, now)));
-    for (const candidate* of : due) {
-      known_.at(of->id).queried_at = now;
-      sent_[of->service].push_back(now);
-      chosen.push_back(of->id);
+    due.resize(std::min(due.size(), Allowance(std::string(service), now)));
+    for (const due_instance& one : due) {
+      one.known->queried_at = now;
+      sent_[one.of->service].push_back(now);
+      chosen.push_back(one.of->id);
     }
   }
+  if (known_.size() > unlisted.size()) {
+    std::erase_if(known_, [now](const auto& known) { return known.second.seen_at != now; });
+  }
   return chosen;
 }
 
--- a/modules/cuminferry_fleet/replica/unlisted_queries.h
+++ b/modules/cuminferry_fleet/replica/unlisted_queries.h
@@ -46,9 +46,13 @@
 
   /** This node has a request for a service. */
   void OnRequest(std::string_view service, instant now);
+  /** Whether unlisted instances of a service are asked about at all. Callers needn't pass those of
+      other services to TakeDue(), as there may be thousands.
+      @param has_listed_others  @see candidate */
+  bool IsWanted(std::string_view service, bool has_listed_others, instant now) const;
   /** Returns the ids of the instances to ask about now, the least recently confirmed of each
       service first, and counts them as asked.
-      @param unlisted  all unlisted instances; what is known of others is forgotten */
+      @param unlisted  the unlisted instances; what is known of others is forgotten */
   std::vector<std::string> TakeDue(std::span<const candidate> unlisted, instant now,
                                    random_source& random);
 
@@ -56,11 +60,16 @@
   struct unlisted_state {
     instant first_due_at{};
     std::optional<instant> queried_at;
+    // When it was last among the candidates.
+    instant seen_at{};
+  };
+  struct due_instance {
+    const candidate* of = nullptr;
+    unlisted_state* known = nullptr;
   };
 
-  bool IsWanted(const candidate& of, instant now) const;
   static bool IsDue(const candidate& of, const unlisted_state& known, instant now);
-  void UpdateKnown(std::span<const candidate> unlisted, instant now, random_source& random);
+  unlisted_state& KnownOf(const candidate& of, instant now, random_source& random);
   /** Returns how many queries about instances of the service may be sent now. */
   std::size_t Allowance(const std::string& service, instant now);
 
--- a/modules/cuminferry_relay/path/unlisted_exchange.cpp
+++ b/modules/cuminferry_relay/path/unlisted_exchange.cpp
@@ -1,5 +1,6 @@
 #include "cuminferry_relay/path/unlisted_exchange.h"
 
+#include <cstddef>
 #include <optional>
 #include <set>
 #include <utility>
@@ -69,14 +70,17 @@
   // dropped, whatever their nodes confirm.
   void DropUnfit() {
     const auto& table = board.table();
-    for (const unlisted_instance& unlisted : instances.UnlistedInstances(board.loop.Now())) {
-      const service_instance& instance = unlisted.instance;
+    std::vector<std::pair<std::string, std::string_view>> unfit;
+    instances.ForEachUnlisted([&](const service_instance& instance, const auto&) {
       const auto leaving_run = board.LeavingRunOf(instance.id);
       if (leaving_run && *leaving_run >= instance.started_millis) {
-        Drop(instance.id, "declared_leaving");
+        unfit.emplace_back(instance.id, "declared_leaving");
       } else if (table && table->FindService(instance.service) == nullptr) {
-        Drop(instance.id, "undeclared_service");
+        unfit.emplace_back(instance.id, "undeclared_service");
       }
+    });
+    for (const auto& [id, why] : unfit) {
+      Drop(id, why);
     }
   }
 
@@ -135,13 +139,16 @@
     LogRetention();
     const instant now = board.loop.Now();
     std::vector<unlisted_queries::candidate> candidates;
-    for (unlisted_instance& unlisted : instances.UnlistedInstances(now)) {
-      const bool has_listed_others = listed_services->contains(unlisted.instance.service);
-      candidates.push_back({.id = std::move(unlisted.instance.id),
-                            .service = std::move(unlisted.instance.service),
-                            .confirmed_at = unlisted.confirmed_at,
-                            .has_listed_others = has_listed_others});
-    }
+    instances.ForEachUnlisted(
+        [&](const service_instance& unlisted, const std::optional<instant>& confirmed_at) {
+          const bool has_listed_others = listed_services->contains(unlisted.service);
+          if (board.unlisted.IsWanted(unlisted.service, has_listed_others, now)) {
+            candidates.push_back({.id = unlisted.id,
+                                  .service = unlisted.service,
+                                  .confirmed_at = confirmed_at,
+                                  .has_listed_others = has_listed_others});
+          }
+        });
     for (const std::string& id : board.unlisted.TakeDue(candidates, now, board.random)) {
       QueryRegistration(id);
     }
@@ -243,9 +250,9 @@
 
 void unlisted_exchange::SetGauges(relay_metrics& metrics) const {
   if (state_->board.settings.drain > duration::zero()) {
-    metrics.SetGauge(
-        "cuminferry_unlisted_targets",
-        static_cast<double>(state_->instances.UnlistedInstances(state_->board.loop.Now()).size()));
+    std::size_t unlisted = 0;
+    state_->instances.ForEachUnlisted([&unlisted](const auto&, const auto&) { ++unlisted; });
+    metrics.SetGauge("cuminferry_unlisted_targets", static_cast<double>(unlisted));
   }
 }
 
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -167,8 +167,10 @@
                        if (!customers_.empty()) {
                          customers = *customer_registry::Make(customers_);
                        }
-                       return route_table::Make(*ParseInteger<std::uint64_t>(item->value), Routes(),
-                                                {{.name = kService}}, {}, customers);
+                       return route_table::Make(
+                           *ParseInteger<std::uint64_t>(item->value),
+                           declared_service_ == kService ? Routes() : std::vector<http_route>(),
+                           {{.name = declared_service_}}, {}, customers);
                      })
                      .WithInstanceReader([this](const published_item& item) {
                        std::optional<service_instance> found;
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -86,6 +86,9 @@
   void PublishTo(int node, std::uint64_t version);
   /** Leaves these nodes' instances out of what is published from now on. Initially none. */
   void SetUnlisted(std::set<int> nodes) { unlisted_ = std::move(nodes); }
+  /** Sets the only service of the tables that are published from now on; without rows if it isn't
+      kService. */
+  void SetDeclaredService(std::string name) { declared_service_ = std::move(name); }
   /** Sets the customers of the tables that are published from now on. Initially there are none. */
   void SetCustomers(std::vector<customer> customers) { customers_ = std::move(customers); }
   /** The routes of all tests. GET and POST under /once/ and /short/ run at most once, those under
@@ -154,6 +157,7 @@
   int domains_;
   std::vector<customer> customers_;
   std::set<int> unlisted_;
+  std::string declared_service_ = kService;
   std::vector<bool> watches_platform_;
   std::vector<bool> platform_reachable_;
   loop_timer platform_timer_;
--- a/tests/relay/unlisted_targets_test.cpp
+++ b/tests/relay/unlisted_targets_test.cpp
@@ -2,10 +2,12 @@
 
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "cuminferry_relay/path/listed_instances.h"
+#include "cuminferry_relay/path/peer_headers.h"
 #include "cuminferry_relay/path/unlisted_headers.h"
 #include "relay/relay_fleet.h"
 
@@ -29,6 +31,8 @@
     std::string registration;
     /** Whether answers to requests confirm the run that the caller means. */
     bool confirms_in_answers = false;
+    /** Whether answers say that the backend server has declared that it leaves. */
+    bool is_leaving = false;
     /** Outcome with which it refuses requests; empty where it serves them. */
     std::string outcome;
   };
@@ -81,6 +85,10 @@
         fields += std::string(kServingField) + ": 0\r\n";
       }
     }
+    if (says.is_leaving) {
+      fields += std::string(kLoadField) + ": " + load_header{}.ToText() + "\r\n" +
+                std::string(kLeavingField) + ": 0\r\n";
+    }
     if (!says.outcome.empty()) {
       fields += std::string(kOutcomeField) + ": " + says.outcome + "\r\n";
       from.connection.Write(AnswerText(503, fields, ""));
@@ -108,6 +116,11 @@
   CPPUNIT_TEST(Unlisted_TargetStopsConfirming_IsDroppedAfterConfirmedTime);
   CPPUNIT_TEST(Unlisted_NodeStarts_LearnsThemFromAnother);
   CPPUNIT_TEST(Unlisted_ListedAgain_RequestsAreNoLongerMarked);
+  CPPUNIT_TEST(Unlisted_DeclaredLeavingBefore_IsDroppedAtOnce);
+  CPPUNIT_TEST(Unlisted_DeclaresLeavingLater_IsDroppedAtOnce);
+  CPPUNIT_TEST(Unlisted_ServiceNoLongerDeclared_IsDropped);
+  CPPUNIT_TEST(Unlisted_Retained_IsCountedInMetrics);
+  CPPUNIT_TEST(ListedInstances_ItemOverwritten_IsNotReportedAsGone);
   CPPUNIT_TEST(Unlisted_ClientSendsTheField_IsNotPassedOn);
   CPPUNIT_TEST(Unlisted_DrainTimeNotSet_CallerStopsAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -215,6 +228,70 @@
     CPPUNIT_ASSERT_EQUAL(0, marked);
   }
 
+  // Guards against requests to an instance that has announced in its answers that it stops.
+  void Unlisted_DeclaredLeavingBefore_IsDroppedAtOnce() {
+    SetUp(kDrain);
+    ForEach([](standin_node& at) { at.says = {.registration = "serving"}; });
+    standins_.at(1)->says.is_leaving = true;
+    CPPUNIT_ASSERT_EQUAL(0, CountRefused(milliseconds(500)));
+    UnlistAll();
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), UnlistedGauge());
+    fleet_->RunFor(seconds(1));
+    CPPUNIT_ASSERT(standins_.at(1)->queries.empty());
+    CPPUNIT_ASSERT(!standins_.at(2)->queries.empty());
+  }
+
+  void Unlisted_DeclaresLeavingLater_IsDroppedAtOnce() {
+    SetUp(kDrain);
+    ForEach([](standin_node& at) { at.says = {.registration = "serving"}; });
+    UnlistAll();
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), UnlistedGauge());
+    standins_.at(1)->says.is_leaving = true;
+    CPPUNIT_ASSERT_EQUAL(0, CountRefused(milliseconds(500)));
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), UnlistedGauge());
+  }
+
+  // Guards against instances of a service that operators removed staying for as long as their nodes
+  // confirm them.
+  void Unlisted_ServiceNoLongerDeclared_IsDropped() {
+    SetUp(kDrain);
+    ForEach([](standin_node& at) { at.says = {.registration = "serving"}; });
+    UnlistAll();
+    fleet_->RunFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), UnlistedGauge());
+    fleet_->SetDeclaredService("permits");
+    fleet_->PublishTo(0, 3);
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), UnlistedGauge());
+  }
+
+  void Unlisted_Retained_IsCountedInMetrics() {
+    SetUp(kDrain);
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), UnlistedGauge());
+    UnlistAll();
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), UnlistedGauge());
+    fleet_->RunFor(kPastUnconfirmed);
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), UnlistedGauge());
+  }
+
+  // Guards against an entry that another program overwrote being taken for one that expired.
+  void ListedInstances_ItemOverwritten_IsNotReportedAsGone() {
+    listed_instances listed([](const published_item& item) {
+      return item.value == "x" ? std::optional(service_instance{.id = "x", .service = "maps"})
+                               : std::nullopt;
+    });
+    const auto changes_with = [&](const std::vector<published_item>& published) {
+      item_replica items;
+      items.Apply({.complete_to = 1, .whole = true, .items = published, .age_micros = 0});
+      return listed.OnChanged(items, {"k"});
+    };
+    const published_item written{.key = "k", .value = "x", .revision = 1};
+    const published_item overwritten{.key = "k", .value = "y", .revision = 1};
+    CPPUNIT_ASSERT(changes_with({written}).front().listed);
+    CPPUNIT_ASSERT(!changes_with({overwritten}).front().is_item_gone);
+    CPPUNIT_ASSERT(changes_with({written}).front().listed);
+    CPPUNIT_ASSERT(changes_with({}).front().is_item_gone);
+  }
+
   // Guards against a client making a node believe that its instance is not listed.
   void Unlisted_ClientSendsTheField_IsNotPassedOn() {
     SetUp(kDrain);
@@ -283,6 +360,20 @@
     return total;
   }
 
+  // Returns the value of the metric at the caller.
+  std::string UnlistedGauge() {
+    const auto page =
+        fleet_->SendTo(fleet_->SettingsOf(0).metrics, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n");
+    const std::string name = "\ncuminferry_unlisted_targets ";
+    CPPUNIT_ASSERT(fleet_->RunUntil([&] {
+      const auto at = page->bytes.find(name);
+      return at != std::string::npos &&
+             page->bytes.find('\n', at + name.size()) != std::string::npos;
+    }));
+    const auto begin = page->bytes.find(name) + name.size();
+    return page->bytes.substr(begin, page->bytes.find('\n', begin) - begin);
+  }
+
   int StatusOfRequest(int node = 0, std::string_view fields = "") {
     const std::string id = "r-" + std::to_string(++last_request_);
     const auto result = fleet_->Send(node, relay_fleet::Get("/safe/x", id, fields));
--- a/tests/table/explain_command_test.cpp
+++ b/tests/table/explain_command_test.cpp
@@ -43,6 +43,11 @@
 {"time_us":9000,"instance":"node-c","event":"backend.declared","target":"i-8","rate":-1.0,"age_us":0,"from":"answer"}
 )";
 
+constexpr char kUnlistedLog[] =
+    R"({"time_us":1000,"instance":"node-a","event":"request.turned_away","id":"gone1","row":"permit","service":"permits","target":"i-8","why":"leaving","placements":1,"reached":0,"unlisted_us":700000}
+{"time_us":2000,"instance":"node-a","event":"request.end","id":"gone1","result":"answered","us":3000,"row":"permit","table":12,"target":"i-9","unlisted_us":1500000}
+)";
+
 struct command_result {
   ctl::exit_code code;
   std::string out;
@@ -65,6 +70,7 @@
   CPPUNIT_TEST(Explain_RequestsOfCustomers_NameCustomerAndReason);
   CPPUNIT_TEST(Explain_BlockedRequest_ShowsTheCrashesBehindIt);
   CPPUNIT_TEST(Explain_RequestOverDeclaredRate_ShowsWhoDeclaredItAndSinceWhen);
+  CPPUNIT_TEST(Explain_RequestToUnlistedTarget_SaysSo);
   CPPUNIT_TEST(Explain_UnknownId_SaysWhyItMayBeMissing);
   CPPUNIT_TEST(Explain_FileMissing_ReportsAnErrorCode);
   CPPUNIT_TEST_SUITE_END();
@@ -78,6 +84,7 @@
     std::ofstream(folder_ / "c.log") << kCustomerLog;
     std::ofstream(folder_ / "d.log") << kSuspectLog;
     std::ofstream(folder_ / "e.log") << kDeclarationLog;
+    std::ofstream(folder_ / "f.log") << kUnlistedLog;
     std::ofstream(folder_ / "b.log") << kServingLog;
   }
 
@@ -138,6 +145,16 @@
     CPPUNIT_ASSERT(out.find("no longer") == std::string::npos);
   }
 
+  // Guards against an operator not seeing that a request went to a target that the platform did not
+  // list.
+  void Explain_RequestToUnlistedTarget_SaysSo() {
+    const std::string out = Run({"explain", "gone1", "--logs", folder_.string()}).out;
+    const auto refused = out.find("(the target had not been listed for 700.0 ms)");
+    const auto ended = out.find("(the target had not been listed for 1500.0 ms)");
+    CPPUNIT_ASSERT(refused < ended);
+    CPPUNIT_ASSERT(ended != std::string::npos);
+  }
+
   void Explain_UnknownId_SaysWhyItMayBeMissing() {
     const command_result result = Run({"explain", "beef", "--logs", folder_.string()});
     CPPUNIT_ASSERT(result.code == ctl::exit_code::kFoundProblems);
