Decide at its own node whether an unlisted backend server leaves

Cause: an entry is removed when its backend server leaves, but also when the backend server only can't reach the platform. A node refuses all requests for a removed id, so that services whose machines lose the platform lose all targets.

Change: departure_check tells the two apart by answers and health answers.

Ruled out: counting closing answers without a bound in time. Ruled out: acceptance without evidence at a node that never listed the instance, as the removal may be older than any caller knows.

--- a/modules/cuminferry_policy/cuminferry_policy.h
+++ b/modules/cuminferry_policy/cuminferry_policy.h
@@ -14,6 +14,7 @@
     - retries/   how often a call may be tried again
     - claims/    at most once for non-idempotent calls
     - suspects/  which request ends the backend servers that run it
+    - registration/ whether a backend server that is no longer listed leaves
     - shares/    each node's part of a fleet-wide limit
 
     May use cuminferry_core and cuminferry_table.
@@ -59,6 +60,7 @@
 #include "cuminferry_policy/placement/target_picker.h"
 #include "cuminferry_policy/placement/target_report.h"
 #include "cuminferry_policy/rank/call_rank.h"
+#include "cuminferry_policy/registration/departure_check.h"
 #include "cuminferry_policy/retries/repeat_budget.h"
 #include "cuminferry_policy/retries/repeat_turns.h"
 #include "cuminferry_policy/retries/retry_allowance.h"
