Go on serving at a backend server that is no longer listed

Cause: a node answered every request for the own instance with "leaving" once its entry was removed.

Change: registration_controller feeds departure_check with the list of instances, answers, callers' notices and health probes, and decides for the own unlisted instance where drain_s is set: when a request arrives, gets a slot, is released or is repeated. It answers GET /relay/registration, confirms by Relay-Serving, writes registration.unlisted, .leaving and .listed and the gauge cuminferry_registration_state.

A query that finds the state undecided waits for the probe under way, at most 0.3 s. Ruled out: to reply at once. The first reply for an idle instance would always be "undecided", and a caller drops it before it asks again.

Ruled out: keep_alive of the parsed head as an announced close. It is also false where the body's framing or the protocol version alone ends the connection. Ruled out: other-instance as the outcome where another instance is certainly here. It counts as a request that reached the backend server; "leaving", as used for a known absent instance, does not, and callers drop the instance for either.

Result: unlisted_serving_test, 11 cases with a real node, passes; on the code before 9 of the 11 fail: an unlisted backend server that answers got 503 for its first request, and one that announces a close was refused from the start, like any other. The 2 that pass are the removal without drain_s, and the backend server that announced closes while it was listed. relay_path_test 82, relay_http_test 26, crashing_request_test 13: all passed. declared_rate_path_test: 14 of 14 in four runs of five; in the first run, beside compilations (load average 16 on 7 cores), Rate_DeclaredInRejections_IsKept failed, a test without drain_s that counts arrivals in real time.

--- a/modules/cuminferry_relay/http/http_head.cpp
+++ b/modules/cuminferry_relay/http/http_head.cpp
@@ -71,6 +71,15 @@
   std::erase_if(fields, [&](const auto& field) { return EqualFieldNames(field.first, name); });
 }
 
+bool http_head::AnnouncesClose() const {
+  const auto has_close = [](std::string_view value) {
+    return std::ranges::any_of(SplitText(value, ','), [](std::string_view token) {
+      return EqualsIgnoringCase(TrimBlanks(token), "close");
+    });
+  };
+  return std::ranges::any_of(FindAll("connection"), has_close);
+}
+
 void http_head::RemoveConnectionFields() {
   std::vector<std::string> listed_by_connection;
   for (const auto& [name, value] : fields) {
--- a/modules/cuminferry_relay/http/http_head.h
+++ b/modules/cuminferry_relay/http/http_head.h
@@ -39,6 +39,9 @@
   /** Replaces all fields of this name by a single field. */
   void Set(std::string_view name, std::string value);
   void Remove(std::string_view name);
+  /** Returns whether a Connection field announces that the sender closes the connection. Unlike
+      `keep_alive`, it is not affected by the protocol's version and the body's framing. */
+  bool AnnouncesClose() const;
   /** Removes the fields that apply only to the connection on which the message was received: the
       standard hop-by-hop fields, the fields that Connection lists, and the framing fields. */
   void RemoveConnectionFields();
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -10,6 +10,7 @@
 #include "cuminferry_relay/path/outbound_call.h"
 #include "cuminferry_relay/path/serving_side.h"
 #include "cuminferry_relay/path/suspect_exchange.h"
+#include "cuminferry_relay/path/unlisted_headers.h"
 
 namespace cuminferry {
 namespace {
@@ -143,6 +144,8 @@
       exchange.OnRequest(*request);
     } else if (request->request().target.starts_with(kSuspectsPath)) {
       suspects.OnRequest(request);
+    } else if (request->request().target.starts_with(kRegistrationPath)) {
+      serving.OnRegistrationQuery(std::move(request));
     } else if (request->request().target == kLimitsPath) {
       limits.OnRequest(std::move(request));
     } else {
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -54,12 +54,19 @@
   if (!request_.caller_service.empty()) {
     node.origins.OnArrival(header_.row, request_.caller_service);
   }
-  const bool gone =
-      !expected.empty() && (node.IsLeavingOrRemoved(expected) || context_.IsKnownAbsent(expected));
+  context_.registration.OnRequest(expected, request_.unlisted);
+  // Of the own instance that is not listed, it is known here whether it leaves.
+  const bool removed =
+      !context_.registration.Decides(expected) && node.IsLeavingOrRemoved(expected);
+  const bool gone = !expected.empty() && (removed || context_.IsKnownAbsent(expected));
   if (node.refuses_runs || gone) {
     AnswerWithOutcome(relay_outcome::kLeaving);
     return;
   }
+  if (const auto refusal = RefusalOfInstance()) {
+    AnswerWithOutcome(*refusal);
+    return;
+  }
   if (context_.backend_down()) {
     AnswerWithOutcome(relay_outcome::kDown);
     return;
@@ -179,12 +186,16 @@
   }
 }
 
-bool serving_call::IsInstanceLeaving() const {
-  return context_.node.HasDeclaredLeaving(request_.expected_instance);
+std::optional<relay_outcome> serving_call::RefusalOfInstance() const {
+  const std::string& expected = request_.expected_instance;
+  if (context_.node.HasDeclaredLeaving(expected)) {
+    return relay_outcome::kLeaving;
+  }
+  return context_.registration.RefusalOf(expected, request_.unlisted);
 }
 
 bool serving_call::WithdrawFromLeaving() {
-  if (ended_ || run_.has_begun() || !IsInstanceLeaving()) {
+  if (ended_ || run_.has_begun() || RefusalOfInstance() != relay_outcome::kLeaving) {
     return false;
   }
   ReleaseGrantedSlot();
@@ -193,9 +204,9 @@
 }
 
 void serving_call::OnSlotGranted() {
-  if (IsInstanceLeaving()) {
+  if (const auto refusal = RefusalOfInstance()) {
     context_.gate.Release();
-    AnswerWithOutcome(relay_outcome::kLeaving);
+    AnswerWithOutcome(*refusal);
     return;
   }
   if (header_.may_be_repeat && !TakeRepeat()) {
@@ -256,6 +267,12 @@
     AnswerWithOutcome(relay_outcome::kBlocked);
     return;
   }
+  // The instance may have left while the request was held.
+  if (const auto refusal = RefusalOfInstance()) {
+    context_.gate.Release();
+    AnswerWithOutcome(*refusal);
+    return;
+  }
   run_.Begin();
   if (header_.awaits_release) {
     // The ingress node expects another interim answer after it has released the request; the
@@ -327,6 +344,7 @@
     context_.OnOtherInstance(expected);
   }
   context_.declarations.OnAnswer(head, expected, sent_at_, outcome_);
+  context_.registration.OnAnswer(head, expected, sent_at_, outcome_);
   context_.node.repeats.OnSendResult(outcome_ == relay_outcome::kTurnedAway);
   backend_failed_ = head.status >= http_status::kFirstServerError;
   backend_timed_out_ = head.status == http_status::kGatewayTimeout;
@@ -341,7 +359,7 @@
   }
   head.RemoveConnectionFields();
   head.Remove(kOutcomeField);
-  context_.AddReports(header_, expected, head);
+  context_.AddReports(header_, request_, head);
   answer_started_ = true;
   request_body_.Drop();
   interim_timer_.Stop();
@@ -387,7 +405,7 @@
 // Repeats a request that the backend server rejected although its gate had a free slot.
 bool serving_call::TrySendRepeat() {
   if (detached_ || send_count_ >= kMaxSends || !request_body_.is_complete() ||
-      context_.node.loop.Now() >= deadline_ || IsKeyStale() || IsInstanceLeaving() ||
+      context_.node.loop.Now() >= deadline_ || IsKeyStale() || RefusalOfInstance() ||
       !context_.gate.TryTakeTurn(context_.node.loop.Now()) || !TakeRepeat()) {
     return false;
   }
@@ -495,7 +513,7 @@
     http_head head = MakeAnswer(IsCertainlyNotRun(outcome) ? http_status::kUnavailable
                                                            : http_status::kBadGateway);
     head.Set(kOutcomeField, std::string(ToText(outcome)));
-    context_.AddReports(header_, request_.expected_instance, head);
+    context_.AddReports(header_, request_, head);
     peer_->Answer(std::move(head), "");
   }
   Complete(ToText(outcome));
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -34,7 +34,7 @@
   /** The request, a suspect, may run now that another suspect has completed. */
   void OnSuspectTurn();
   /** Gives up the slot, or the place in the queue, of a request that has not begun to run and whose
-      instance has declared that it leaves. Returns whether it is such a request. */
+      instance leaves. Returns whether it is such a request. */
   bool WithdrawFromLeaving();
   /** Answers the calling node with the reason why there is no answer of the backend server. */
   void AnswerWithOutcome(relay_outcome outcome);
@@ -51,7 +51,8 @@
   void WaitForIsolation(const request_digest& suspect);
   void RequestSlot();
 
-  bool IsInstanceLeaving() const;
+  /** Returns the reason why the expected instance gets no request now; nothing where it may. */
+  std::optional<relay_outcome> RefusalOfInstance() const;
   bool IsKeyStale() const;
   bool IsBlocked() const;
   /** Schedules an interim answer, which shows the calling node that the request is alive. */
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -33,6 +33,7 @@
                .idle_timeout = kDefaultBackendIdleTime}),
       gate(kDefaultSlotCount),
       declarations(node, gate, [this] { OnBackendLeaving(); }),
+      registration(node, [this] { OnBackendLeaving(); }),
       step_timer_(node.loop),
       expiry_timer_(node.loop),
       turn_timer_(node.loop),
@@ -46,6 +47,7 @@
   gate.Learn(node.loop.Now());
   const duration wait = gate.TakeLongestWait(node.loop.Now());
   declarations.Step(wait);
+  registration.Step();
   const bool waits_for_slots = gate.lacks_slots() || !gate.has_rate();
   level.Step(waits_for_slots ? wait : duration::zero(), gate.running(), gate.limit(),
              gate.service_time());
@@ -197,18 +199,18 @@
           .items_revision = node.items.latest_change()};
 }
 
-void serving_context::AddReports(const call_header& request, std::string_view instance,
+void serving_context::AddReports(const call_header& header, const serving_request& request,
                                  http_head& answer) const {
-  answer.Set(kLoadField, LoadReportFor(request).ToText());
+  answer.Set(kLoadField, LoadReportFor(header).ToText());
   const instant now = node.loop.Now();
-  const repeat_report repeats{
-      .repeated_share = request.nested ? node.repeats.NestedShare(now) : 1.0,
-      .callee_shortage = node.turns.IsAnyScarce(now)};
+  const repeat_report repeats{.repeated_share = header.nested ? node.repeats.NestedShare(now) : 1.0,
+                              .callee_shortage = node.turns.IsAnyScarce(now)};
   answer.Remove(kRepeatsField);
   if (repeats.is_scarce()) {
     answer.Set(kRepeatsField, repeats.ToText());
   }
-  declarations.AddReport(instance, answer);
+  declarations.AddReport(request.expected_instance, answer);
+  registration.AddReport(request.expected_instance, request.unlisted, answer);
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -8,7 +8,9 @@
 #include "cuminferry_relay/http/http_client.h"
 #include "cuminferry_relay/path/backend_crash_detector.h"
 #include "cuminferry_relay/path/declaration_controller.h"
+#include "cuminferry_relay/path/registration_controller.h"
 #include "cuminferry_relay/path/relay_board.h"
+#include "cuminferry_relay/path/serving_request.h"
 
 namespace cuminferry {
 
@@ -49,10 +51,10 @@
   /** The backend server has answered a request. */
   void OnAnswer() { crash_detector_.OnAnswer(); }
 
-  /** Adds to an answer the fields that report the load, scarce repeats, and what the backend server
-      declares.
-      @param instance  id of the instance that the request was meant for */
-  void AddReports(const call_header& request, std::string_view instance, http_head& answer) const;
+  /** Adds to an answer the fields that report the load, scarce repeats, what the backend server
+      declares, and that it serves where the calling node doesn't list it. */
+  void AddReports(const call_header& header, const serving_request& request,
+                  http_head& answer) const;
 
   relay_board& node;
   http_client backend;
@@ -61,6 +63,7 @@
   row_run_times run_times;
   suspect_isolation isolation;
   declaration_controller declarations;
+  registration_controller registration;
   std::unordered_map<std::uint64_t, std::shared_ptr<serving_call>> calls;
 
  private:
--- a/modules/cuminferry_relay/path/serving_request.cpp
+++ b/modules/cuminferry_relay/path/serving_request.cpp
@@ -25,6 +25,9 @@
   if (const std::string* field = head.Find(kRateField)) {
     request.rate = rate_request::Parse(*field);
   }
+  if (const std::string* field = head.Find(kUnlistedField)) {
+    request.unlisted = unlisted_notice::Parse(*field);
+  }
   if (const std::string* field = head.Find(kSuspectField)) {
     request.suspect_digest = request_digest::Parse(*field);
   }
@@ -39,6 +42,7 @@
   head.Remove(kNoTurnField);
   head.Remove(kSuspectField);
   head.Remove(kRateField);
+  head.Remove(kUnlistedField);
   if (header.awaits_release) {
     head.framing = header.framing;
     head.length = header.body_length;
--- a/modules/cuminferry_relay/path/serving_request.h
+++ b/modules/cuminferry_relay/path/serving_request.h
@@ -7,6 +7,7 @@
 #include "cuminferry_relay/path/peer_headers.h"
 #include "cuminferry_relay/path/rate_headers.h"
 #include "cuminferry_relay/path/relay_settings.h"
+#include "cuminferry_relay/path/unlisted_headers.h"
 
 namespace cuminferry {
 
@@ -28,6 +29,8 @@
   bool has_turn = true;
   /** What the calling node knows of the declared rate. */
   std::optional<rate_request> rate;
+  /** Set where the calling node doesn't list the expected instance. */
+  std::optional<unlisted_notice> unlisted;
   /** Set where the request has run at a backend server that crashed. */
   std::optional<request_digest> suspect_digest;
 
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -32,7 +32,12 @@
   call->Begin();
 }
 
+void serving_side::OnRegistrationQuery(std::shared_ptr<server_exchange> peer) {
+  state_->context.registration.OnQuery(std::move(peer));
+}
+
 void serving_side::OnPublishedItemsChanged() {
+  state_->context.registration.OnInstancesChanged();
   const std::uint32_t slots = state_->context.node.own_slots();
   if (slots > 0) {
     state_->context.gate.SetSlots(slots);
@@ -46,6 +51,7 @@
 void serving_side::SetGauges(relay_metrics& metrics) const {
   const serving_context& context = state_->context;
   context.declarations.SetGauges(metrics);
+  context.registration.SetGauges(metrics);
   metrics.SetGauge("cuminferry_level", context.level.share());
   metrics.SetGauge("cuminferry_slots_running", context.gate.running());
   metrics.SetGauge("cuminferry_slots_limit", context.gate.limit());
--- a/modules/cuminferry_relay/path/serving_side.h
+++ b/modules/cuminferry_relay/path/serving_side.h
@@ -23,6 +23,8 @@
 
   /** A node has sent a request for the backend server. */
   void OnRequest(std::shared_ptr<server_exchange> peer);
+  /** A node asks whether the own backend server, which it doesn't list, serves. */
+  void OnRegistrationQuery(std::shared_ptr<server_exchange> peer);
   /** The table or the list of instances has changed. */
   void OnPublishedItemsChanged();
 
--- a/modules/cuminferry_relay/path/unlisted_headers.cpp
+++ b/modules/cuminferry_relay/path/unlisted_headers.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,8 @@
 constexpr std::string_view kInstanceParameter = "id=";
 constexpr std::string_view kRunParameter = "run=";
 constexpr std::string_view kUnlistedParameter = "unlisted_ms=";
+// A longer time says no more, and one near the largest integer would overflow as microseconds.
+constexpr std::int64_t kMaxUnlistedMillis = 24 * 3'600 * 1'000;
 
 std::int64_t ToMillis(duration span) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -22,8 +25,9 @@
   if (!started || !unlisted_for || *unlisted_for < 0) {
     return std::nullopt;
   }
-  return unlisted_notice{.started_millis = *started,
-                         .unlisted_for = std::chrono::milliseconds(*unlisted_for)};
+  return unlisted_notice{
+      .started_millis = *started,
+      .unlisted_for = std::chrono::milliseconds(std::min(*unlisted_for, kMaxUnlistedMillis))};
 }
 
 // Returns the value of a parameter of the query; empty where it is absent.
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -37,6 +37,10 @@
 #endif
 constexpr std::uint32_t kLoopback = 0x7F000000 + (CUMINFERRY_TEST_NETWORK << 16);
 
+routed_service MapsService() {
+  return {.name = relay_fleet::kService, .health_path = "/health", .connections = 0};
+}
+
 }  // namespace
 
 //==============================================================================
@@ -168,7 +172,7 @@
                          customers = *customer_registry::Make(customers_);
                        }
                        return route_table::Make(*ParseInteger<std::uint64_t>(item->value), Routes(),
-                                                {{.name = kService}}, {}, customers);
+                                                {MapsService()}, {}, customers);
                      })
                      .WithInstanceReader([this](const published_item& item) {
                        std::optional<service_instance> found;
