Merge the decision beside an unlisted backend server with the callers' half

Cause: both halves were built side by side. Change at the seam: the own list now retains the own instance too, so the node beside it takes an instance that its list only retains as unlisted, and confirms it to its own list as it does to callers.

--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -157,6 +157,8 @@
       suspects.OnRequest(request);
     } else if (request->request().target == kUnlistedPath) {
       unlisted.OnRequest(*request);
+    } else if (request->request().target.starts_with(kRegistrationPath)) {
+      serving.OnRegistrationQuery(std::move(request));
     } else if (request->request().target == kLimitsPath) {
       limits.OnRequest(std::move(request));
     } else {
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -37,6 +37,10 @@
 #endif
 constexpr std::uint32_t kLoopback = 0x7F000000 + (CUMINFERRY_TEST_NETWORK << 16);
 
+routed_service ServiceNamed(std::string name) {
+  return {.name = std::move(name), .health_path = "/health", .connections = 0};
+}
+
 }  // namespace
 
 //==============================================================================
@@ -170,7 +174,7 @@
                        return route_table::Make(
                            *ParseInteger<std::uint64_t>(item->value),
                            declared_service_ == kService ? Routes() : std::vector<http_route>(),
-                           {{.name = declared_service_}}, {}, customers);
+                           {ServiceNamed(declared_service_)}, {}, customers);
                      })
                      .WithInstanceReader([this](const published_item& item) {
                        std::optional<service_instance> found;
