Order the request queue by importance, and displace what can't start in time

Where the load stays above the slots, requests waited by their latest useful start alone: the priority was set and never read, a full queue refused whoever arrived, and nothing kept important new requests from starving the calls of running ones.

With queue_order "importance", requests start by rank and then by latest useful start. Requests that can no longer start in time, and the least important one of a queue that is too long, are refused at once with the outcome full and the reason displaced. The admission level is controlled by the time that the slots need for the whole queue.

--- a/extras/ctl/commands/explain_command.cpp
+++ b/extras/ctl/commands/explain_command.cpp
@@ -266,7 +266,9 @@
     return DescribeDeclaration(entry);
   }
   if (entry.event == "serving.end") {
-    return "at the backend server: " + MeaningOf(TextOf(line, "result")) + "; waited " +
+    const bool is_displaced = line.value("reason", "") == "displaced";
+    return "at the backend server: " + MeaningOf(TextOf(line, "result")) +
+           (is_displaced ? ", displaced by more important requests" : "") + "; waited " +
            MillisOf(line, "waited_us") + ", ran " + MillisOf(line, "ran_us") + "; then " +
            TextOf(line, "running") + " of " + TextOf(line, "limit") + " slots taken, " +
            TextOf(line, "waiting") + " waiting, level " + TextOf(line, "level");
--- a/modules/cuminferry_policy/serving/slot_gate.cpp
+++ b/modules/cuminferry_policy/serving/slot_gate.cpp
@@ -1,14 +1,12 @@
 #include "cuminferry_policy/serving/slot_gate.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace cuminferry {
 namespace {
 
 // Mean service time assumed until the first runs have ended.
 constexpr double kInitialServiceMicros = 20'000.0;
-constexpr std::uint64_t kMaxId = std::numeric_limits<std::uint64_t>::max();
 // Weight of one run in the mean service time, which covers about the last hundred runs: a few
 // hundred ms of a small backend server under load.
 constexpr double kServiceTimeWeight = 0.01;
@@ -48,11 +46,6 @@
   return std::min(deadline_start, in_time_start);
 }
 
-std::size_t slot_gate::RequestsAhead(instant last_useful_start) const {
-  return static_cast<std::size_t>(
-      std::distance(queue_.begin(), queue_.upper_bound({last_useful_start, kMaxId})));
-}
-
 duration slot_gate::ExpectedWait(std::size_t requests_ahead, instant now) const {
   const duration wait_for_turn = pacer_.WaitFor(requests_ahead + 1, now);
   if (!lacks_slots() && pacer_.is_limited()) {
@@ -68,28 +61,80 @@
   return std::max(kMaxTurnQueueTime, std::chrono::round<duration>(few_turns));
 }
 
+request_queue::start_times slot_gate::StartTimes(instant now) const {
+  const double turn = pacer_.is_limited() ? std::micro::den / pacer_.rate() : 0.0;
+  return {.first = ExpectedWait(0, now),
+          .interval_micros = std::max(mean_service_micros_ / limit(), turn)};
+}
+
+bool slot_gate::IsTooLong(instant now) const {
+  return waiting() > limit() * kMaxQueuedPerSlot ||
+         (pacer_.is_limited() && ExpectedWait(waiting() - 1, now) > MaxWaitForTurn());
+}
+
 slot_verdict slot_gate::Offer(const slot_request& request, instant now) {
   if (!lacks_slots() && queue_.empty() && pacer_.TryTake(now)) {
     ++running_;
+    waits_since_ = now;
     return slot_verdict::kStart;
   }
-  const instant last_useful_start = LastUsefulStart(request, now);
-  const duration expected = ExpectedWait(RequestsAhead(last_useful_start), now);
+  const request_queue::request arriving{.id = request.id,
+                                        .priority = request.priority,
+                                        .nested = request.nested,
+                                        .last_useful_start = LastUsefulStart(request, now),
+                                        .arrived_at = now};
+  queue_.OnArrival(request.nested);
+  const duration expected = ExpectedWait(queue_.StartsAhead(arriving), now);
   // Requests that wait for a turn show that other targets have no room either.
   if (!request.awaits_turn && queue_.empty() && pacer_.WaitFor(1, now) > kMaxTurnWait) {
     return slot_verdict::kOverRate;
   }
+  if (is_by_importance()) {
+    longest_wait_ = std::max(longest_wait_, ExpectedWait(waiting(), now));
+  }
   const bool waits_too_long = pacer_.is_limited() && expected > MaxWaitForTurn();
-  if (waiting() >= limit() * kMaxQueuedPerSlot || now + expected > last_useful_start ||
-      waits_too_long) {
+  const bool is_full = !is_by_importance() && waiting() >= limit() * kMaxQueuedPerSlot;
+  if (is_full || now + expected > arriving.last_useful_start || waits_too_long) {
     longest_wait_ = std::max(longest_wait_, expected);
     return slot_verdict::kRefuse;
   }
-  queue_.insert({last_useful_start, request.id});
-  waiting_by_id_[request.id] = {.arrived_at = now, .last_useful_start = last_useful_start};
+  if (queue_.empty()) {
+    waits_since_ = now;
+  }
+  queue_.Add(arriving);
+  if (is_by_importance()) {
+    Displace(now);
+    const auto own = std::find(displaced_.begin(), displaced_.end(), request.id);
+    if (own != displaced_.end()) {
+      displaced_.erase(own);
+      return slot_verdict::kRefuse;
+    }
+  }
   return slot_verdict::kWait;
 }
 
+void slot_gate::Displace(instant now) {
+  if (!is_by_importance() || queue_.empty()) {
+    return;
+  }
+  const request_queue::start_times starts = StartTimes(now);
+  while (const auto late = queue_.TakeLate(starts, now)) {
+    displaced_.push_back(late->id);
+  }
+  while (!queue_.empty() && IsTooLong(now)) {
+    displaced_.push_back(queue_.TakeLeastImportant()->id);
+  }
+}
+
+std::optional<std::uint64_t> slot_gate::TakeDisplaced() {
+  if (displaced_.empty()) {
+    return std::nullopt;
+  }
+  const std::uint64_t id = displaced_.back();
+  displaced_.pop_back();
+  return id;
+}
+
 void slot_gate::Finish(duration served_time) {
   Release();
   mean_service_micros_ +=
@@ -102,43 +147,38 @@
   if (lacks_slots() || queue_.empty() || !pacer_.TryTake(now)) {
     return std::nullopt;
   }
-  const std::uint64_t id = queue_.begin()->second;
-  longest_wait_ = std::max(longest_wait_, now - waiting_by_id_[id].arrived_at);
-  queue_.erase(queue_.begin());
-  waiting_by_id_.erase(id);
+  const request_queue::request next = *queue_.TakeNext();
+  if (!is_by_importance()) {
+    longest_wait_ = std::max(longest_wait_, now - next.arrived_at);
+  }
+  waits_since_ = now;
   ++running_;
-  return id;
+  return next.id;
 }
 
 std::vector<std::uint64_t> slot_gate::TakeExpired(instant now) {
   std::vector<std::uint64_t> expired;
-  while (!queue_.empty() && queue_.begin()->first < now) {
-    const std::uint64_t id = queue_.begin()->second;
-    longest_wait_ = std::max(longest_wait_, now - waiting_by_id_[id].arrived_at);
-    expired.push_back(id);
-    waiting_by_id_.erase(id);
-    queue_.erase(queue_.begin());
+  while (const auto next = queue_.TakeExpired(now)) {
+    if (!is_by_importance()) {
+      longest_wait_ = std::max(longest_wait_, now - next->arrived_at);
+    }
+    expired.push_back(next->id);
   }
   return expired;
 }
 
-bool slot_gate::Remove(std::uint64_t id) {
-  const auto found = waiting_by_id_.find(id);
-  if (found == waiting_by_id_.end()) {
-    return false;
-  }
-  queue_.erase({found->second.last_useful_start, id});
-  waiting_by_id_.erase(found);
-  return true;
-}
+bool slot_gate::Remove(std::uint64_t id) { return queue_.Take(id).has_value(); }
 
 duration slot_gate::TakeLongestWait(instant now) {
   duration longest = longest_wait_;
   longest_wait_ = duration::zero();
-  for (const auto& [id, waiting] : waiting_by_id_) {
-    longest = std::max(longest, now - waiting.arrived_at);
+  if (queue_.empty()) {
+    return longest;
   }
-  return longest;
+  if (is_by_importance()) {
+    return std::max({longest, ExpectedWait(waiting() - 1, now), now - waits_since_});
+  }
+  return std::max(longest, now - queue_.earliest_arrival());
 }
 
 std::optional<instant> slot_gate::NextTurn(instant now) const {
@@ -146,8 +186,4 @@
   return waits ? std::optional(now + pacer_.WaitFor(1, now)) : std::nullopt;
 }
 
-std::optional<instant> slot_gate::next_expiry() const {
-  return queue_.empty() ? std::nullopt : std::optional<instant>(queue_.begin()->first);
-}
-
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/serving/slot_gate.h
+++ b/modules/cuminferry_policy/serving/slot_gate.h
@@ -2,12 +2,11 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
-#include <unordered_map>
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
 #include "cuminferry_policy/declared/send_pacer.h"
+#include "cuminferry_policy/serving/request_queue.h"
 #include "cuminferry_policy/serving/slot_learning.h"
 
 namespace cuminferry {
@@ -45,10 +44,14 @@
 
     The backend server's own queue is in order of arrival and slows down all requests in it. Under
     a load above the slots the gate therefore leaves that queue empty and queues requests here,
-    the most urgent first. A request waits only while it can still complete in time. One that
-    can't is refused while its caller can still do something else. Where the backend server declares
-    a rate, a request also needs a turn within that rate. The class does no I/O and is not
-    thread-safe; its owner synchronizes access.
+    the most urgent or the most important first. A request waits only while it can still complete in
+    time. One that can't is refused while its caller can still do something else. Where the backend
+    server declares a rate, a request also needs a turn within that rate.
+
+    In the order by importance, an arrival may displace waiting requests: those that can no longer
+    start in time behind it, and the least important one of a full queue. The class does no I/O and
+    is not thread-safe; its owner synchronizes access.
+    @see request_queue
 */
 class slot_gate {
  public:
@@ -78,13 +81,22 @@
   void Finish(duration served_time);
   /** Frees the slot of a request that did not run. */
   void Release();
-  /** Takes the most urgent waiting request, which counts as running from now on; returns nothing
-      where no request waits or no slot is free. */
+  /** Takes the waiting request that is first in the order, which counts as running from now on;
+     returns nothing where no request waits or no slot is free. */
   std::optional<std::uint64_t> StartNext(instant now);
   /** Removes and returns the requests that can no longer complete in time. */
   std::vector<std::uint64_t> TakeExpired(instant now);
   /** Removes a waiting request whose caller cancelled it; returns false where it doesn't wait. */
   bool Remove(std::uint64_t id);
+  /** Displaces waiting requests that can no longer start in time, for example as there are fewer
+      slots, and those beyond the maximum length of the queue. Does nothing in the order by
+     deadline. To be called periodically; Offer() does the same. */
+  void Displace(instant now);
+  /** Takes a request that Offer() or Displace() has displaced, the least important first. It is no
+      longer in the queue and has to be refused at once. */
+  std::optional<std::uint64_t> TakeDisplaced();
+  /** Sets the order in which requests start. */
+  void SetOrder(queue_order order) { queue_.SetOrder(order); }
 
   /** Sets the rate that the backend server declares; nothing where it declares none. */
   void SetRate(const std::optional<double>& rate, instant now) { pacer_.SetRate(rate, now); }
@@ -107,38 +119,42 @@
   /** Returns the longest wait since the last call, which controls the admission level. It covers
       requests that started, that expired, that still wait, and the expected wait of requests that
       were refused. Without the refused ones, a gate that refuses every request it can't start at
-      once would seem to have free capacity. */
+      once would seem to have free capacity.
+
+      In the order by importance, the least important requests wait long behind a short queue.
+     There, it is the longest time that the slots needed for all waiting requests, whatever their
+     order, or the time without a start if that is longer. */
   duration TakeLongestWait(instant now);
   std::uint32_t running() const { return running_; }
   std::uint32_t waiting() const { return static_cast<std::uint32_t>(queue_.size()); }
+  /** Number of waiting requests that are calls of running requests. */
+  std::uint32_t waiting_nested() const { return static_cast<std::uint32_t>(queue_.nested_count()); }
   std::uint32_t limit() const { return learning_.limit(); }
   duration service_time() const;
   /** Returns when the next waiting request expires; nothing where none waits. */
-  std::optional<instant> next_expiry() const;
+  std::optional<instant> next_expiry() const { return queue_.next_expiry(); }
   /** Returns when the next waiting request gets a turn; nothing where none waits for one. */
   std::optional<instant> NextTurn(instant now) const;
   /** Whether requests wait for slots, and not for turns. */
   bool lacks_slots() const { return running_ >= limit(); }
 
  private:
-  struct waiting_request {
-    instant arrived_at;
-    instant last_useful_start;
-  };
-
   instant LastUsefulStart(const slot_request& request, instant now) const;
   duration MaxWaitForTurn() const;
   duration ExpectedWait(std::size_t requests_ahead, instant now) const;
-  std::size_t RequestsAhead(instant last_useful_start) const;
+  request_queue::start_times StartTimes(instant now) const;
+  bool is_by_importance() const { return queue_.order() == queue_order::kImportance; }
+  bool IsTooLong(instant now) const;
 
   slot_learning learning_;
   send_pacer pacer_;
   std::uint32_t running_ = 0;
   double mean_service_micros_;
   duration longest_wait_{};
-  // In order of the last useful start, which is the first member of each entry.
-  std::set<std::pair<instant, std::uint64_t>> queue_;
-  std::unordered_map<std::uint64_t, waiting_request> waiting_by_id_;
+  // When the last request started, or the first one began to wait after that.
+  instant waits_since_{};
+  request_queue queue_;
+  std::vector<std::uint64_t> displaced_;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -55,6 +55,11 @@
       registry, "cuminferry_gate_wait_seconds", "Wait for a slot of the backend server.")};
   prometheus::Family<prometheus::Histogram>& runs{MakeHistograms(
       registry, "cuminferry_backend_duration_seconds", "Time in the backend server.")};
+  family_of_counters& displaced{MakeCounters(
+      registry, "cuminferry_queue_displaced_total",
+      "Waiting requests that were refused in favour of more important ones, by kind.")};
+  prometheus::Counter& displaced_clients{displaced.Add({{"kind", "client"}})};
+  prometheus::Counter& displaced_nested{displaced.Add({{"kind", "nested"}})};
   family_of_counters& repeats{MakeCounters(registry, "cuminferry_repeats_total",
                                            "Requests sent to a further target, by service.")};
   family_of_counters& customers{MakeCounters(registry, "cuminferry_customer_requests_total",
@@ -152,6 +157,10 @@
   found->second.bytes->Increment(static_cast<double>(bytes));
 }
 
+void relay_metrics::OnDisplaced(bool nested) {
+  (nested ? state_->displaced_nested : state_->displaced_clients).Increment();
+}
+
 void relay_metrics::OnRepeat(std::string_view row) {
   state_->repeats.Add({{"row", std::string(row)}}).Increment();
 }
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -30,6 +30,9 @@
       @param waited  time until the request got a slot
       @param ran     time in the backend server */
   void OnServed(std::string_view row, std::string_view outcome, duration waited, duration ran);
+  /** Counts a request that was displaced from the queue for a slot.
+      @param nested  whether it is a call of a running request */
+  void OnDisplaced(bool nested);
   /** Counts a repeat of a request of this row that was sent to the own backend server. */
   void OnRepeat(std::string_view row);
 
--- a/modules/cuminferry_relay/path/relay_settings.h
+++ b/modules/cuminferry_relay/path/relay_settings.h
@@ -53,14 +53,6 @@
   bool operator==(const customer_bounds&) const = default;
 };
 
-/** Order in which requests wait for a slot of the backend server. */
-enum class queue_order : std::uint8_t {
-  /** The one that has to start first goes first. */
-  kDeadline,
-  /** The most important goes first, and among equals the one that has to start first. */
-  kImportance,
-};
-
 /** Settings of one node of the HTTP relay, read from JSON with comments. */
 struct relay_settings {
   std::string instance;
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -138,6 +138,7 @@
       AnswerWithOutcome(relay_outcome::kOverRate);
       break;
   }
+  context_.RefuseDisplaced();
 }
 
 void serving_call::ScheduleInterimAnswer() {
@@ -192,6 +193,12 @@
   return true;
 }
 
+void serving_call::OnDisplaced() {
+  is_displaced_ = true;
+  context_.node.metrics.OnDisplaced(header_.nested);
+  AnswerWithOutcome(relay_outcome::kFull);
+}
+
 void serving_call::OnSlotGranted() {
   if (IsInstanceLeaving()) {
     context_.gate.Release();
@@ -529,17 +536,21 @@
 }
 
 void serving_call::LogCompletion(std::string_view result, duration waited, duration ran_for) const {
-  context_.node.log.LogRequest("serving.end", {{"id", request_.id},
-                                               {"row", header_.row},
-                                               {"result", result},
-                                               {"nested", header_.nested},
-                                               {"waited_us", waited.count()},
-                                               {"ran_us", ran_for.count()},
-                                               {"running", context_.gate.running()},
-                                               {"waiting", context_.gate.waiting()},
-                                               {"limit", context_.gate.limit()},
-                                               {"sends", send_count_},
-                                               {"level", RoundForLog(context_.level.share())}});
+  nlohmann::ordered_json detail{{"id", request_.id},
+                                {"row", header_.row},
+                                {"result", result},
+                                {"nested", header_.nested},
+                                {"waited_us", waited.count()},
+                                {"ran_us", ran_for.count()},
+                                {"running", context_.gate.running()},
+                                {"waiting", context_.gate.waiting()},
+                                {"limit", context_.gate.limit()},
+                                {"sends", send_count_},
+                                {"level", RoundForLog(context_.level.share())}};
+  if (is_displaced_) {
+    detail["reason"] = "displaced";
+  }
+  context_.node.log.LogRequest("serving.end", std::move(detail));
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -31,6 +31,8 @@
   void Begin();
   /** The gate has granted the request a slot. */
   void OnSlotGranted();
+  /** The gate has displaced the request from its queue in favour of more important ones. */
+  void OnDisplaced();
   /** The request, a suspect, may run now that another suspect has completed. */
   void OnSuspectTurn();
   /** Gives up the slot, or the place in the queue, of a request that has not begun to run and whose
@@ -94,6 +96,8 @@
   // Time of the latest send.
   instant sent_at_{};
   bool answer_started_ = false;
+  // The request waited until more important ones left no room for it.
+  bool is_displaced_ = false;
   // The calling node is gone, but the run continues.
   bool detached_ = false;
   bool ended_ = false;
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -39,11 +39,18 @@
       crash_detector_(
           node.loop, node.settings.backend, node.random.Next(),
           [this](const backend_crash_detector::crash_finding& found) { OnLossCauseKnown(found); }) {
+  ApplyQueueOrder();
   step_timer_.StartPeriodic(admission_level::kPeriod, [this] { Step(); });
 }
 
+// The setting may be reloaded at any time.
+void serving_context::ApplyQueueOrder() { gate.SetOrder(node.settings.order); }
+
 void serving_context::Step() {
+  ApplyQueueOrder();
   gate.Learn(node.loop.Now());
+  gate.Displace(node.loop.Now());
+  RefuseDisplaced();
   const duration wait = gate.TakeLongestWait(node.loop.Now());
   declarations.Step(wait);
   const bool waits_for_slots = gate.lacks_slots() || !gate.has_rate();
@@ -83,6 +90,17 @@
   }
 }
 
+// The answer to one request may start others, so the gate is asked anew each time.
+void serving_context::RefuseDisplaced() {
+  while (const auto id = gate.TakeDisplaced()) {
+    const auto found = calls.find(*id);
+    if (found != calls.end()) {
+      const auto displaced = found->second;
+      displaced->OnDisplaced();
+    }
+  }
+}
+
 void serving_context::ScheduleWaiting() {
   const instant now = node.loop.Now();
   if (const auto next = gate.next_expiry()) {
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -28,6 +28,8 @@
   /** Starts the suspects that may run now that another one has completed.
       @param completed_id  identifier of the completed request in `calls` */
   void StartNextSuspects(std::uint64_t completed_id);
+  /** Refuses the requests that the gate has displaced from its queue. */
+  void RefuseDisplaced();
   /** Schedules what is due for waiting requests: the check for expired ones when the next one
       expires, and the start of one that waits for a turn. */
   void ScheduleWaiting();
@@ -65,6 +67,7 @@
 
  private:
   void Step();
+  void ApplyQueueOrder();
   load_header LoadReportFor(const call_header& request) const;
   void OnLossCauseKnown(const backend_crash_detector::crash_finding& found);
   void OnBackendCrash(std::uint64_t crash_id, std::vector<std::shared_ptr<serving_call>> runs);
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -36,6 +36,8 @@
   const std::uint32_t slots = state_->context.node.own_slots();
   if (slots > 0) {
     state_->context.gate.SetSlots(slots);
+    state_->context.gate.Displace(state_->context.node.loop.Now());
+    state_->context.RefuseDisplaced();
     state_->context.declarations.OnInstancesChanged();
     state_->context.StartWaiting();
   }
@@ -50,6 +52,9 @@
   metrics.SetGauge("cuminferry_slots_running", context.gate.running());
   metrics.SetGauge("cuminferry_slots_limit", context.gate.limit());
   metrics.SetGauge("cuminferry_queue", context.gate.waiting());
+  metrics.SetGauge("cuminferry_queue_waiting", {{"kind", "client"}},
+                   context.gate.waiting() - context.gate.waiting_nested());
+  metrics.SetGauge("cuminferry_queue_waiting", {{"kind", "nested"}}, context.gate.waiting_nested());
   const call_attribution& attribution = context.node.attribution;
   for (const std::string& row : attribution.rows()) {
     metrics.SetGauge("cuminferry_limit_known", {{"row", row}},
--- a/tests/relay/relay_failure_test.cpp
+++ b/tests/relay/relay_failure_test.cpp
@@ -196,6 +196,7 @@
   CPPUNIT_TEST(Client_DisconnectsDuringSafeRequest_TargetIsDisconnectedSoon);
   CPPUNIT_TEST(Client_DisconnectsDuringOnceRequest_TargetFinishes);
   CPPUNIT_TEST(Client_DisconnectsWhileRequestWaits_RequestNeverRuns);
+  CPPUNIT_TEST(Queue_FullByImportance_LeastImportantIsRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -749,6 +750,52 @@
     fleet.RunFor(milliseconds(800));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{kRunning}, fleet.TotalRequests());
   }
+
+  // The order is changed by reloaded settings, and the queue is full of less important requests.
+  // Guards against a displaced request whose client waits until its timeout, and against one that
+  // runs after it was refused.
+  void Queue_FullByImportance_LeastImportantIsRefusedAtOnce() {
+    relay_fleet fleet(1);
+    fleet.PublishToAll(1);
+    relay_settings changed = fleet.SettingsOf(0);
+    changed.order = queue_order::kImportance;
+    CPPUNIT_ASSERT(fleet.node(0).ApplySettings(changed));
+    fleet.RunFor(milliseconds(200));
+    fleet.target(0).on_request = [](scripted_target::scripted_request&) {};
+    constexpr std::size_t kLimit = 18;
+    constexpr std::size_t kHeld = kLimit * (1 + slot_gate::kMaxQueuedPerSlot);
+    const auto send = [&](const std::string& id, std::uint32_t priority) {
+      const call_header header{.row = "safe",
+                               .priority = priority,
+                               .repeat = repeat_rule::kIdempotent,
+                               .objective = seconds(5),
+                               .objective_left = seconds(5)};
+      return fleet.SendTo(fleet.PeerAddress(0),
+                          "GET /safe/x HTTP/1.1\r\nHost: h\r\nId: " + id +
+                              "\r\nDeadline: 5000\r\nRelay-Call: " + header.ToText() + "\r\n\r\n");
+    };
+    std::vector<std::shared_ptr<client_result>> less_important;
+    for (std::size_t i = 0; i < kHeld; ++i) {
+      less_important.push_back(send("less-" + std::to_string(i), 2));
+    }
+    const auto refused = [&] {
+      return std::ranges::count_if(less_important, [](const auto& result) {
+        return result->Contains("Relay-Outcome: full");
+      });
+    };
+    fleet.RunFor(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, refused());
+    const auto important = send("important", 0);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return refused() == 1; }, milliseconds(300)));
+    CPPUNIT_ASSERT(!important->Contains("full"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kLimit}, fleet.TotalRequests());
+    const auto page =
+        fleet.SendTo(fleet.SettingsOf(0).metrics, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n");
+    CPPUNIT_ASSERT(fleet.RunUntil([&] {
+      return page->Contains("cuminferry_queue_displaced_total{kind=\"client\"} 1") &&
+             page->Contains("cuminferry_queue_waiting{kind=\"client\"} 144");
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relay_failure_test);
--- a/tests/table/explain_command_test.cpp
+++ b/tests/table/explain_command_test.cpp
@@ -16,7 +16,7 @@
 {"time_us":3000,"instance":"node-a","event":"request.end","id":"other","result":"answered","us":10}
 )";
 constexpr char kServingLog[] =
-    R"({"time_us":1500,"instance":"node-b","event":"serving.end","id":"9c41","row":"permit","result":"full","waited_us":400,"ran_us":0,"running":23,"waiting":60,"limit":23,"level":0.5}
+    R"({"time_us":1500,"instance":"node-b","event":"serving.end","id":"9c41","row":"permit","result":"full","reason":"displaced","waited_us":400,"ran_us":0,"running":23,"waiting":60,"limit":23,"level":0.5}
 {"time_us":1600,"instance":"node-b","event":"request.end","id":"9c41.77","result":"failed","us":100,"why":"lost"}
 )";
 
@@ -93,6 +93,7 @@
     CPPUNIT_ASSERT(rejection < end);
     CPPUNIT_ASSERT(end != std::string::npos);
     CPPUNIT_ASSERT(result.out.find("23 of 23 slots taken, 60 waiting") != std::string::npos);
+    CPPUNIT_ASSERT(result.out.find("displaced by more important requests") != std::string::npos);
     CPPUNIT_ASSERT(result.out.find("other") == std::string::npos);
   }
 
