Have the soak's machines lose the store, and backend servers leave unlisted

Cause: no test with processes had entries that expire while their backend servers serve, nor leavers that are never listed as draining. Change: two more faults from a random stream of their own, so that earlier seeds keep the rest of their plans. A third of the machines, of one service first, loses the store with its backend servers for 7 s; a backend server leaves without being listed as draining, and if both are drawn it is the last listed one of that service. The store stand-in expires items that are put with a lifetime, which replaces the soak's own removal of crashed and stale entries. Backend servers answer /healthz. The nodes' settings get drain_s 2.5. The ledger checks that no request reaches a leaver after the bound, and that a service gets some request in each second in which one of its backend servers serves undisturbed.

--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -10,6 +10,8 @@
 
 using nlohmann::json;
 
+constexpr duration kExpiryCheckPeriod = std::chrono::milliseconds(50);
+
 std::string QueryParameter(const std::string& target, const std::string& name) {
   const auto at = target.find(name + "=");
   if (at == std::string::npos) {
@@ -21,7 +23,8 @@
 
 }  // namespace
 
-store_stand_in::store_stand_in(event_loop& loop, const endpoint& at) : loop_(loop) {
+store_stand_in::store_stand_in(event_loop& loop, const endpoint& at)
+    : loop_(loop), expiry_timer_(loop) {
   auto server = http_server::Listen(
       loop, {.address = at,
              .limits = {},
@@ -44,6 +47,27 @@
   AnswerWaitingWatches();
 }
 
+void store_stand_in::PutFor(const std::string& key, const std::string& value, duration lifetime) {
+  if (lifetimes_.empty()) {
+    expiry_timer_.StartPeriodic(kExpiryCheckPeriod, [this] { ExpireItems(); });
+  }
+  lifetimes_[key] = lifetime;
+  expires_at_[key] = loop_.Now() + lifetime;
+  Put(key, value);
+}
+
+void store_stand_in::ExpireItems() {
+  std::vector<std::string> expired;
+  for (const auto& [key, expires_at] : expires_at_) {
+    if (expires_at <= loop_.Now()) {
+      expired.push_back(key);
+    }
+  }
+  for (const std::string& key : expired) {
+    Remove(key);
+  }
+}
+
 void store_stand_in::Renew(const std::string& key, const std::string& value) {
   change& item = items_.at(key);
   item.value = value;
@@ -54,6 +78,7 @@
 
 void store_stand_in::Remove(const std::string& key) {
   items_.erase(key);
+  expires_at_.erase(key);
   history_.push_back({.key = key, .value = "", .revision = ++revision_, .removed = true});
   AnswerWaitingWatches();
 }
@@ -72,6 +97,12 @@
   history_ = backup_.history;
   revision_ = backup_.revision;
   ++era_;
+  expires_at_.clear();
+  for (const auto& [key, lifetime] : lifetimes_) {
+    if (items_.contains(key)) {
+      expires_at_[key] = loop_.Now() + lifetime;
+    }
+  }
   for (const auto& [watch, after] : waiting_watches_) {
     watch->Abort();
   }
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -22,6 +22,8 @@
 
   //============================================================================
   void Put(const std::string& key, const std::string& value);
+  /** Like Put(); the item expires unless it is put again within `lifetime`. */
+  void PutFor(const std::string& key, const std::string& value, duration lifetime);
   /** Like Put(), for an existing item; its creation revision stays. */
   void Renew(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
@@ -30,8 +32,8 @@
 
   /** Makes a backup of the store. */
   void TakeBackup();
-  /** Restores the backup: later changes are lost, their revisions are assigned again, and
-      the connections of waiting watches are closed. */
+  /** Restores the backup: later changes are lost, their revisions are assigned again, the
+      lifetimes of items begin anew, and the connections of waiting watches are closed. */
   void RestoreBackup();
 
   /** If not 0, every request is answered with this status. */
@@ -76,6 +78,7 @@
   void AnswerRange(server_exchange& request, const std::string& after);
   bool AnswerWatch(server_exchange& request, std::uint64_t after);
   void AnswerWaitingWatches();
+  void ExpireItems();
 
   event_loop& loop_;
   std::unique_ptr<http_server> server_;
@@ -87,6 +90,10 @@
   backup backup_;
   std::vector<std::pair<std::shared_ptr<server_exchange>, std::uint64_t>> waiting_watches_;
   std::vector<std::unique_ptr<loop_timer>> timers_;
+  /** Lifetimes of items, also of removed ones, and when present ones expire. */
+  std::map<std::string, duration> lifetimes_;
+  std::map<std::string, instant> expires_at_;
+  loop_timer expiry_timer_;
 };
 
 }  // namespace cuminferry::testing
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -7,7 +7,6 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <set>
 #include <utility>
 
 #include "trial/child_process.h"
@@ -37,6 +36,12 @@
 constexpr duration kRestartDelay = milliseconds(300);
 // Time between the start of the drain of a backend server and its end.
 constexpr duration kDrainTime = milliseconds(3'000);
+// The setting drain_s: time in which a backend server that leaves must get no more requests.
+constexpr duration kDrainBound = milliseconds(2'500);
+// How long a backend server that left without being listed as draining serves, and how long its
+// address is unused afterwards.
+constexpr duration kUnlistedServingTime = milliseconds(6'500);
+constexpr duration kAddressPause = seconds(2);
 constexpr duration kGracePeriod = seconds(6);
 constexpr int kEditsInSeries = 8;
 constexpr duration kSeriesInterval = milliseconds(80);
@@ -54,7 +59,9 @@
 
 enum class address_group : std::uint8_t { kNode, kPublished, kStore };
 
-std::string ServiceOf(std::size_t node) { return node % 2 == 0 ? "maps" : "permits"; }
+std::string ServiceOf(std::size_t node) {
+  return node % soak_plan::kServices == 0 ? "maps" : "permits";
+}
 
 /** A row with what clients need to send its requests. */
 struct client_row {
@@ -110,6 +117,12 @@
   std::string target_id;
   std::size_t target_number = 0;
   bool draining = false;
+  // The backend server leaves and is not listed.
+  bool left_unlisted = false;
+  // The backend server can't reach the store.
+  bool store_lost = false;
+  // The current backend server's time of serving; null before its entry is written.
+  serving_period* serving = nullptr;
   std::unique_ptr<http_client> readiness_client;
   std::unique_ptr<client_exchange> ready_probe;
   std::unique_ptr<client_exchange> previous_probe;
@@ -218,6 +231,7 @@
         {"seeds", json::array()},
         {"repeat_allowance", allowance},
         {"repeat_window_s", 10},
+        {"drain_s", std::chrono::duration<double>(kDrainBound).count()},
         {"grace_s", std::chrono::duration<double>(kGracePeriod).count()}};
     std::ofstream(nodes_[number]->settings_file) << settings.dump(2);
   }
@@ -254,11 +268,30 @@
             .node_incarnation = [&node] { return node.incarnation; }},
         ledger_, random_);
     node.draining = false;
+    node.left_unlisted = false;
+    node.serving = nullptr;
     Publish(node);
   }
 
-  void Publish(const soak_node& node) {
-    store_.Put(
+  // The backend server ended or leaves.
+  void EndServing(soak_node& node) {
+    if (node.serving != nullptr) {
+      std::exchange(node.serving, nullptr)->end = loop_.Now();
+    }
+  }
+
+  void Publish(soak_node& node) {
+    if (node.store_lost || node.left_unlisted) {
+      return;
+    }
+    if (node.serving == nullptr && !node.draining) {
+      node.serving = &ledger_.OnServing({.target = node.target_number,
+                                         .node = node.number,
+                                         .service = ServiceOf(node.number),
+                                         .begin = loop_.Now(),
+                                         .end = loop_.Now() + seconds(600)});
+    }
+    store_.PutFor(
         "servers/" + node.target_id,
         json{{"service", ServiceOf(node.number)},
              {"addr", AddressOf(address_group::kPublished, node.number, kBackendPort).ToString()},
@@ -268,7 +301,8 @@
              {"state", node.draining ? "draining" : "ready"},
              {"warmup_left_ms", 0},
              {"sequence", ++heartbeats_}}
-            .dump());
+            .dump(),
+        3 * kHeartbeat);
   }
 
   void Heartbeat() {
@@ -474,6 +508,12 @@
       case soak_action::kTargetLeaves:
         DeclareLeaving(node);
         break;
+      case soak_action::kStoreLost:
+        LoseStore(node, event.span);
+        break;
+      case soak_action::kLeavesUnlisted:
+        LeaveUnlisted(node);
+        break;
       case soak_action::kBurst:
         burst_factor_ = kBurstFactor;
         After(event.span, [this] { burst_factor_ = 1.0; });
@@ -554,26 +594,9 @@
       store_.RestoreBackup();
       After(kSeriesInterval, [this] { Edit(); });
       After(kSeriesInterval, [this] { Heartbeat(); });
-      After(3 * kHeartbeat, [this] { RemoveStaleServers(); });
     });
   }
 
-  // Removes entries that the backup brought back and that no backend server renews.
-  void RemoveStaleServers() {
-    std::set<std::string> renewed;
-    for (const auto& node : nodes_) {
-      if (node->target) {
-        renewed.insert(node->target_id);
-      }
-    }
-    for (std::size_t number = 1; number <= targets_started_; ++number) {
-      const std::string id = fmt::format("i-{}", number);
-      if (!renewed.contains(id)) {
-        store_.Remove("servers/" + id);
-      }
-    }
-  }
-
   void SendCrashing() {
     RecordFault(disturbance::kAllNodes, kCrashingInterval * kCrashingRequests + kCrashRestartDelay);
     for (int sent = 0; sent < kCrashingRequests; ++sent) {
@@ -663,10 +686,9 @@
       return;
     }
     RecordFault(node.number, span);
-    const std::string id = node.target_id;
+    EndServing(node);
+    // The entry expires.
     node.target.reset();
-    // The entry of a crashed backend server expires after three heartbeats.
-    After(3 * kHeartbeat, [this, id] { store_.Remove("servers/" + id); });
     After(span, [this, &node] { StartTarget(node); });
   }
 
@@ -693,6 +715,7 @@
       return;
     }
     node.target->DeclareLeaving();
+    EndServing(node);
     ledger_.OnDeclared({.type = declared_period::kind::kLeaving,
                         .target = node.target_number,
                         .begin = loop_.Now()});
@@ -703,11 +726,45 @@
     });
   }
 
+  void LoseStore(const soak_node& first, duration span) {
+    for (std::size_t i = 0; i < soak_plan::StoreLostCount(nodes_.size()); ++i) {
+      soak_node& node = *nodes_[(first.number + soak_plan::kServices * i) % nodes_.size()];
+      InjectStoreLinkFault(node, {.cut_to_server = true, .cut_to_client = true}, span);
+      node.store_lost = true;
+      After(span, [&node] { node.store_lost = false; });
+    }
+  }
+
+  // The entry is removed while its renewals are fresh, or expires where the store is lost.
+  void LeaveUnlisted(soak_node& node) {
+    if (!node.target || node.draining) {
+      return;
+    }
+    node.draining = true;
+    node.left_unlisted = true;
+    EndServing(node);
+    node.target->StartDraining();
+    instant removed = loop_.Now();
+    if (node.store_lost) {
+      removed += 3 * kHeartbeat;
+    } else {
+      store_.Remove("servers/" + node.target_id);
+    }
+    ledger_.OnLeftUnlisted(node.target_number, node.number, removed, removed + kDrainBound);
+    After(kUnlistedServingTime, [&node] { node.target.reset(); });
+    After(kUnlistedServingTime + kAddressPause, [this, &node] { StartTarget(node); });
+  }
+
   void Replace(soak_node& node) {
     if (!node.target || node.draining) {
       return;
     }
+    if (node.store_lost) {
+      LeaveUnlisted(node);
+      return;
+    }
     node.draining = true;
+    EndServing(node);
     Publish(node);
     ledger_.OnDraining(node.target_number, loop_.Now());
     node.target->StartDraining();
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -16,6 +16,8 @@
 constexpr duration kOlderTableSlack = std::chrono::milliseconds(250);
 constexpr duration kWindowStep = std::chrono::milliseconds(500);
 constexpr double kMinServedShare = 0.9;
+// A request that was sent this long before the end of a window arrives within it.
+constexpr duration kRequestSlack = std::chrono::milliseconds(300);
 constexpr std::size_t kMinRequestsPerPeriod = 10;
 // Part of a row's timeout. An answer that was lost later than this counts as timed out.
 constexpr double kTimeoutShare = 0.7;
@@ -67,6 +69,13 @@
   });
 }
 
+bool soak_ledger::WasStoreDisturbed(instant from, instant to) const {
+  return std::ranges::any_of(disturbances_, [&](const disturbance& seen) {
+    return seen.type == disturbance::kind::kStore && seen.node == disturbance::kAllNodes &&
+           seen.begin <= to && seen.end + kRecoveryMargin >= from;
+  });
+}
+
 bool soak_ledger::WasWithoutFault(const sent_request& request) const {
   return !WasDisturbed(disturbance::kind::kFault, disturbance::kAllNodes, request.sent,
                        request.ended);
@@ -84,6 +93,8 @@
   CheckDraining(found);
   CheckDeclaredRates(found);
   CheckDeclaredLeaving(found);
+  CheckLeftUnlisted(found);
+  CheckServiceTargets(found);
   CheckRepeats(found);
   CheckFaultFreePeriods(found);
   return found;
@@ -279,6 +290,59 @@
   }
 }
 
+// The store and the node beside the backend server decide alone, so that faults of other nodes are
+// no excuse.
+void soak_ledger::CheckLeftUnlisted(violations& into) const {
+  for (const unlisted_leaver& left : left_) {
+    for (const auto& run : runs_) {
+      if (run->target != left.target || run->arrived <= left.last_arrival ||
+          WasDisturbed(disturbance::kind::kFault, left.node, left.removed, run->arrived) ||
+          WasStoreDisturbed(left.removed, run->arrived)) {
+        continue;
+      }
+      into.push_back(fmt::format("reached target {} {:.3f} s after its entry was removed: {}",
+                                 run->target, ToSeconds(run->arrived - left.removed), run->id));
+      break;
+    }
+  }
+}
+
+void soak_ledger::CheckServiceTargets(violations& into) const {
+  std::map<std::string, std::vector<instant>> arrivals;
+  for (const auto& run : runs_) {
+    arrivals[run->service].push_back(run->arrived);
+  }
+  std::map<std::string, std::vector<instant>> sent;
+  for (const auto& [id, request] : requests_) {
+    if (request.edit == 0 && !WasDisturbed(disturbance::kind::kFault, request.node, request.sent,
+                                           request.sent + kTargetWindow)) {
+      sent[request.service].push_back(request.sent);
+    }
+  }
+  const auto count = [](const std::vector<instant>& times, instant begin, instant end) {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(times, [&](instant at) { return at >= begin && at < end; }));
+  };
+  for (const serving_period& serving : serving_) {
+    instant begin = serving.begin + kRecoveryMargin;
+    // Nodes may not have heard of the entry. Later faults of the store are no excuse.
+    if (WasStoreDisturbed(serving.begin, begin)) {
+      continue;
+    }
+    for (; begin + kTargetWindow <= serving.end; begin += kWindowStep) {
+      const instant end = begin + kTargetWindow;
+      if (!WasDisturbed(disturbance::kind::kFault, serving.node, begin, end) &&
+          count(arrivals[serving.service], begin, end) == 0 &&
+          count(sent[serving.service], begin, end - kRequestSlack) >= kMinRequestsPerWindow) {
+        into.push_back(fmt::format("{} got no request from {:.3f} s for {:.1f} s; target {} served",
+                                   serving.service, ToSeconds(begin.time_since_epoch()),
+                                   ToSeconds(kTargetWindow), serving.target));
+        break;
+      }
+    }
+  }
+}
+
 void soak_ledger::CheckRepeats(violations& into) const {
   std::map<std::string, std::vector<instant>> requests;
   std::map<std::string, std::vector<instant>> repeats;
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -88,6 +88,16 @@
   std::map<std::pair<std::size_t, int>, instant> told;
 };
 
+/** A time in which a backend server served and was not leaving. */
+struct serving_period {
+  std::size_t target = 0;
+  std::size_t node = 0;
+  std::string service;
+  /** When its entry was first written. */
+  instant begin{};
+  instant end{};
+};
+
 /** Records what was sent, run and answered in one soak, and checks the guarantees.
     The records come from the soak's own clients and backend servers only, never from
     what the nodes report. */
@@ -111,6 +121,10 @@
   static constexpr double kRateFactor = 1.5;
   static constexpr double kRateSlack = 5.0;
 
+  /** Within this time some request reaches a service, a backend server of which serves. */
+  static constexpr duration kTargetWindow = std::chrono::seconds(1);
+  static constexpr std::size_t kMinRequestsPerWindow = 10;
+
   explicit soak_ledger(double repeat_allowance) : repeat_allowance_(repeat_allowance) {}
 
   //============================================================================
@@ -123,6 +137,16 @@
   void OnEdit(int number, instant at) { edits_[number] = at; }
   /** Records when the store accepted that this backend server drains. */
   void OnDraining(std::size_t target, instant at) { draining_[target] = at; }
+  /** Records when the store removed the entry of this backend server, which leaves and was never
+      listed as draining.
+      @param last_arrival  the latest time at which a request may reach it */
+  void OnLeftUnlisted(std::size_t target, std::size_t node, instant removed, instant last_arrival) {
+    left_.push_back({target, node, removed, last_arrival});
+  }
+  /** The end of the returned period may be set later. */
+  serving_period& OnServing(serving_period period) {
+    return serving_.emplace_back(std::move(period));
+  }
   void OnDeclared(declared_period declared) { declared_.push_back(std::move(declared)); }
   /** An answer of this target in which it declares something was passed on to a client or, as the
       answer of a call, to a backend server. */
@@ -143,8 +167,16 @@
 
  private:
   using violations = std::vector<std::string>;
+  struct unlisted_leaver {
+    std::size_t target = 0;
+    std::size_t node = 0;
+    instant removed{};
+    instant last_arrival{};
+  };
 
   bool WasDisturbed(disturbance::kind type, std::size_t node, instant from, instant to) const;
+  /** A store fault of the whole store, not of one node's connection, overlaps this time. */
+  bool WasStoreDisturbed(instant from, instant to) const;
   /** No kFault disturbance of any node overlaps this request. */
   bool WasWithoutFault(const sent_request& request) const;
   const std::vector<const observed_run*>& RunsOf(const std::string& id) const;
@@ -159,6 +191,8 @@
   void CheckDraining(violations& into) const;
   void CheckDeclaredRates(violations& into) const;
   void CheckDeclaredLeaving(violations& into) const;
+  void CheckLeftUnlisted(violations& into) const;
+  void CheckServiceTargets(violations& into) const;
   void CheckRepeats(violations& into) const;
   void CheckFaultFreePeriods(violations& into) const;
 
@@ -170,6 +204,8 @@
   std::map<int, instant> edits_;
   std::map<std::size_t, instant> draining_;
   std::vector<declared_period> declared_;
+  std::vector<unlisted_leaver> left_;
+  std::deque<serving_period> serving_;
   std::vector<std::pair<instant, instant>> fault_free_periods_;
   violations violations_;
 };
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -9,12 +9,13 @@
 using std::chrono::milliseconds;
 
 constexpr std::array kActionNames{
-    "kill",          "kill-all",       "pause",         "delay",         "reset",
-    "silence",       "cut-to-node",    "cut-from-node", "cut-off",       "store-cut",
-    "store-reset",   "store-down",     "store-silent",  "store-forgets", "target-slow",
-    "target-loses",  "target-damages", "target-sheds",  "target-crash",  "stop",
-    "reload",        "edit",           "edits",         "replace",       "burst",
-    "store-returns", "crashing",       "target-limits", "target-leaves"};
+    "kill",           "kill-all",       "pause",         "delay",         "reset",
+    "silence",        "cut-to-node",    "cut-from-node", "cut-off",       "store-cut",
+    "store-reset",    "store-down",     "store-silent",  "store-forgets", "target-slow",
+    "target-loses",   "target-damages", "target-sheds",  "target-crash",  "stop",
+    "reload",         "edit",           "edits",         "replace",       "burst",
+    "store-returns",  "crashing",       "target-limits", "target-leaves", "store-lost",
+    "leaves-unlisted"};
 // Actions from this one on are drawn separately.
 constexpr auto kDrawableActions = static_cast<std::uint64_t>(soak_action::kStoreReturns);
 constexpr auto kFirstPlanned = static_cast<std::uint64_t>(soak_action::kStop);
@@ -28,6 +29,11 @@
 constexpr milliseconds kDeclaredStartWindow{1'000};
 // Makes the random stream of declarations differ from the others of the same seed.
 constexpr std::uint64_t kDeclarationStream = 0x5DEC'1A4E;
+// Entries expire after 4.5 s without a renewal; they are back before a fault-free period.
+constexpr milliseconds kRegistrationTime{7'000};
+constexpr milliseconds kRegistrationStartWindow{500};
+// Makes the random stream of lost registrations differ from the others of the same seed.
+constexpr std::uint64_t kRegistrationStream = 0x2E61'57E2;
 // Planned events start within this time, so that a drain completes within kPlannedTime.
 constexpr milliseconds kPlannedStartWindow{3'000};
 
@@ -42,10 +48,16 @@
   return kActionNames.at(static_cast<std::size_t>(action));
 }
 
+std::size_t soak_plan::StoreLostCount(std::size_t nodes) {
+  constexpr std::size_t kShare = 3;
+  return (nodes + kShare - 1) / kShare;
+}
+
 soak_plan soak_plan::Draw(std::uint64_t seed, std::size_t nodes, int rounds) {
   random_source random(seed);
   random_source separate_random(~seed);
   random_source declaration_random(seed ^ kDeclarationStream);
+  random_source registration_random(seed ^ kRegistrationStream);
   soak_plan plan;
   duration now = kStartTime;
   const auto draw = [&](std::uint64_t first, duration begin, duration latest, duration end) {
@@ -80,12 +92,29 @@
                              .node = static_cast<std::size_t>(declaration_random.Below(nodes))});
     }
   };
+  const auto draw_registration = [&](soak_action action, std::size_t node) {
+    const bool is_drawn = registration_random.Below(2) == 0;
+    if (is_drawn) {
+      plan.events.push_back(
+          {.action = action,
+           .start = now + Between(registration_random, {}, kRegistrationStartWindow),
+           .span = kRegistrationTime,
+           .node = node});
+    }
+    return is_drawn;
+  };
   for (int round = 0; round < rounds; ++round) {
     draw(0, now, kFaultTime - kMinSpan, now + kFaultTime);
     draw_separately(soak_action::kStoreReturns);
     draw_separately(soak_action::kCrashing);
     draw_declaration(soak_action::kTargetLimits);
     draw_declaration(soak_action::kTargetLeaves);
+    const auto lost = static_cast<std::size_t>(registration_random.Below(nodes));
+    const bool is_lost = draw_registration(soak_action::kStoreLost, lost);
+    // If both occur, the last listed backend server of the service leaves.
+    const auto leaver = static_cast<std::size_t>(registration_random.Below(nodes));
+    draw_registration(soak_action::kLeavesUnlisted,
+                      is_lost ? (lost + kServices * StoreLostCount(nodes)) % nodes : leaver);
     now += kFaultTime;
     add_fault_free_period();
     draw(kFirstPlanned, now, kPlannedStartWindow, now + kPlannedTime);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -38,10 +38,12 @@
   // Load.
   kBurst,  ///< clients send at four times the usual rate
   // Drawn from a separate random stream, so that earlier seeds give the same plans.
-  kStoreReturns,  ///< the store is restored from a backup that is as old as the span
-  kCrashing,      ///< a request that crashes backend servers is sent repeatedly
-  kTargetLimits,  ///< a backend server declares a rate in its answers
-  kTargetLeaves,  ///< a backend server declares that it leaves, is listed as ready, and ends
+  kStoreReturns,    ///< the store is restored from a backup that is as old as the span
+  kCrashing,        ///< a request that crashes backend servers is sent repeatedly
+  kTargetLimits,    ///< a backend server declares a rate in its answers
+  kTargetLeaves,    ///< a backend server declares that it leaves, is listed as ready, and ends
+  kStoreLost,       ///< a third of the machines, with their backend servers, loses the store
+  kLeavesUnlisted,  ///< a backend server leaves, is removed without being listed as draining
 };
 
 std::string_view ToText(soak_action action);
@@ -68,6 +70,12 @@
   static constexpr duration kFaultFreeTime = std::chrono::milliseconds(3'000);
   static constexpr duration kPlannedTime = std::chrono::milliseconds(9'000);
 
+  /** Services of the fleet; node N belongs to service N modulo this. */
+  static constexpr std::size_t kServices = 2;
+  /** Number of machines that kStoreLost affects: the event's node, and the next ones of the same
+      service. */
+  static std::size_t StoreLostCount(std::size_t nodes);
+
   std::vector<soak_event> events;
   /** Begin and end of the periods without faults. */
   std::vector<std::pair<duration, duration>> fault_free_periods;
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -85,6 +85,10 @@
   }
 
   void OnRequest() {
+    if (head_.target == kHealthPath) {
+      AnswerHealth();
+      return;
+    }
     id_ = Field("Cuminferry-Request-Id");
     run_ = &owner_.ledger_.OnArrival({.id = id_,
                                       .target = owner_.options_.number,
@@ -106,6 +110,17 @@
     }
   }
 
+  void AnswerHealth() {
+    constexpr int kUnavailable = 503;
+    const std::string body = fmt::format(R"({{"id":"{}"}})", owner_.options_.id);
+    http_head head;
+    head.status = owner_.draining_ ? kUnavailable : 200;
+    head.reason = "Status";
+    head.framing = body_framing::kLength;
+    head.length = body.size();
+    connection_->Write(head.ToResponseText(owner_.draining_) + body);
+  }
+
   bool DrawsTrue(double share) { return owner_.random_.Fraction() < share; }
 
   void Reject(int status) {
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -53,6 +53,7 @@
   };
   /** A request whose path contains this crashes the backend server that runs it. */
   static constexpr std::string_view kCrashPathPart = "crash";
+  static constexpr std::string_view kHealthPath = "/healthz";
 
   soak_target(event_loop& loop, options options, soak_ledger& ledger, random_source& random);
   /** Resets all connections, as the end of a killed process does. */
@@ -65,7 +66,7 @@
   void DeclareRate(const std::optional<double>& rate) { declared_rate_ = rate; }
   /** All later answers, also rejections, declare that the backend server leaves. */
   void DeclareLeaving() { declares_leaving_ = true; }
-  /** All later answers carry "Connection: close". */
+  /** All later answers carry "Connection: close", and health checks get status 503. */
   void StartDraining() { draining_ = true; }
 
  private:
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -137,6 +137,8 @@
   CPPUNIT_TEST(Ledger_LeavingTargetRuns_IsFound);
   CPPUNIT_TEST(Ledger_DeclaredRateExceeded_IsFound);
   CPPUNIT_TEST(Ledger_ReachesTargetThatDeclaredLeaving_IsFound);
+  CPPUNIT_TEST(Ledger_ReachesTargetThatLeftUnlisted_IsFound);
+  CPPUNIT_TEST(Ledger_ServiceWithoutTargets_IsFound);
   CPPUNIT_TEST(Ledger_TooManyRepeats_AreFound);
   CPPUNIT_TEST(Ledger_FewServedInCalm_IsFound);
   CPPUNIT_TEST(Proxy_Delay_HoldsBytesBack);
@@ -245,6 +247,43 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.ViolationCount());
   }
 
+  void Ledger_ReachesTargetThatLeftUnlisted_IsFound() {
+    single_request late;
+    late.Run().arrived = late.sent_at;
+    const std::size_t without = late.ViolationCount();
+    late.ledger.OnLeftUnlisted(1, 0, late.sent_at - seconds(3), late.sent_at);
+    CPPUNIT_ASSERT_EQUAL(without, late.ViolationCount());
+    late.ledger.OnLeftUnlisted(1, 0, late.sent_at - seconds(3), late.sent_at - milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(without + 1, late.ViolationCount());
+  }
+
+  // Guards against a check that never finds anything, as each window counts as disturbed.
+  void Ledger_ServiceWithoutTargets_IsFound() {
+    single_request alone;
+    const instant begin = alone.sent_at + seconds(10);
+    alone.ledger.OnServing({.target = 2,
+                            .service = "permits",
+                            .begin = begin - soak_ledger::kRecoveryMargin,
+                            .end = begin + soak_ledger::kTargetWindow});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, alone.ViolationCount());
+    for (std::size_t sent = 0; sent < soak_ledger::kMinRequestsPerWindow; ++sent) {
+      alone.ledger.OnSent({.id = "w" + std::to_string(sent),
+                           .service = "permits",
+                           .sent = begin,
+                           .outcome = request_outcome::kRefused,
+                           .ended = begin});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, alone.ViolationCount());
+    alone.Run().arrived = begin;
+    // The request ran twice.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, alone.ViolationCount());
+    alone.ledger.OnServing({.target = 2,
+                            .service = "permits",
+                            .begin = begin - soak_ledger::kRecoveryMargin + seconds(1),
+                            .end = begin + seconds(1) + soak_ledger::kTargetWindow});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, alone.ViolationCount());
+  }
+
   void Ledger_TooManyRepeats_AreFound() {
     single_request repeated(true);
     repeated.Run();
