Share what is admitted of a rank fairly among its customers (trial state)

Cause: within a rank all requests are admitted with the same probability, so that a customer which sends seven times its usual rate gets seven shares. Change: customer_shares with the coordinators' rates and levels on /relay/limits/2.

--- a/extras/ctl/commands/explain_command.cpp
+++ b/extras/ctl/commands/explain_command.cpp
@@ -227,6 +227,10 @@
     words += alone ? ", by the node's equal share of the limit, as no other node answered"
                    : ", of whose requests a part of " + TextOf(line, "limit_share") + " is let in";
   }
+  if (line.contains("customer_share")) {
+    words += ", whose fair share lets in a part of " + TextOf(line, "customer_share") +
+             " of its requests";
+  }
   if (line.contains("copy_age_us")) {
     words += ", copy " + MillisOf(line, "copy_age_us") + " old";
   }
--- a/modules/cuminferry_relay/path/limit_exchange.cpp
+++ b/modules/cuminferry_relay/path/limit_exchange.cpp
@@ -24,23 +24,33 @@
     instant sent{};
     // The other coordinator of these customers has not been queried yet.
     bool is_first_query = true;
-    std::vector<limit_report> reports;
+    std::vector<customer_report> reports;
   };
 
   relay_board& board;
   customer_coordinator coordinator;
+  demand_coordinator demand;
+  level_coordinator levels;
   loop_timer period_timer;
+  loop_timer load_timer;
   peer_queries queries;
   bool is_send_scheduled = false;
   std::map<endpoint, instant> excluded_until;
+  // Nodes that do not know kSharesPath.
+  std::map<endpoint, instant> previous_release_until;
   std::map<std::string, std::vector<std::function<void()>>, std::less<>> waiting_requests;
 
   explicit state(relay_board& board)
       : board(board),
         coordinator(board.settings.customers.limits),
         period_timer(board.loop),
+        load_timer(board.loop),
         queries(board, "limits") {
-    period_timer.StartPeriodic(customer_limits::kReportPeriod, [this] { SendReports(); });
+    period_timer.StartPeriodic(customer_limits::kReportPeriod, [this] {
+      SendReports();
+      LogShareChanges();
+    });
+    load_timer.StartPeriodic(demand_coordinator::kLoadPeriod, [this] { SendLoads(); });
   }
 
   bool IsCutOff(std::string_view domain) const {
@@ -60,17 +70,32 @@
     }
   }
 
-  void SendReports() { SendToCoordinators(board.limits.TakeReports(board.loop.Now()), nullptr); }
+  void SendReports() {
+    const instant now = board.loop.Now();
+    std::vector<customer_report> reports;
+    for (limit_report& report : board.limits.TakeReports(now)) {
+      customer_report taken{.limit = std::move(report), .counts_for_limit = true, .pools = {}};
+      taken.pools = board.shares.TakeDemand(taken.limit.customer, now);
+      reports.push_back(std::move(taken));
+    }
+    for (std::string& name : board.shares.CustomersDue(now)) {
+      customer_report taken;
+      taken.pools = board.shares.TakeDemand(name, now);
+      taken.limit.customer = std::move(name);
+      reports.push_back(std::move(taken));
+    }
+    SendToCoordinators(std::move(reports), nullptr);
+  }
 
   // @param failed  the query that brought no reply; nullptr if none was sent yet
-  void SendToCoordinators(std::vector<limit_report> reports, const sent_query* failed) {
-    std::map<endpoint, std::vector<limit_report>> by_coordinator;
-    std::vector<limit_report> undeliverable;
+  void SendToCoordinators(std::vector<customer_report> reports, const sent_query* failed) {
+    std::map<endpoint, std::vector<customer_report>> by_coordinator;
+    std::vector<customer_report> undeliverable;
     const bool is_first_query = failed == nullptr;
-    for (limit_report& report : reports) {
+    for (customer_report& report : reports) {
       const bool may_query = is_first_query || failed->is_first_query;
       const auto chosen =
-          may_query ? ChooseCoordinator(report.customer, is_first_query) : std::nullopt;
+          may_query ? ChooseCoordinator(report.limit.customer, is_first_query) : std::nullopt;
       if (chosen && (is_first_query || *chosen != failed->coordinator)) {
         by_coordinator[*chosen].push_back(std::move(report));
       } else {
@@ -98,7 +123,8 @@
       // A coordinator that gets no reports of other nodes may be cut off from them. The other
       // coordinator has their reports then.
       if (found == board.settings.backend && board.coordinators.size() > 1 &&
-          !coordinator.HasReportsOfOthers(customer, now)) {
+          !coordinator.HasReportsOfOthers(customer, now) &&
+          !demand.HasReportsOfOthers(customer, now)) {
         continue;
       }
       if (first) {
@@ -110,62 +136,221 @@
   }
 
   void SendToCoordinator(const endpoint& chosen, bool is_first_query,
-                         std::vector<limit_report> reports) {
+                         std::vector<customer_report> reports) {
     if (chosen == board.settings.backend) {
-      ApplyReplies(UpdateAccounts(reports, true));
+      const share_query query{.reports = std::move(reports)};
+      ApplyReply(query.reports, Answer(query, true));
       return;
     }
-    const std::string body = EncodeMessage(reports);
     const auto pending =
         std::make_shared<sent_query>(sent_query{.coordinator = chosen,
                                                 .domain = board.coordinators.DomainOf(chosen),
                                                 .sent = board.loop.Now(),
                                                 .is_first_query = is_first_query,
                                                 .reports = std::move(reports)});
-    queries.Send({.peer = board.PeerAddressOf(chosen),
+    if (!board.settings.customer_shares || IsOfPreviousRelease(chosen)) {
+      SendLimitReports(pending);
+      return;
+    }
+    Send(chosen, kSharesPath, EncodeMessage(share_query{.reports = pending->reports}),
+         [this, pending](const std::optional<std::string>& answer) {
+           if (!answer) {
+             OnNoReply(*pending);
+           } else if (answer->empty()) {
+             OnPreviousRelease(pending->coordinator);
+             SendLimitReports(pending);
+           } else {
+             OnShareReply(*pending, *answer);
+           }
+         });
+  }
+
+  // Sends reports as nodes of the previous release do. They have no place for the rest.
+  void SendLimitReports(const std::shared_ptr<sent_query>& pending) {
+    std::erase_if(pending->reports,
+                  [](const customer_report& report) { return !report.counts_for_limit; });
+    if (pending->reports.empty()) {
+      return;
+    }
+    std::vector<limit_report> reports;
+    for (const customer_report& report : pending->reports) {
+      reports.push_back(report.limit);
+    }
+    Send(pending->coordinator, kLimitsPath, EncodeMessage(reports),
+         [this, pending](const std::optional<std::string>& answer) {
+           if (answer) {
+             OnReply(*pending, *answer);
+           } else {
+             OnNoReply(*pending);
+           }
+         });
+  }
+
+  void Send(const endpoint& to, std::string_view path, std::string body,
+            peer_queries::reply_hook on_reply) {
+    queries.Send({.peer = board.PeerAddressOf(to),
                   .method = "POST",
-                  .target = std::string(kLimitsPath),
-                  .body = body,
+                  .target = std::string(path),
+                  .body = std::move(body),
                   .limit = kReplyTimeout},
-                 [this, pending](const std::optional<std::string>& answer) {
-                   if (answer) {
-                     OnReply(*pending, *answer);
-                   } else {
-                     OnNoReply(*pending);
-                   }
-                 });
+                 std::move(on_reply));
+  }
+
+  bool IsOfPreviousRelease(const endpoint& node) const {
+    const auto at = previous_release_until.find(node);
+    return at != previous_release_until.end() && board.loop.Now() < at->second;
+  }
+
+  void OnPreviousRelease(const endpoint& node) {
+    const instant now = board.loop.Now();
+    std::erase_if(previous_release_until, [now](const auto& entry) { return now >= entry.second; });
+    previous_release_until[node] = now + kPreviousReleasePause;
   }
 
   void OnReply(sent_query& done, const std::string& answer) {
     board.domains.OnReceived(done.domain, board.loop.Now());
     const auto replies = DecodeMessage<std::vector<limit_reply>>(answer);
     if (!replies || replies->size() != done.reports.size()) {
-      board.log.LogChange("limits.damaged",
-                          {{"peer", done.coordinator.ToString()}, {"bytes", answer.size()}});
-      SendToCoordinators(std::move(done.reports), &done);
+      OnDamagedReply(done, answer.size());
     } else {
       ApplyReplies(*replies);
     }
   }
 
+  void OnShareReply(sent_query& done, const std::string& answer) {
+    board.domains.OnReceived(done.domain, board.loop.Now());
+    const auto reply = DecodeMessage<share_reply>(answer);
+    if (!reply || reply->figures.size() != done.reports.size()) {
+      OnDamagedReply(done, answer.size());
+    } else {
+      ApplyReply(done.reports, *reply);
+    }
+  }
+
+  void OnDamagedReply(sent_query& done, std::size_t bytes) {
+    board.log.LogChange("limits.damaged",
+                        {{"peer", done.coordinator.ToString()}, {"bytes", bytes}});
+    SendToCoordinators(std::move(done.reports), &done);
+  }
+
   void OnNoReply(sent_query& done) {
-    excluded_until[done.coordinator] = board.loop.Now() + kNoReplyPause;
-    board.domains.OnUnanswered(done.domain, done.sent, board.loop.Now());
+    ExcludeSilent(done.coordinator, done.domain, done.sent);
     SendToCoordinators(std::move(done.reports), &done);
   }
 
+  void ExcludeSilent(const endpoint& node, const std::string& domain, instant sent) {
+    excluded_until[node] = board.loop.Now() + kNoReplyPause;
+    board.domains.OnUnanswered(domain, sent, board.loop.Now());
+  }
+
+  //============================================================================
+  // Sends what this node knows of the customers that it coordinates to the coordinators of the
+  // pools' levels.
+  void SendLoads() { SendToLevelCoordinators(demand.Loads(board.loop.Now()), true); }
+
+  void SendToLevelCoordinators(std::vector<pool_loads> loads, bool is_first_query) {
+    std::map<endpoint, share_query> by_coordinator;
+    for (pool_loads& of_pool : loads) {
+      if (const auto chosen = ChooseLevelCoordinator(of_pool.pool)) {
+        by_coordinator[*chosen].loads.push_back(std::move(of_pool));
+      }
+    }
+    for (auto& [chosen, query] : by_coordinator) {
+      query.sender = board.settings.backend;
+      if (chosen == board.settings.backend) {
+        ApplyLevels(Answer(query, true));
+      } else {
+        SendToLevelCoordinator(chosen, is_first_query, std::move(query));
+      }
+    }
+  }
+
+  void SendToLevelCoordinator(const endpoint& chosen, bool is_first_query, share_query query) {
+    const std::string body = EncodeMessage(query);
+    Send(chosen, kSharesPath, body,
+         [this, to = chosen, is_first_query, loads = std::move(query.loads),
+          domain = board.coordinators.DomainOf(chosen),
+          sent = board.loop.Now()](const std::optional<std::string>& answer) {
+           if (!answer) {
+             ExcludeSilent(to, domain, sent);
+           } else if (answer->empty()) {
+             OnPreviousRelease(to);
+           } else {
+             board.domains.OnReceived(domain, board.loop.Now());
+             if (const auto reply = DecodeMessage<share_reply>(*answer)) {
+               ApplyLevels(*reply);
+             }
+             return;
+           }
+           if (is_first_query) {
+             SendToLevelCoordinators(loads, false);
+           }
+         });
+  }
+
+  std::optional<endpoint> ChooseLevelCoordinator(std::uint32_t pool) const {
+    const instant now = board.loop.Now();
+    for (const endpoint& found : board.coordinators.CoordinatorsOf(
+             CoordinatorKeyOf(pool),
+             [this](std::string_view domain) { return IsCutOff(domain); })) {
+      const auto exclusion = excluded_until.find(found);
+      const bool is_silent = exclusion != excluded_until.end() && now < exclusion->second;
+      if (!is_silent && !IsOfPreviousRelease(found)) {
+        return found;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void ApplyLevels(const share_reply& reply) {
+    for (const pool_level& level : reply.levels) {
+      demand.OnLevel(level, board.loop.Now());
+    }
+  }
+
+  void LogShareChanges() {
+    for (const customer_shares::change& change : board.shares.TakeChanges(board.loop.Now())) {
+      board.log.LogChange(
+          change.in_force ? "shares.in_force" : "shares.ended",
+          {{"limited_by", change.service}, {"rank", change.rank}, {"customers", change.customers}});
+    }
+  }
+
   //============================================================================
-  void UseEqualShares(const std::vector<limit_report>& reports) {
-    for (const limit_report& report : reports) {
-      if (!board.limits.IsWithoutCoordinator(report.customer)) {
+  void UseEqualShares(const std::vector<customer_report>& reports) {
+    for (const customer_report& report : reports) {
+      if (!report.counts_for_limit) {
+        continue;
+      }
+      const std::string& customer = report.limit.customer;
+      if (!board.limits.IsWithoutCoordinator(customer)) {
         board.log.LogChange("limits.alone",
-                            {{"customer", report.customer}, {"nodes", board.coordinators.size()}});
+                            {{"customer", customer}, {"nodes", board.coordinators.size()}});
       }
-      board.limits.OnNoReply(report, board.loop.Now());
-      ResumeWaiting(report.customer);
+      board.limits.OnNoReply(report.limit, board.loop.Now());
+      ResumeWaiting(customer);
     }
   }
 
+  // @param reply  has as many figures as there are reports
+  void ApplyReply(const std::vector<customer_report>& reports, const share_reply& reply) {
+    const instant now = board.loop.Now();
+    for (const pool_level& level : reply.levels) {
+      board.shares.OnLevel(level, now);
+    }
+    std::vector<limit_reply> of_limits;
+    for (std::size_t at = 0; at < reports.size(); ++at) {
+      const std::string& customer = reports[at].limit.customer;
+      for (const pool_rate& rate : reply.figures[at].rates) {
+        board.shares.OnRate(customer, rate, now);
+      }
+      if (reports[at].counts_for_limit) {
+        of_limits.push_back({.customer = customer, .share = reply.figures[at].share});
+      }
+    }
+    ApplyReplies(of_limits);
+  }
+
   void ApplyReplies(const std::vector<limit_reply>& replies) {
     for (const limit_reply& reply : replies) {
       const bool was_open = board.limits.ShareOf(reply.customer) >= 1.0;
@@ -189,26 +374,55 @@
   }
 
   //============================================================================
-  std::vector<limit_reply> UpdateAccounts(const std::vector<limit_report>& reports,
-                                          bool are_from_this_node) {
-    const instant now = board.loop.Now();
-    const double reachable_share = board.coordinators.ReachableShare(
+  const customer* FindCustomer(std::string_view name) const {
+    const customer_registry* known = board.table() ? board.table()->customers().get() : nullptr;
+    return known == nullptr ? nullptr : known->FindByName(name);
+  }
+
+  double ReachableShare() const {
+    return board.coordinators.ReachableShare(
         [this](std::string_view domain) { return IsCutOff(domain); });
-    const customer_registry* known_customers =
-        board.table() ? board.table()->customers().get() : nullptr;
+  }
+
+  // Counts a report for the customer's limit, and returns the share that the node may admit.
+  double UpdateAccount(const limit_report& report, double reachable_share, bool is_own) {
+    const customer* const known = FindCustomer(report.customer);
+    // An edit reaches the nodes at different times. For a customer that this node does not
+    // know yet, the reporting node's share stays as it is.
+    return known != nullptr && known->is_limited()
+               ? coordinator.OnReport(report, *known, reachable_share, is_own, board.loop.Now())
+                     .share
+               : report.share;
+  }
+
+  share_reply Answer(const share_query& query, bool is_own) {
+    const instant now = board.loop.Now();
+    const double reachable_share = ReachableShare();
     coordinator.SetBounds(board.settings.customers.limits);
-    std::vector<limit_reply> replies;
-    for (const limit_report& report : reports) {
-      const customer* known =
-          known_customers == nullptr ? nullptr : known_customers->FindByName(report.customer);
-      // An edit reaches the nodes at different times. For a customer that this node does not
-      // know yet, the reporting node's share stays as it is.
-      replies.push_back(
-          known != nullptr && known->is_limited()
-              ? coordinator.OnReport(report, *known, reachable_share, are_from_this_node, now)
-              : limit_reply{.customer = report.customer, .share = report.share});
+    share_reply reply;
+    for (const customer_report& report : query.reports) {
+      customer_figures figures;
+      if (report.counts_for_limit) {
+        figures.share = UpdateAccount(report.limit, reachable_share, is_own);
+      }
+      if (const customer* known = FindCustomer(report.limit.customer)) {
+        figures.rates =
+            demand.OnReport(known->name, board.weights.WeightOf(*known), report.pools, is_own, now);
+      }
+      reply.figures.push_back(std::move(figures));
+    }
+    reply.levels = query.loads.empty() ? demand.LevelsFor(reply.figures, now)
+                                       : levels.OnLoads(query.sender, query.loads, now);
+    return reply;
+  }
+
+  void AnswerShareQuery(server_exchange& peer, std::string_view body) {
+    const auto query = DecodeMessage<share_query>(body);
+    if (!query) {
+      peer.Answer(MakeAnswer(http_status::kBadRequest), "");
+      return;
     }
-    return replies;
+    peer.Answer(MakeAnswer(http_status::kOk), EncodeMessage(Answer(*query, false)));
   }
 
   void Answer(server_exchange& peer, std::string_view body) {
@@ -217,7 +431,14 @@
       peer.Answer(MakeAnswer(http_status::kBadRequest), "");
       return;
     }
-    peer.Answer(MakeAnswer(http_status::kOk), EncodeMessage(UpdateAccounts(*reports, false)));
+    const double reachable_share = ReachableShare();
+    coordinator.SetBounds(board.settings.customers.limits);
+    std::vector<limit_reply> replies;
+    for (const limit_report& report : *reports) {
+      replies.push_back(
+          {.customer = report.customer, .share = UpdateAccount(report, reachable_share, false)});
+    }
+    peer.Answer(MakeAnswer(http_status::kOk), EncodeMessage(replies));
   }
 };
 
@@ -236,4 +457,10 @@
   });
 }
 
+void limit_exchange::OnShareQuery(std::shared_ptr<server_exchange> peer) {
+  ReadWholeBody(peer, kMaxMessageBytes, [this](server_exchange& from, std::string_view body) {
+    state_->AnswerShareQuery(from, body);
+  });
+}
+
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -70,7 +70,11 @@
   record.nested = key_holder == nullptr && !board.admission.ComesFromClients(route->name);
   if (!record.nested) {
     board.admission.OnRequest(route->name, rank, started_at);
-    if (!board.admission.Admits(route->name, rank, board.random.Fraction(), started_at)) {
+    const double share = AdmittedShare();
+    if (board.random.Fraction() >= share) {
+      if (SharesByCustomer()) {
+        record.customer_share = share;
+      }
       Refuse("level", RetryDelay(started_at));
       return;
     }
@@ -86,6 +90,23 @@
   PlaceUnlessSuspect();
 }
 
+bool outbound_call::state::SharesByCustomer() const {
+  return key_holder != nullptr && board.settings.customer_shares;
+}
+
+// The share of requests like this one that is admitted.
+double outbound_call::state::AdmittedShare() {
+  const double of_rank = board.admission.AdmittedShare(route->name, rank, started_at);
+  const std::string service = board.admission.Limit(route->name, started_at).service;
+  if (!SharesByCustomer() || service.empty()) {
+    return of_rank;
+  }
+  // Begin() may have been some milliseconds ago, if the customer's coordinator was queried.
+  const instant now = board.loop.Now();
+  return board.shares.OnRequest({.service = service, .rank = rank}, key_holder->name,
+                                board.weights.WeightOf(*key_holder), of_rank, now);
+}
+
 void outbound_call::state::SetDeadline(const http_head& request) {
   duration left = route->timeout;
   if (const std::string* field = request.Find(board.settings.headers.deadline)) {
--- a/modules/cuminferry_relay/path/outbound_record.cpp
+++ b/modules/cuminferry_relay/path/outbound_record.cpp
@@ -44,6 +44,9 @@
     detail["limit_share"] = RoundForLog(*limit_share);
     detail["limit_alone"] = used_equal_share;
   }
+  if (customer_share) {
+    detail["customer_share"] = RoundForLog(*customer_share);
+  }
   if (replica_age) {
     detail["copy_age_us"] = replica_age->count();
   }
--- a/modules/cuminferry_relay/path/outbound_record.h
+++ b/modules/cuminferry_relay/path/outbound_record.h
@@ -36,6 +36,9 @@
   /** No coordinator of the customer answered, so the node applied its equal share of the
       limit. */
   bool used_equal_share = false;
+  /** Fraction of the customer's requests that its fair share admitted, if the request was refused
+      for that share. */
+  std::optional<double> customer_share;
   /** Age of the replica of the published items, if the request was refused for it. */
   std::optional<duration> replica_age;
   /** Admitted fraction of the row's requests of this rank, if the request was refused. */
--- a/modules/cuminferry_relay/path/outbound_state.h
+++ b/modules/cuminferry_relay/path/outbound_state.h
@@ -41,6 +41,8 @@
   void OnCoordinatorQueried();
   void AdmitCounted();
   void AdmitAndPlace();
+  bool SharesByCustomer() const;
+  double AdmittedShare();
   void PlaceUnlessSuspect();
   void OnDigestAvailable();
   void SetDeadline(const http_head& request);
--- a/modules/cuminferry_relay/path/peer_headers.h
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -31,6 +31,9 @@
 inline constexpr std::string_view kItemsPath = "/relay/items";
 /** Path at which a customer's coordinator adds up the requests of the customer. */
 inline constexpr std::string_view kLimitsPath = "/relay/limits";
+/** Path of the same exchange with the customers' request rates and the levels of fair shares. A
+   node of the previous release answers with status 400. @see share_query */
+inline constexpr std::string_view kSharesPath = "/relay/limits/2";
 /** Path at which nodes exchange events about requests that crash backend servers. */
 inline constexpr std::string_view kSuspectsPath = "/relay/suspects";
 
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -31,7 +31,12 @@
       removed_ids_(kMaxRecentIds),
       declared_leaving_(kMaxRecentIds) {}
 
-void relay_board::SetTable(std::shared_ptr<const route_table> table) { table_ = std::move(table); }
+void relay_board::SetTable(std::shared_ptr<const route_table> table) {
+  table_ = std::move(table);
+  if (table_ != nullptr && table_->customers() != nullptr) {
+    weights.SetCustomers(table_->customers()->customers());
+  }
+}
 
 void relay_board::AddPeerOf(const endpoint& backend) {
   const endpoint peer = PeerAddressOf(backend);
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -104,6 +104,8 @@
   repeat_turns turns;
 
   customer_limits limits;
+  customer_shares shares;
+  customer_weights weights;
   coordinator_picker coordinators;
   /** Called if a node or its backend server reports that this instance is not at its address. */
   std::function<void(std::string_view id)> on_instance_absent;
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -6,9 +6,11 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace cuminferry {
 namespace {
@@ -79,6 +81,12 @@
   prometheus::Counter& runs_lost{MakeCounters(registry, "cuminferry_runs_ended_total",
                                               "Runs that ended with the own backend server.")
                                      .Add({})};
+  prometheus::Family<prometheus::Gauge>& customer_shares{
+      prometheus::BuildGauge()
+          .Name("cuminferry_customer_share")
+          .Help("Admitted share of the requests of each customer of whom not all are admitted.")
+          .Register(registry)};
+  std::vector<prometheus::Gauge*> customer_share_gauges;
   std::set<std::string, std::less<>> named_customers;
   std::map<std::string, prometheus::Counter*, std::less<>> counters_by_customer;
   std::map<std::pair<std::string, labels>, prometheus::Gauge*> gauges;
@@ -173,6 +181,24 @@
   counter->Increment();
 }
 
+void relay_metrics::SetCustomerShares(const std::map<std::string, double>& held) {
+  for (prometheus::Gauge* const gauge : state_->customer_share_gauges) {
+    state_->customer_shares.Remove(gauge);
+  }
+  state_->customer_share_gauges.clear();
+  std::vector<std::pair<double, std::string_view>> smallest;
+  for (const auto& [name, share] : held) {
+    smallest.emplace_back(share, name);
+  }
+  std::ranges::sort(smallest);
+  smallest.resize(std::min(smallest.size(), kMaxNamedCustomers));
+  for (const auto& [share, name] : smallest) {
+    prometheus::Gauge& gauge = state_->customer_shares.Add({{"customer", std::string(name)}});
+    gauge.Set(share);
+    state_->customer_share_gauges.push_back(&gauge);
+  }
+}
+
 void relay_metrics::SetGauge(std::string_view name, const labels& series_labels, double value) {
   prometheus::Gauge*& gauge = state_->gauges[{std::string(name), series_labels}];
   if (gauge == nullptr) {
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -51,6 +51,10 @@
       @param bytes      length of its body and, for a query, of its target */
   void OnControlMessage(std::string_view kind, std::string_view direction, std::size_t bytes);
 
+  /** Sets the customers of whose requests less than all are admitted, with the admitted share of
+      each. Of more than kMaxNamedCustomers, those with the smallest shares. */
+  void SetCustomerShares(const std::map<std::string, double>& held);
+
   using labels = std::map<std::string, std::string>;
 
   /** Sets the current value of a gauge without labels. */
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -145,6 +145,8 @@
       suspects.OnRequest(request);
     } else if (request->request().target == kLimitsPath) {
       limits.OnRequest(std::move(request));
+    } else if (request->request().target == kSharesPath) {
+      limits.OnShareQuery(std::move(request));
     } else {
       serving.OnRequest(std::move(request));
     }
@@ -184,6 +186,7 @@
     if (const auto age = exchange.ReplicaAge()) {
       board.metrics.SetGauge("cuminferry_items_age_seconds", ToSeconds(*age));
     }
+    board.metrics.SetCustomerShares(board.shares.HeldCustomers(board.loop.Now()));
     serving.SetGauges(board.metrics);
     http_head head = MakeAnswer(http_status::kOk);
     head.Set("Content-Type", "text/plain; version=0.0.4");
--- a/tests/relay/relay_customers_test.cpp
+++ b/tests/relay/relay_customers_test.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cuminferry_relay/path/peer_message.h"
+#include "cuminferry_relay/path/peer_queries.h"
 #include "relay/relay_fleet.h"
 
 namespace cuminferry::testing {
@@ -37,6 +39,8 @@
   CPPUNIT_TEST(Limit_Exceeded_Is429WithRetryAfter);
   CPPUNIT_TEST(Limit_RequestsAtAllNodes_HoldsForTheFleet);
   CPPUNIT_TEST(Limit_CoordinatorsStopped_RequestIsServed);
+  CPPUNIT_TEST(Shares_CoordinatorOfPreviousRelease_GetsLimitReports);
+  CPPUNIT_TEST(Shares_QueriesOfBothReleases_AreAnswered);
   CPPUNIT_TEST(Metrics_AfterKeyedRequests_NameTheCustomerAndNoKey);
   CPPUNIT_TEST_SUITE_END();
 
@@ -228,6 +232,67 @@
     CPPUNIT_ASSERT_EQUAL(200, StatusOf(fleet, 0, relay_fleet::Get("/safe/x", "1", kFarmKey)));
   }
 
+  // The coordinator is a node of the previous release: it answers the new path with 400. Guards
+  // against a limit that is not enforced, and against a customer that is refused, during an
+  // upgrade.
+  void Shares_CoordinatorOfPreviousRelease_GetsLimitReports() {
+    relay_fleet fleet(2);
+    customer farm = Farm();
+    farm.rate = 2.0;
+    farm.burst = 2.0;
+    fleet.SetCustomers({farm});
+    fleet.PublishToAll(1);
+    relay_settings settings = fleet.SettingsOf(0);
+    settings.customer_shares = true;
+    fleet.node(0).ApplySettings(settings);
+    fleet.StopNode(1);
+    std::vector<std::string> paths;
+    const auto previous_release = http_server::Listen(
+        fleet.loop(),
+        {.address = fleet.PeerAddress(1),
+         .limits = {},
+         .silence_timeout = seconds(3),
+         .on_request = [&paths](std::shared_ptr<server_exchange> request) {
+           ReadWholeBody(request, 65'536, [&paths](server_exchange& from, std::string_view body) {
+             paths.push_back(from.request().target);
+             const auto reports = DecodeMessage<std::vector<limit_report>>(body);
+             http_head head;
+             head.status = from.request().target == kLimitsPath && reports ? 200 : 400;
+             head.reason = "x";
+             const bool is_ok = head.status == 200;
+             from.Answer(
+                 std::move(head),
+                 is_ok ? EncodeMessage(std::vector<limit_reply>{{.customer = "farm", .share = 0.0}})
+                       : "");
+           });
+         }});
+    CPPUNIT_ASSERT(previous_release.ok());
+    CPPUNIT_ASSERT_EQUAL(429, StatusOf(fleet, 0, relay_fleet::Get("/safe/x", "1", kFarmKey)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, paths.size());
+    CPPUNIT_ASSERT_EQUAL(std::string(kSharesPath), paths[0]);
+    CPPUNIT_ASSERT_EQUAL(std::string(kLimitsPath), paths[1]);
+    fleet.RunFor(milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(429, StatusOf(fleet, 0, relay_fleet::Get("/safe/x", "2", kFarmKey)));
+    CPPUNIT_ASSERT(std::ranges::count(paths, kSharesPath) == 1);
+  }
+
+  // Guards against a new node that does not serve a caller of the previous release, and against
+  // unknown paths that are not refused with 400, by which callers know the previous release.
+  void Shares_QueriesOfBothReleases_AreAnswered() {
+    relay_fleet fleet(1);
+    customer farm = Farm();
+    farm.rate = 2.0;
+    farm.burst = 2.0;
+    fleet.SetCustomers({farm});
+    fleet.PublishToAll(1);
+    const limit_report report{.customer = "farm", .requested = 1.0, .admitted = 1.0};
+    const share_query query{.reports = {{.limit = report, .counts_for_limit = true, .pools = {}}}};
+    CPPUNIT_ASSERT_EQUAL(200, Post(fleet, kLimitsPath, EncodeMessage(std::vector{report})));
+    CPPUNIT_ASSERT_EQUAL(200, Post(fleet, kSharesPath, EncodeMessage(query)));
+    CPPUNIT_ASSERT_EQUAL(400, Post(fleet, kSharesPath, "?"));
+    CPPUNIT_ASSERT_EQUAL(400, Post(fleet, "/relay/limits/3", EncodeMessage(query)));
+  }
+
   void Metrics_AfterKeyedRequests_NameTheCustomerAndNoKey() {
     relay_fleet fleet(1);
     fleet.SetCustomers({Farm()});
@@ -242,6 +307,15 @@
   }
 
  private:
+  static int Post(relay_fleet& fleet, std::string_view path, const std::string& body) {
+    const auto result =
+        fleet.SendTo(fleet.PeerAddress(0), "POST " + std::string(path) +
+                                               " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                                               std::to_string(body.size()) + "\r\n\r\n" + body);
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->status() != 0; }));
+    return result->status();
+  }
+
   static const http_head& HeadAtTarget(relay_fleet& fleet, std::string_view id = "1") {
     for (int node = 0; node < 2; ++node) {
       for (const http_head& head : fleet.target(node).request_heads) {
--- a/tests/table/explain_command_test.cpp
+++ b/tests/table/explain_command_test.cpp
@@ -23,6 +23,7 @@
 constexpr char kCustomerLog[] =
     R"({"time_us":1,"instance":"node-a","event":"request.end","id":"429a","result":"refused","us":40,"row":"map","table":3,"customer":"farm","limit_share":0.25,"limit_alone":false,"why":"over_limit"}
 {"time_us":2,"instance":"node-a","event":"request.end","id":"503a","result":"refused","us":40,"row":"map","table":3,"customer":"farm","copy_age_us":5100000,"why":"stale_key"}
+{"time_us":4,"instance":"node-a","event":"request.end","id":"503b","result":"refused","us":40,"row":"map","table":3,"customer":"farm","customer_share":0.2,"why":"level","level":0.5,"limited_by":"maps"}
 {"time_us":3,"instance":"node-a","event":"request.end","id":"401a","result":"failed","us":40,"row":"map","table":3,"why":"unknown_key"}
 )";
 
@@ -63,6 +64,7 @@
   CPPUNIT_TEST(Explain_LinesOfTwoNodes_AreSortedAndDescribed);
   CPPUNIT_TEST(Explain_CallsOfTheRequest_AreMarked);
   CPPUNIT_TEST(Explain_RequestsOfCustomers_NameCustomerAndReason);
+  CPPUNIT_TEST(Explain_RefusedByFairShare_NamesTheShare);
   CPPUNIT_TEST(Explain_BlockedRequest_ShowsTheCrashesBehindIt);
   CPPUNIT_TEST(Explain_RequestOverDeclaredRate_ShowsWhoDeclaredItAndSinceWhen);
   CPPUNIT_TEST(Explain_UnknownId_SaysWhyItMayBeMissing);
@@ -151,6 +153,13 @@
     CPPUNIT_ASSERT(result.err.find("CF205") != std::string::npos);
   }
 
+  void Explain_RefusedByFairShare_NamesTheShare() {
+    const command_result result = Run({"explain", "503b", "--logs", folder_.string()});
+    CPPUNIT_ASSERT(
+        result.out.find("customer farm, whose fair share lets in a part of 0.2 of its") !=
+        std::string::npos);
+  }
+
  private:
   std::filesystem::path folder_;
 };
