--- a/tests/customers/customer_shares_test.cpp
+++ b/tests/customers/customer_shares_test.cpp
@@ -344,6 +344,10 @@
       } else if (failure == 3) {
         fleet.SetDown(fleet.CoordinatorOf("c0"), true);
       }
+      // A fleet of one failure domain has no substitutes: a coordinator is replaced only when it is
+      // no longer listed.
+      const bool has_substitutes = domains > 1;
+      fleet.RunFor(has_substitutes ? duration::zero() : share_fleet::kDelistTime);
       fleet.RunFor(kSettleTime + kWindow);
       const finding found = Judge(fleet.Results(kWindow));
       RC_TAG(failure);
--- a/tests/customers/share_fleet.cpp
+++ b/tests/customers/share_fleet.cpp
@@ -48,6 +48,16 @@
 void share_fleet::SetDown(std::size_t node, bool down) {
   nodes_[node].down = down;
   Restart(node);
+  At(down ? kDelistTime : duration::zero(), [this, node, down] {
+    if (nodes_[node].down != down) {
+      return;
+    }
+    if (down) {
+      picker_.RemoveNode(AddressOf(node));
+    } else {
+      picker_.AddNode({.backend = AddressOf(node), .failure_domain = DomainOf(node)});
+    }
+  });
 }
 
 void share_fleet::Restart(std::size_t node) {
--- a/tests/customers/share_fleet.h
+++ b/tests/customers/share_fleet.h
@@ -67,6 +67,8 @@
   /** Sets whether messages between this failure domain and the others are lost. Nodes notice it
       after a while. @see limit_fleet */
   void CutDomain(std::size_t domain, bool cut);
+  /** Time after which a node that has crashed is no longer listed. */
+  static constexpr duration kDelistTime = std::chrono::milliseconds(4'500);
   /** Sets whether a node has crashed: its clients use the next node, and it answers nothing. */
   void SetDown(std::size_t node, bool down);
   /** Replaces the process of a node by a new one without state. */
