--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -161,6 +161,8 @@
       serving.OnRegistrationQuery(std::move(request));
     } else if (request->request().target == kLimitsPath) {
       limits.OnRequest(std::move(request));
+    } else if (request->request().target == kSharesPath) {
+      limits.OnShareQuery(std::move(request));
     } else {
       serving.OnRequest(std::move(request));
     }
@@ -200,6 +202,7 @@
     if (const auto age = exchange.ReplicaAge()) {
       board.metrics.SetGauge("cuminferry_items_age_seconds", ToSeconds(*age));
     }
+    board.metrics.SetCustomerShares(board.shares.HeldCustomers(board.loop.Now()));
     serving.SetGauges(board.metrics);
     unlisted.SetGauges(board.metrics);
     http_head head = MakeAnswer(http_status::kOk);
--- a/tests/relay/registration_world.cpp
+++ b/tests/relay/registration_world.cpp
@@ -512,7 +512,7 @@
       const bool hides_close = is_false && chosen_.false_health_hides_close;
       const bool closes = (run->is_leaving && !hides_close) || Draw(stray_close_);
       at.known_id = run->instance.id;
-      at.check->OnHealth(run->instance.id, run->is_leaving == is_false, closes, sent);
+      at.check->OnHealth(run->instance.id, run->is_leaving == is_false, closes, sent, now());
     }
     for (const auto& act : std::exchange(at.after_probe, {})) {
       act();
@@ -682,7 +682,7 @@
         }
         if (result == outcome::kServed) {
           const bool is_leaving = at.run && at.run->is_leaving;
-          at.check->OnAnswer(id, is_leaving || Draw(stray_close_), sent);
+          at.check->OnAnswer(id, is_leaving || Draw(stray_close_), sent, now());
         }
         const registration_state state = at.check->StateOf(id, now());
         const bool is_confirmed =
