Probe a backend server as soon as it is unlisted, and accept less without evidence

The removal itself is a reason to probe now, requests without evidence are accepted for 0.4 of the drain time, counted from when the own list lost the entry, and two closes count as in a row only if they are close together.

Ruled out: the query of a caller as the only reason for a probe, which a caller with an older list does not send.

--- a/modules/cuminferry_policy/registration/departure_check.cpp
+++ b/modules/cuminferry_policy/registration/departure_check.cpp
@@ -49,14 +49,15 @@
   is_leaving_ = true;
 }
 
-void departure_check::OnUnlisted(instant now) {
+void departure_check::OnUnlisted(instant now, const std::optional<instant>& removed_at) {
   if (!is_listed_) {
     return;
   }
   is_listed_ = false;
-  removed_at_ = now;
+  interest_at_ = now;
+  removed_at_ = std::min(now, removed_at.value_or(now));
   if (reported_removed_at_ && now - reported_at_ <= kInterestTime) {
-    removed_at_ = std::min(now, *reported_removed_at_);
+    removed_at_ = std::min(*removed_at_, *reported_removed_at_);
   }
   reported_removed_at_.reset();
   if (now - closed_at_ > kClosingAnswerTime) {
@@ -101,6 +102,9 @@
     request_evidence_ = std::max(request_evidence_.value_or(sent_at), sent_at);
     return;
   }
+  if (now - closed_at_ > kClosingAnswerTime) {
+    closing_answers_ = 0;
+  }
   ++closing_answers_;
   closed_at_ = now;
   if (!is_listed_ && closing_answers_ >= kClosingAnswers) {
@@ -116,7 +120,7 @@
   const bool is_other = !id.empty() && id != id_;
   const bool says_leaving = !healthy && closes;
   const bool says_serving = healthy && !closes && !id.empty();
-  if ((!says_leaving && !says_serving) || (is_other && !TakeNamedRun(id))) {
+  if ((!says_leaving && !says_serving) || (is_other && !AdoptNamedRun(id))) {
     return;
   }
   if (says_serving) {
@@ -143,7 +147,7 @@
 }
 
 // The backend server itself says that it is this instance, which callers have named.
-bool departure_check::TakeNamedRun(std::string_view id) {
+bool departure_check::AdoptNamedRun(std::string_view id) {
   const auto known = std::ranges::find(named_runs_, id, &named_run::id);
   if (known == named_runs_.end()) {
     return false;
--- a/modules/cuminferry_policy/registration/departure_check.h
+++ b/modules/cuminferry_policy/registration/departure_check.h
@@ -58,7 +58,7 @@
   static constexpr duration kClosingAnswerTime = std::chrono::seconds(5);
   /** Part of the drain time in which requests are accepted without evidence. The rest is for
       requests under way and for the time until the removal is known here. */
-  static constexpr double kUndecidedShare = 0.8;
+  static constexpr double kUndecidedShare = 0.4;
   /** Number of ids that callers have named, and that no answer has confirmed, that are kept. */
   static constexpr std::size_t kMaxNamedRuns = 8;
 
@@ -73,8 +73,10 @@
   /** The platform lists this run of the backend server as draining: it leaves, also once it is no
       longer listed. */
   void OnListedAsDraining(std::string_view id, std::int64_t started_millis);
-  /** The platform doesn't list the backend server; does nothing where that is known. */
-  void OnUnlisted(instant now);
+  /** The platform doesn't list the backend server; does nothing where that is known. A probe is due
+      then: an idle backend server that leaves must not get the first request after its removal.
+      @param removed_at  when the removal became known, where that was earlier than `now` */
+  void OnUnlisted(instant now, const std::optional<instant>& removed_at = std::nullopt);
   /** A request has arrived from a caller that lists this instance. */
   void OnRequest(instant now) { interest_at_ = now; }
   /** A caller that doesn't list this instance asks, or sends a request.
@@ -123,7 +125,7 @@
   void BeginRun(std::string_view id, std::int64_t started_millis);
   void OnListedRun(std::string_view id, std::int64_t started_millis);
   void AddNamedRun(std::string_view id, std::int64_t started_millis);
-  bool TakeNamedRun(std::string_view id);
+  bool AdoptNamedRun(std::string_view id);
   bool HasRequestEvidence(instant now) const;
 
   duration drain_;
--- a/modules/cuminferry_relay/path/registration_controller.cpp
+++ b/modules/cuminferry_relay/path/registration_controller.cpp
@@ -36,8 +36,9 @@
   const bool was_listed = check_.is_listed();
   const instant now = node_.loop.Now();
   const bool was_draining = check_.StateOf(check_.id(), now) == registration_state::kLeaving;
-  if (own == nullptr || node_.unlisted_since(own->id)) {
-    check_.OnUnlisted(now);
+  const auto unlisted_since = own == nullptr ? std::nullopt : node_.unlisted_since(own->id);
+  if (own == nullptr || unlisted_since) {
+    check_.OnUnlisted(now, unlisted_since);
   } else if (own->draining) {
     check_.OnListedAsDraining(own->id, own->started_millis);
   } else {
--- a/modules/cuminferry_relay/path/registration_controller.h
+++ b/modules/cuminferry_relay/path/registration_controller.h
@@ -13,9 +13,9 @@
 
 namespace cuminferry {
 
-/** Keeps whether the own backend server is listed and, where it isn't, whether it leaves: has it
-    probed, refuses what it must not get, confirms it to calling nodes, and shows it in log and
-    metrics. Without the setting `drain` it decides nothing.
+/** Tracks whether the platform lists the own backend server. While it does not, sends health
+   probes, refuses requests that the backend server must not receive, confirms to calling nodes that
+   it serves, and reports the state in log and metrics. Inactive without the setting `drain`.
     @see departure_check */
 class registration_controller {
  public:
@@ -42,6 +42,8 @@
   void Step();
 
   //============================================================================
+  /** Whether the own backend server may have to be refused requests, as it is not listed. */
+  bool may_refuse() const { return is_on() && !check_.is_listed(); }
   /** Whether the state of this instance is decided here, not by the list: it is the own one, and it
       is not listed. */
   bool Decides(std::string_view instance) const;
--- a/tests/relay/departure_check_test.cpp
+++ b/tests/relay/departure_check_test.cpp
@@ -17,7 +17,10 @@
 constexpr instant kStart = FromMicros(1'000'000'000);
 constexpr duration kDrain = milliseconds(2'500);
 // Time after the removal in which requests are accepted without evidence.
-constexpr duration kGrace = milliseconds(2'000);
+constexpr duration kGrace = milliseconds(1'000);
+// Part of the drain time in which a backend server may get requests that leaves without being
+// listed as draining.
+constexpr double kAllowedShare = 0.8;
 constexpr std::int64_t kRun = 1'000;
 constexpr char kId[] = "i-1";
 
@@ -38,6 +41,7 @@
   CPPUNIT_TEST(Unlisted_TwoClosingAnswers_LeavesForGood);
   CPPUNIT_TEST(Unlisted_ClosedBeforeTheRemovalWasKnown_LeavesAtOnce);
   CPPUNIT_TEST(Unlisted_ClosedLongBeforeTheRemoval_IsUndecided);
+  CPPUNIT_TEST(Unlisted_FirstCloseLongBeforeTheSecond_IsUndecided);
   CPPUNIT_TEST(Unlisted_UnhealthyAndClosing_Leaves);
   CPPUNIT_TEST(Unlisted_UnhealthyWhileAnswersServe_GoesOnServing);
   CPPUNIT_TEST(Unlisted_UnhealthyWithoutClose_IsNoEvidence);
@@ -47,6 +51,7 @@
   CPPUNIT_TEST(Restarted_BesideUnlistedInstance_AcceptsOnlyTheIdThatHealthNames);
   CPPUNIT_TEST(Restarted_BesideLeavingInstance_AcceptsNothing);
   CPPUNIT_TEST(Serving_AnotherIdNamed_IsKnownToBeGone);
+  CPPUNIT_TEST(Probe_JustUnlisted_IsDueThoughNobodyAsks);
   CPPUNIT_TEST(Probe_NobodyAsksOrEvidenceIsFresh_IsNotDue);
   CPPUNIT_TEST(Leaving_AnyEvidence_GetsNothingAfterItsTime);
   CPPUNIT_TEST(Serving_AnyEvidenceAndFreshAnswer_GetsRequests);
@@ -65,17 +70,17 @@
   // Guards against the drain time being counted from when a late list reaches this node.
   void Unlisted_CallerLearnedItEarlier_TimeCountsFromThere() {
     departure_check check = Unlisted();
-    check.OnCaller(kId, kRun, At(-seconds(1)), At(milliseconds(100)));
-    CPPUNIT_ASSERT(!check.Accepts(kId, At(kGrace - seconds(1))));
-    CPPUNIT_ASSERT(check.Accepts(kId, At(kGrace - seconds(1) - milliseconds(1))));
+    check.OnCaller(kId, kRun, At(-milliseconds(600)), At(milliseconds(100)));
+    CPPUNIT_ASSERT(!check.Accepts(kId, At(kGrace - milliseconds(600))));
+    CPPUNIT_ASSERT(check.Accepts(kId, At(kGrace - milliseconds(600) - milliseconds(1))));
   }
 
   void Unlisted_CallerWasAheadOfTheList_TimeCountsFromItsReport() {
     departure_check check = Listed();
-    check.OnCaller(kId, kRun, At(-seconds(1)), At(-milliseconds(500)));
+    check.OnCaller(kId, kRun, At(-milliseconds(600)), At(-milliseconds(500)));
     CPPUNIT_ASSERT(StateAt(check, -milliseconds(400)) == registration_state::kListed);
     check.OnUnlisted(kStart);
-    CPPUNIT_ASSERT(!check.Accepts(kId, At(kGrace - seconds(1))));
+    CPPUNIT_ASSERT(!check.Accepts(kId, At(kGrace - milliseconds(600))));
   }
 
   // Guards against a backend server that has only lost the platform getting nothing.
@@ -140,6 +145,15 @@
     CPPUNIT_ASSERT(StateAt(check, duration::zero()) == registration_state::kUndecided);
   }
 
+  // Guards against the same where only the first of the two was long ago.
+  void Unlisted_FirstCloseLongBeforeTheSecond_IsUndecided() {
+    departure_check check = Listed();
+    check.OnAnswer(kId, true, At(-seconds(60)), At(-seconds(60)));
+    check.OnAnswer(kId, true, At(-seconds(4)), At(-seconds(4)));
+    check.OnUnlisted(kStart);
+    CPPUNIT_ASSERT(StateAt(check, duration::zero()) == registration_state::kUndecided);
+  }
+
   void Unlisted_UnhealthyAndClosing_Leaves() {
     departure_check check = Unlisted();
     check.OnHealth("", false, true, kStart, At(milliseconds(5)));
@@ -234,6 +248,16 @@
     CPPUNIT_ASSERT(check.IsAnotherHere("i-2", kRun + 1, kStart));
   }
 
+  // Guards against an idle backend server that leaves getting the first request that arrives, long
+  // after its removal, only because nobody had asked about it.
+  void Probe_JustUnlisted_IsDueThoughNobodyAsks() {
+    departure_check check = Listed();
+    check.OnUnlisted(kStart, At(-milliseconds(700)));
+    CPPUNIT_ASSERT(check.IsProbeDue(kStart));
+    CPPUNIT_ASSERT(check.Accepts(kId, At(kGrace - milliseconds(701))));
+    CPPUNIT_ASSERT(!check.Accepts(kId, At(kGrace - milliseconds(700))));
+  }
+
   // Guards against probes that nobody needs, and against one for each request.
   void Probe_NobodyAsksOrEvidenceIsFresh_IsNotDue() {
     departure_check check = Listed();
@@ -259,8 +283,8 @@
   void Leaving_AnyEvidence_GetsNothingAfterItsTime() {
     CheckProperty("a leaving backend server gets nothing after 0.8 of the drain time", [] {
       const duration drain = milliseconds(*rc::gen::inRange(2'000, 4'001));
-      const duration grace = duration(
-          static_cast<duration::rep>(departure_check::kUndecidedShare * ToSeconds(drain) * 1e6));
+      const duration grace =
+          duration(static_cast<duration::rep>(kAllowedShare * ToSeconds(drain) * 1e6));
       departure_check check(drain);
       check.OnListed(kId, kRun);
       const auto leaves_at = milliseconds(*rc::gen::inRange(0, 3'000));
--- a/tests/relay/unlisted_serving_test.cpp
+++ b/tests/relay/unlisted_serving_test.cpp
@@ -103,6 +103,8 @@
 
   // Guards against requests that wait for a slot being sent to a backend server that leaves.
   void Unlisted_LeavesWhileRequestsWait_NoneOfThemIsSent() {
+    // While the answers are held, what waits must not become unconfirmed.
+    SetDrain(seconds(10));
     Unlist();
     answer_fields_ = kClose;
     answers_ = false;
@@ -156,10 +158,13 @@
   // Guards against callers dropping an idle instance because the first reply says nothing.
   void Query_IdleInstance_IsAnsweredByAProbe() {
     Unlist();
-    fleet_->RunFor(2 * kDrain);
-    CPPUNIT_ASSERT_EQUAL(0, probes_);
+    // The probes that the removal itself is a reason for are over then.
+    fleet_->RunFor(departure_check::kInterestTime + departure_check::kEvidenceTime);
+    const int before = probes_;
+    fleet_->RunFor(departure_check::kProbeInterval);
+    CPPUNIT_ASSERT_EQUAL(before, probes_);
     CPPUNIT_ASSERT_EQUAL(std::string("serving"), Query(kInstance));
-    CPPUNIT_ASSERT_EQUAL(1, probes_);
+    CPPUNIT_ASSERT_EQUAL(before + 1, probes_);
     CPPUNIT_ASSERT_EQUAL(std::string("other"), Query("i-00"));
     CPPUNIT_ASSERT_EQUAL(std::string(), OutcomeOf(SendFromNode()));
   }
