Withdraw all that an instance must not get at once, and start before displacing

Found by review. Cause 1: requests that wait at an instance which becomes unconfirmed were refused one by one as slots became free, each answer within the one before, through the whole queue. They are withdrawn together now, as they were for a backend server that leaves. Cause 2: an answer for lack of a connection confirmed that the backend server serves; only answers of its own and refusals for lack of room do. Cause 3: requests were displaced before those that a new slot allows had started. Cause 4: by importance a refused arrival reported its own wait, which the starts out of order stretch, and lowered the admission level for all; the wait of the whole queue is reported already.

Ruled out for 1: starting waiting requests from the event loop, which delays each start.

--- a/modules/cuminferry_policy/serving/request_queue.cpp
+++ b/modules/cuminferry_policy/serving/request_queue.cpp
@@ -60,7 +60,7 @@
   all_.Insert(entry);
   nested_count_ += added.nested ? 1 : 0;
   if (added.nested && is_by_importance()) {
-    entry.is_judged = 0;
+    entry.is_checked_for_lateness = 0;
     nested_.Insert(entry);
   }
 }
@@ -137,19 +137,19 @@
   // A nested call that is late in one order may be in time in the other.
   while (const waiting_order::entry* late = nested_.FirstLate(now + first_by_share)) {
     const waiting_order::entry entry = *late;
-    nested_.SetJudged(entry, false);
-    all_.SetJudged(entry, true);
+    nested_.SetCheckedForLateness(entry, false);
+    all_.SetCheckedForLateness(entry, true);
   }
   while (const waiting_order::entry* late = all_.FirstLate(now + starts.first)) {
     const waiting_order::entry entry = *late;
     if (entry.is_client != 0) {
       return Take(entry.id);
     }
-    nested_.SetJudged(entry, true);
+    nested_.SetCheckedForLateness(entry, true);
     if (const waiting_order::entry* late_by_share = nested_.FirstLate(now + first_by_share)) {
       return Take(late_by_share->id);
     }
-    all_.SetJudged(entry, false);
+    all_.SetCheckedForLateness(entry, false);
   }
   return std::nullopt;
 }
--- a/modules/cuminferry_policy/serving/request_queue.h
+++ b/modules/cuminferry_policy/serving/request_queue.h
@@ -98,8 +98,8 @@
 
   queue_order order_ = queue_order::kDeadline;
   waiting_order all_;
-  // By importance only: the nested calls, which are in all_ too. A nested call is judged in all_ as
-  // long as it is expected to start in time in the order of all requests, and here otherwise.
+  // By importance only: the nested calls, which are in all_ too. A nested call is checked in all_
+  // as long as it is expected to start in time in the order of all requests, and here otherwise.
   waiting_order nested_;
   std::size_t nested_count_ = 0;
   absl::flat_hash_map<std::uint64_t, request> requests_;
--- a/modules/cuminferry_policy/serving/slot_gate.cpp
+++ b/modules/cuminferry_policy/serving/slot_gate.cpp
@@ -95,7 +95,9 @@
   const bool waits_too_long = pacer_.is_limited() && expected > MaxWaitForTurn();
   const bool is_full = !is_by_importance() && waiting() >= limit() * kMaxQueuedPerSlot;
   if (is_full || now + expected > arriving.last_useful_start || waits_too_long) {
-    longest_wait_ = std::max(longest_wait_, expected);
+    if (!is_by_importance()) {
+      longest_wait_ = std::max(longest_wait_, expected);
+    }
     return slot_verdict::kRefuse;
   }
   if (queue_.empty()) {
--- a/modules/cuminferry_policy/serving/slot_gate.h
+++ b/modules/cuminferry_policy/serving/slot_gate.h
@@ -90,9 +90,9 @@
   bool Remove(std::uint64_t id);
   /** Displaces waiting requests that can no longer start in time, for example as there are fewer
       slots, and those beyond the maximum length of the queue. Does nothing in the order by
-     deadline. To be called periodically; Offer() does the same. */
+      deadline. To be called periodically; Offer() does the same. */
   void Displace(instant now);
-  /** Takes a request that Offer() or Displace() has displaced, the least important first. It is no
+  /** Takes a request that Offer() or Displace() has displaced, in no particular order. It is no
       longer in the queue and has to be refused at once. */
   std::optional<std::uint64_t> TakeDisplaced();
   /** Sets the order in which requests start. */
@@ -122,7 +122,7 @@
       once would seem to have free capacity.
 
       In the order by importance, the least important requests wait long behind a short queue.
-     There, it is the longest time that the slots needed for all waiting requests, whatever their
+      There, it is the longest time that the slots needed for all waiting requests, whatever their
      order, or the time without a start if that is longer. */
   duration TakeLongestWait(instant now);
   std::uint32_t running() const { return running_; }
--- a/modules/cuminferry_policy/serving/waiting_order.cpp
+++ b/modules/cuminferry_policy/serving/waiting_order.cpp
@@ -105,7 +105,7 @@
   for (std::size_t i = 0; i < counts_[block]; ++i) {
     const double own =
         MicrosOf(entries[i].last_useful_start()) - static_cast<double>(i) * interval_micros_;
-    slack = entries[i].is_judged ? std::min(slack, own) : slack;
+    slack = entries[i].is_checked_for_lateness ? std::min(slack, own) : slack;
   }
   slacks_[block] = slack;
 }
@@ -213,9 +213,9 @@
   // Entries behind the new one start one interval later.
   const double own =
       MicrosOf(inserted.last_useful_start()) - static_cast<double>(at - begin) * interval_micros_;
-  const double judged = inserted.is_judged ? own : kNoSlackBound;
-  slacks_[block] = std::min(slacks_[block] - interval_micros_, judged);
-  slack_ = std::min(slack_ - interval_micros_, judged - positions_[block] * interval_micros_);
+  const double new_slack = inserted.is_checked_for_lateness ? own : kNoSlackBound;
+  slacks_[block] = std::min(slacks_[block] - interval_micros_, new_slack);
+  slack_ = std::min(slack_ - interval_micros_, new_slack - positions_[block] * interval_micros_);
   ShiftPositions(block + 1, 1);
   ++size_;
 }
@@ -271,11 +271,11 @@
   return true;
 }
 
-void waiting_order::SetJudged(const entry& changed, bool is_judged) {
+void waiting_order::SetCheckedForLateness(const entry& changed, bool is_checked_for_lateness) {
   std::size_t block = 0;
   entry* const found = Find(changed, block);
   if (found != nullptr) {
-    found->is_judged = is_judged ? 1 : 0;
+    found->is_checked_for_lateness = is_checked_for_lateness ? 1 : 0;
     UpdateSlack(block);
     slack_ = std::min(slack_, slacks_[block] - positions_[block] * interval_micros_);
   }
@@ -347,7 +347,7 @@
     const entry* const entries = EntriesOf(block);
     for (std::size_t i = 0; i < counts_[block]; ++i) {
       const double position = positions_[block] + static_cast<double>(i);
-      if (entries[i].is_judged &&
+      if (entries[i].is_checked_for_lateness &&
           MicrosOf(entries[i].last_useful_start()) - position * interval_micros_ < start) {
         return entries + i;
       }
--- a/modules/cuminferry_policy/serving/waiting_order.h
+++ b/modules/cuminferry_policy/serving/waiting_order.h
@@ -41,7 +41,7 @@
     std::uint64_t sort_key = 0;
     std::uint64_t id = 0;
     /** Whether FirstLate() may return the entry. */
-    std::uint64_t is_judged : 1 = 1;
+    std::uint64_t is_checked_for_lateness : 1 = 1;
     std::uint64_t is_client : 1 = 1;
   };
 
@@ -57,7 +57,7 @@
   /** Removes the entry with the key of `removed`; returns whether there was one. */
   bool Erase(const entry& removed);
   /** Sets whether FirstLate() may return the entry with the key of `changed`. */
-  void SetJudged(const entry& changed, bool is_judged);
+  void SetCheckedForLateness(const entry& changed, bool is_checked_for_lateness);
   void Clear();
   /** Sets the time between two starts. Recomputes all bounds if it differs by more than
       kMaxIntervalError from the one in use. */
@@ -73,7 +73,7 @@
   /** Returns the number of entries that start before a request that arrives now. Equal entries are
       ahead of it. */
   std::size_t CountAhead(std::uint32_t rank, instant last_useful_start) const;
-  /** Returns the first judged entry that can't start in time if the first entry starts at
+  /** Returns the first checked entry that can't start in time if the first entry starts at
       `first_start`; nullptr where all can. */
   const entry* FirstLate(instant first_start);
   /** Returns the first entry whose last useful start is before `now`; nullptr where there is none.
@@ -123,10 +123,10 @@
   std::vector<entry> first_entries_;
   std::vector<std::uint32_t> positions_;
   std::vector<std::int64_t> earliest_starts_;
-  // Lower bound on the slack of the judged entries relative to the block's first position, in
+  // Lower bound on the slack of the checked entries relative to the block's first position, in
   // microseconds since boot. It is exact after UpdateSlack(); removals only increase the slack.
   std::vector<double> slacks_;
-  // Lower bound on the slack of all judged entries.
+  // Lower bound on the slack of all checked entries.
   double slack_ = 0.0;
   std::int64_t earliest_start_ = 0;
 };
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -26,6 +26,11 @@
 // Suspects of crashes within this window are being repeated at present.
 constexpr duration kRecentCrashWindow = std::chrono::seconds(2);
 
+bool IsForLackOfRoom(relay_outcome outcome) {
+  return outcome == relay_outcome::kFull || outcome == relay_outcome::kOverRate ||
+         outcome == relay_outcome::kNoRepeats;
+}
+
 }  // namespace
 
 serving_call::serving_call(serving_context& context, std::uint64_t id,
@@ -195,13 +200,16 @@
   return context_.registration.RefusalOf(expected, request_.unlisted);
 }
 
-bool serving_call::WithdrawFromLeaving() {
-  if (ended_ || run_.has_begun() || RefusalOfInstance() != relay_outcome::kLeaving) {
-    return false;
+std::optional<relay_outcome> serving_call::WithdrawIfRefused() {
+  if (ended_ || run_.has_begun()) {
+    return std::nullopt;
   }
-  ReleaseGrantedSlot();
-  context_.gate.Remove(id_);
-  return true;
+  const std::optional<relay_outcome> refusal = RefusalOfInstance();
+  if (refusal) {
+    ReleaseGrantedSlot();
+    context_.gate.Remove(id_);
+  }
+  return refusal;
 }
 
 void serving_call::OnDisplaced() {
@@ -521,6 +529,10 @@
                                                            : http_status::kBadGateway);
     head.Set(kOutcomeField, std::string(ToText(outcome)));
     context_.AddReports(header_, request_, head);
+    if (!IsForLackOfRoom(outcome)) {
+      // Such an outcome is no evidence that the backend server serves.
+      head.Remove(kServingField);
+    }
     peer_->Answer(std::move(head), "");
   }
   Complete(ToText(outcome));
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -35,9 +35,9 @@
   void OnDisplaced();
   /** The request, a suspect, may run now that another suspect has completed. */
   void OnSuspectTurn();
-  /** Gives up the slot, or the place in the queue, of a request that has not begun to run and whose
-      instance leaves. Returns whether it is such a request. */
-  bool WithdrawFromLeaving();
+  /** Gives up the slot, or the place in the queue, of a request that has not begun to run and that
+      its instance must not get. Returns the reason; nothing where it is no such request. */
+  std::optional<relay_outcome> WithdrawIfRefused();
   /** Answers the calling node with the reason why there is no answer of the backend server. */
   void AnswerWithOutcome(relay_outcome outcome);
   /** The backend server crashed while it ran this request, and the crash has been announced.
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -32,8 +32,8 @@
                .silence_timeout = kBackendSilenceTimeout,
                .idle_timeout = kDefaultBackendIdleTime}),
       gate(kDefaultSlotCount),
-      declarations(node, gate, [this] { OnBackendLeaving(); }),
-      registration(node, [this] { OnBackendLeaving(); }),
+      declarations(node, gate, [this] { WithdrawRefused(); }),
+      registration(node, [this] { WithdrawRefused(); }),
       step_timer_(node.loop),
       expiry_timer_(node.loop),
       turn_timer_(node.loop),
@@ -50,11 +50,15 @@
 void serving_context::Step() {
   ApplyQueueOrder();
   gate.Learn(node.loop.Now());
+  StartWaiting();
   gate.Displace(node.loop.Now());
   RefuseDisplaced();
   const duration wait = gate.TakeLongestWait(node.loop.Now());
   declarations.Step(wait);
   registration.Step();
+  if (registration.may_refuse()) {
+    WithdrawRefused();
+  }
   const bool waits_for_slots = gate.lacks_slots() || !gate.has_rate();
   level.Step(waits_for_slots ? wait : duration::zero(), gate.running(), gate.limit(),
              gate.service_time());
@@ -132,15 +136,17 @@
 
 // Requests that have not begun to run can still run elsewhere. All of them leave the queue before
 // the first is answered, as each answer starts what waits.
-void serving_context::OnBackendLeaving() {
-  std::vector<std::shared_ptr<serving_call>> withdrawn;
+// All are withdrawn before any is answered: each answer starts waiting requests, and one that is
+// refused then would start the next in turn, through the whole queue.
+void serving_context::WithdrawRefused() {
+  std::vector<std::pair<std::shared_ptr<serving_call>, relay_outcome>> withdrawn;
   for (const auto& [id, call] : calls) {
-    if (call->WithdrawFromLeaving()) {
-      withdrawn.push_back(call);
+    if (const auto refusal = call->WithdrawIfRefused()) {
+      withdrawn.emplace_back(call, *refusal);
     }
   }
-  for (const auto& call : withdrawn) {
-    call->AnswerWithOutcome(relay_outcome::kLeaving);
+  for (const auto& [call, refusal] : withdrawn) {
+    call->AnswerWithOutcome(refusal);
   }
 }
 
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -75,7 +75,7 @@
   void OnLossCauseKnown(const backend_crash_detector::crash_finding& found);
   void OnBackendCrash(std::uint64_t crash_id, std::vector<std::shared_ptr<serving_call>> runs);
   void OnExpiry();
-  void OnBackendLeaving();
+  void WithdrawRefused();
   std::optional<row_limit> LimitFor(std::string_view row,
                                     const std::optional<double>& admitted_share) const;
 
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -41,10 +41,10 @@
   const std::uint32_t slots = state_->context.node.own_slots();
   if (slots > 0) {
     state_->context.gate.SetSlots(slots);
-    state_->context.gate.Displace(state_->context.node.loop.Now());
-    state_->context.RefuseDisplaced();
     state_->context.declarations.OnInstancesChanged();
     state_->context.StartWaiting();
+    state_->context.gate.Displace(state_->context.node.loop.Now());
+    state_->context.RefuseDisplaced();
   }
 }
 
--- a/tests/relay/request_queue_test.cpp
+++ b/tests/relay/request_queue_test.cpp
@@ -65,7 +65,7 @@
     for (std::size_t at = 0; at < entries.size(); ++at) {
       const double start =
           static_cast<double>(ToMicros(first_start)) + static_cast<double>(at) * interval;
-      if (entries[at].is_judged &&
+      if (entries[at].is_checked_for_lateness &&
           static_cast<double>(ToMicros(entries[at].last_useful_start())) < start) {
         return &entries[at];
       }
@@ -223,7 +223,7 @@
         if (grows || expected.entries.empty()) {
           waiting_order::entry added(static_cast<std::uint32_t>(random.Below(3)), random_start(),
                                      id, random.Below(8) == 0);
-          added.is_judged = random.Below(4) != 0 ? 1 : 0;
+          added.is_checked_for_lateness = random.Below(4) != 0 ? 1 : 0;
           order.Insert(added);
           expected.entries.insert(std::ranges::upper_bound(expected.entries, added,
                                                            [](const auto& left, const auto& right) {
@@ -234,8 +234,8 @@
           const auto at = expected.entries.begin() +
                           static_cast<std::ptrdiff_t>(random.Below(expected.entries.size()));
           if (random.Below(4) == 0) {
-            at->is_judged ^= 1U;
-            order.SetJudged(*at, at->is_judged != 0);
+            at->is_checked_for_lateness ^= 1U;
+            order.SetCheckedForLateness(*at, at->is_checked_for_lateness != 0);
           } else {
             RC_ASSERT(order.Erase(*at));
             RC_ASSERT(!order.Erase(*at));
--- a/tests/relay/unlisted_targets_test.cpp
+++ b/tests/relay/unlisted_targets_test.cpp
@@ -19,7 +19,7 @@
 
 constexpr duration kDrain = milliseconds(2'500);
 // Longer than an instance that nobody confirms is retained.
-constexpr duration kPastUnconfirmed = milliseconds(1'600);
+constexpr duration kPastUnconfirmed = unlisted_retention::kTime + milliseconds(400);
 
 /** Stands in for the node of a backend server: answers requests for it and queries about it. */
 class standin_node {
