Report an instance that becomes retained as a change of the list

Cause: instance_list::DropMissing returned false when an entry became retained at the end of the relist window, so relay_node did not apply the change, and the node beside the instance went on treating it as listed. An entry removed within the window changed no address, so its node was not told either. Ruled out: applying the changes on each expiry check, as that costs work on every node ten times a second without any change. Change: DropMissing returns true when an entry became retained or was dropped. Where retention is on, the removal of a listed entry marks its address as changed, and Apply returns true.

--- a/modules/cuminferry_fleet/replica/instance_list.cpp
+++ b/modules/cuminferry_fleet/replica/instance_list.cpp
@@ -83,16 +83,18 @@
   return true;
 }
 
-void instance_list::SetMissing(std::string_view id, bool is_item_gone, instant now) {
+// Returns whether the change must be reported although the instance still counts.
+bool instance_list::SetMissing(std::string_view id, bool is_item_gone, instant now) {
   if (const auto withheld = withheld_.find(id); withheld != withheld_.end()) {
     withheld_.erase(withheld);
   }
   const auto known = entries_.find(id);
   if (known == entries_.end()) {
-    return;
+    return false;
   }
   entry& of = known->second;
-  if (std::exchange(of.listed, false)) {
+  const bool was_listed = std::exchange(of.listed, false);
+  if (was_listed) {
     missing_.insert(known->first);
     of.unlisted_since = now;
     of.awaits_confirmation_since = now;
@@ -100,6 +102,12 @@
     of.is_retainable = !of.instance.draining;
   }
   of.is_retainable = of.is_retainable && is_item_gone;
+  // The node beside the instance decides from now on which requests are accepted.
+  const bool is_reported = was_listed && retention_.is_on();
+  if (is_reported) {
+    changed_addresses_.insert(of.instance.backend);
+  }
+  return is_reported;
 }
 
 bool instance_list::Update(std::vector<service_instance> listed, instant now) {
@@ -131,7 +139,7 @@
     if (change.listed) {
       changed = Take(*std::move(change.listed), now) || changed;
     } else {
-      SetMissing(change.id, change.is_item_gone, now);
+      changed = SetMissing(change.id, change.is_item_gone, now) || changed;
     }
   }
   const bool taken = TakeWithheld(now);
@@ -167,16 +175,21 @@
   if (now < retain_missing_until_ || missing_.empty()) {
     return false;
   }
+  bool is_any_retained = false;
   std::vector<std::string> ended;
   for (const std::string& id : missing_) {
-    if (!Retain(id, entries_.find(id)->second, now)) {
+    entry& of = entries_.find(id)->second;
+    const bool was_retained = of.is_retained;
+    if (!Retain(id, of, now)) {
       ended.push_back(id);
+    } else if (!was_retained) {
+      is_any_retained = true;
     }
   }
   for (const std::string& id : ended) {
     Drop(id, now);
   }
-  return !ended.empty();
+  return is_any_retained || !ended.empty();
 }
 
 // Whether an entry that is no longer listed still counts, now that the time is over in which all
--- a/modules/cuminferry_fleet/replica/instance_list.h
+++ b/modules/cuminferry_fleet/replica/instance_list.h
@@ -64,9 +64,12 @@
   duration RemainingRetention(instant now) const;
   /** Replaces the listed instances. Returns whether anything changed. */
   bool Update(std::vector<service_instance> listed, instant now);
-  /** Applies changes of the published list. Returns whether anything changed. */
+  /** Applies changes of the published list. Returns whether anything changed. With retention by
+      confirmation, the removal of an entry is a change even while all missing entries are retained.
+   */
   bool Apply(std::vector<instance_change> changes, instant now);
-  /** Removes retained entries whose time is over. Returns whether anything changed. */
+  /** Removes retained entries whose time is over. Returns whether anything changed, including
+      entries that are retained by confirmation from now on. */
   bool Expire(instant now);
 
   /** Records that a node rejected a request because its backend server is not this instance.
@@ -132,7 +135,7 @@
   };
 
   bool Take(service_instance found, instant now);
-  void SetMissing(std::string_view id, bool is_item_gone, instant now);
+  bool SetMissing(std::string_view id, bool is_item_gone, instant now);
   bool IsDistrusted(instant now) const { return now < distrust_until_; }
   bool WasRemoved(std::string_view id) const;
   bool TakeWithheld(instant now);
