Retain the later of two missing instances at one address

Cause: instance_list marked missing entries one after another as ranking behind listed ones. The later of two at an address, already marked, ranked behind the earlier one, which was not yet, and was dropped as replaced. An earlier entry that was not held had the same effect, as it was never marked. Ruled out: dropping entries that are not held before choosing, as the predecessor of an instance that has left would then be retained in its place. Change: all missing entries are marked (ranks_behind_listed) before the first one is compared with others at its address, so that the revision of creation decides between them. Test: Unlisted_TwoMissingAtOneAddress_LaterIsRetained and Unlisted_EarlierOfTwoMissingIsNotHeld_LaterIsRetained failed before and pass; Unlisted_LaterOfTwoMissingIsNotHeld_EarlierIsDropped passed before, too.

--- a/modules/cuminferry_fleet/replica/instance_list.cpp
+++ b/modules/cuminferry_fleet/replica/instance_list.cpp
@@ -66,6 +66,7 @@
   missing_.erase(found.id);
   of.listed = true;
   of.is_retained = false;
+  of.ranks_behind_listed = false;
   if (IsDistrusted(now) && of.instance.draining && !found.draining) {
     found.draining = true;
     draining_retained_.insert(found.id);
@@ -175,6 +176,14 @@
   if (now < retain_missing_until_ || missing_.empty()) {
     return false;
   }
+  // All are marked before the first one is compared with others at its address. Otherwise a later
+  // instance that is marked ranks behind an earlier one that is not yet.
+  for (const std::string& id : missing_) {
+    entry& of = entries_.find(id)->second;
+    if (!std::exchange(of.ranks_behind_listed, true)) {
+      ChooseAt(of.instance.backend);
+    }
+  }
   bool is_any_retained = false;
   std::vector<std::string> ended;
   for (const std::string& id : missing_) {
@@ -205,10 +214,7 @@
   if (!IsHeld(of, now)) {
     return ends_as(retention_event_kind::kNotConfirmed);
   }
-  if (is_new) {
-    of.is_retained = true;
-    ChooseAt(of.instance.backend);
-  }
+  of.is_retained = true;
   if (!IsChosen(id, of)) {
     return ends_as(retention_event_kind::kReplaced);
   }
@@ -369,7 +375,7 @@
   // counts: the reporting node may itself have been draining.
   const auto rank = [this](const std::string& id) {
     const entry& of = entries_.find(id)->second;
-    return std::tuple(!of.reported_absent, !of.is_retained, of.instance.created);
+    return std::tuple(!of.reported_absent, !of.ranks_behind_listed, of.instance.created);
   };
   at_address_[address] = *std::ranges::max_element(ids->second, {}, rank);
 }
--- a/modules/cuminferry_fleet/replica/instance_list.h
+++ b/modules/cuminferry_fleet/replica/instance_list.h
@@ -132,6 +132,9 @@
     bool is_retainable = false;
     // Retained by confirmation; false while all missing entries are retained.
     bool is_retained = false;
+    // Listed entries at its address take precedence, whenever they were created; false while all
+    // missing entries are retained.
+    bool ranks_behind_listed = false;
   };
 
   bool Take(service_instance found, instant now);
--- a/tests/relay/instance_list_test.cpp
+++ b/tests/relay/instance_list_test.cpp
@@ -65,6 +65,9 @@
   CPPUNIT_TEST(Unlisted_MissingAfterRelistTime_IsRetainedByConfirmation);
   CPPUNIT_TEST(Unlisted_RetainedAtTheEndOfRelistTime_IsReportedAsChange);
   CPPUNIT_TEST(Unlisted_RemovedWithinRelistTime_IsReportedAsChange);
+  CPPUNIT_TEST(Unlisted_TwoMissingAtOneAddress_LaterIsRetained);
+  CPPUNIT_TEST(Unlisted_LaterOfTwoMissingIsNotHeld_EarlierIsDropped);
+  CPPUNIT_TEST(Unlisted_EarlierOfTwoMissingIsNotHeld_LaterIsRetained);
   CPPUNIT_TEST(Unlisted_RestoredPublisherListsIt_StaysUnlistedUntilTrusted);
   CPPUNIT_TEST(Unlisted_RetentionSwitchedOff_IsDropped);
   CPPUNIT_TEST(AddUnlisted_ReportedByAnotherNode_IsRetainedUntilConfirmed);
@@ -352,6 +355,37 @@
     CPPUNIT_ASSERT(!list.Apply({Removal("x")}, kRemoved + milliseconds(1)));
   }
 
+  // Guards against dropping the instance that runs in favour of its crashed predecessor, whichever
+  // of them is examined first.
+  void Unlisted_TwoMissingAtOneAddress_LaterIsRetained() {
+    for (const auto& [later, earlier] : {std::pair("a", "b"), std::pair("b", "a")}) {
+      instance_list list =
+          Retaining({Instance(later, kAddress, 20), Instance(earlier, kAddress, 10)});
+      list.Apply({Removal("a"), Removal("b")}, kRemoved);
+      CPPUNIT_ASSERT(Ids(list) == ids{later});
+      CPPUNIT_ASSERT(list.Find(earlier) == nullptr);
+      CPPUNIT_ASSERT((EventsOf(list) == events{{later, retention_event_kind::kRetained}}));
+    }
+  }
+
+  // Guards against requests to an instance whose successor at its address has left.
+  void Unlisted_LaterOfTwoMissingIsNotHeld_EarlierIsDropped() {
+    service_instance leaving = DrainingInstance("later", kAddress);
+    leaving.created = 20;
+    instance_list list = Retaining({leaving, Instance("earlier", kAddress, 10)});
+    list.Apply({Removal("earlier"), Removal("later")}, kRemoved);
+    CPPUNIT_ASSERT(Ids(list).empty());
+  }
+
+  // Guards against retaining the predecessor of an instance at its address, instead of this
+  // instance, because the predecessor was draining.
+  void Unlisted_EarlierOfTwoMissingIsNotHeld_LaterIsRetained() {
+    instance_list list =
+        Retaining({Instance("later", kAddress, 20), DrainingInstance("earlier", kAddress)});
+    list.Apply({Removal("earlier"), Removal("later")}, kRemoved);
+    CPPUNIT_ASSERT(Ids(list) == ids{"later"});
+  }
+
   // Guards against requests to a backend server that has left because a restored publisher has lost
   // its removal. Whether it serves is up to its node until the publisher is trusted.
   void Unlisted_RestoredPublisherListsIt_StaysUnlistedUntilTrusted() {
