Delay the first queries again when instances are removed a second time

Cause: unlisted_exchange stops its checks without a call to unlisted_queries, which kept what it knew of the instances. When they were removed again, all callers queried their nodes at the next check, without the random first delay. Ruled out: a last TakeDue() without candidates, as it keeps instances seen at the same instant. Change: unlisted_queries::OnNoneUnlisted() clears what is known; unlisted_exchange calls it when its checks stop. The limit of queries for each service is kept. Test: Unlisted_Again_FirstQueriesAreDelayedAtRandom failed before and passes. The rest of unlisted_targets_test was not run for this commit.

--- a/modules/cuminferry_fleet/replica/unlisted_queries.h
+++ b/modules/cuminferry_fleet/replica/unlisted_queries.h
@@ -55,6 +55,9 @@
       @param unlisted  the unlisted instances; what is known of others is forgotten */
   std::vector<std::string> TakeDue(std::span<const candidate> unlisted, instant now,
                                    random_source& random);
+  /** There are no unlisted instances any more. The first queries are delayed again if there are
+      some later. */
+  void OnNoneUnlisted() { known_.clear(); }
 
  private:
   struct unlisted_state {
--- a/modules/cuminferry_relay/path/unlisted_exchange.cpp
+++ b/modules/cuminferry_relay/path/unlisted_exchange.cpp
@@ -131,6 +131,7 @@
     if (!instances.may_have_unlisted()) {
       is_checking = false;
       check_timer.Stop();
+      board.unlisted.OnNoneUnlisted();
       return;
     }
     if (!listed_services) {
--- a/tests/relay/unlisted_targets_test.cpp
+++ b/tests/relay/unlisted_targets_test.cpp
@@ -8,6 +8,7 @@
 
 #include "cuminferry_relay/path/listed_instances.h"
 #include "cuminferry_relay/path/peer_headers.h"
+#include "cuminferry_relay/path/unlisted_exchange.h"
 #include "cuminferry_relay/path/unlisted_headers.h"
 #include "relay/relay_fleet.h"
 
@@ -109,6 +110,7 @@
   CPPUNIT_TEST_SUITE(unlisted_targets_test);
   CPPUNIT_TEST(Unlisted_AnswersConfirm_CallerGoesOn);
   CPPUNIT_TEST(Unlisted_RepliesToQueriesConfirm_CallerGoesOn);
+  CPPUNIT_TEST(Unlisted_Again_FirstQueriesAreDelayedAtRandom);
   CPPUNIT_TEST(Unlisted_NobodyConfirms_CallerStops);
   CPPUNIT_TEST(Unlisted_RequestRefusedAsLeaving_TargetGetsNothingMore);
   CPPUNIT_TEST(Unlisted_ReplyIsLeaving_TargetGetsNothingMore);
@@ -154,6 +156,33 @@
     }
   }
 
+  // Guards against all callers querying a node at the same moment when its instance is removed a
+  // second time.
+  void Unlisted_Again_FirstQueriesAreDelayedAtRandom() {
+    SetUp(kDrain);
+    ForEach([](standin_node& at) { at.says = {.registration = "serving"}; });
+    constexpr int kRemovals = 4;
+    constexpr duration kFirstCheck = unlisted_exchange::kCheckPeriod + milliseconds(50);
+    std::size_t immediate = 0;
+    std::size_t all = 0;
+    for (int removal = 0; removal < kRemovals; ++removal) {
+      const std::size_t before = TotalQueries();
+      fleet_->SetUnlisted({0, 1, 2, 3, kStartedNode});
+      fleet_->PublishTo(0, 2 + 2 * removal);
+      fleet_->RunFor(kFirstCheck);
+      immediate += TotalQueries() - before;
+      fleet_->RunFor(unlisted_queries::kMaxFirstDelay + unlisted_exchange::kCheckPeriod);
+      all += TotalQueries() - before;
+      fleet_->SetUnlisted({0, kStartedNode});
+      fleet_->PublishTo(0, 3 + 2 * removal);
+      // The previous queries no longer delay the next ones.
+      fleet_->RunFor(unlisted_queries::kQueryPeriod);
+    }
+    CPPUNIT_ASSERT_EQUAL(kRemovals * standins_.size(), all);
+    // About a quarter is expected.
+    CPPUNIT_ASSERT(immediate < all * 2 / 3);
+  }
+
   // Guards against requests to backend servers that have left, at nodes of the previous release
   // too, which confirm nothing.
   void Unlisted_NobodyConfirms_CallerStops() {
@@ -360,6 +389,12 @@
     return total;
   }
 
+  std::size_t TotalQueries() {
+    std::size_t total = 0;
+    ForEach([&total](standin_node& at) { total += at.queries.size(); });
+    return total;
+  }
+
   // Returns the value of the metric at the caller.
   std::string UnlistedGauge() {
     const auto page =
