Percent-encode the id in registration queries

Cause: registration_query wrote the id into the query as it is. An id with a space, '&', '%' or '#' was cut off, or made the request line invalid. Ruled out: a library function, as none of the libraries that the relay declares encodes or decodes queries (http_parser only splits them). Ids of letters, digits and '-' are written as before. The rest of unlisted_targets_test was not run for this commit.

--- a/modules/cuminferry_relay/path/unlisted_headers.cpp
+++ b/modules/cuminferry_relay/path/unlisted_headers.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 #include <vector>
 
@@ -44,6 +45,45 @@
   return {};
 }
 
+// Whether a character may be part of a query as it is (RFC 3986, section 2.3).
+bool IsUnreserved(char character) {
+  return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') ||
+         (character >= '0' && character <= '9') ||
+         std::string_view("-._~").find(character) != std::string_view::npos;
+}
+
+std::string PercentEncode(std::string_view text) {
+  std::string encoded;
+  for (const char character : text) {
+    if (IsUnreserved(character)) {
+      encoded += character;
+    } else {
+      encoded += fmt::format("%{:02X}", static_cast<unsigned char>(character));
+    }
+  }
+  return encoded;
+}
+
+// Returns nothing if an escape is damaged.
+std::optional<std::string> PercentDecode(std::string_view text) {
+  constexpr std::size_t kDigits = 2;
+  std::string decoded;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    if (text[at] != '%') {
+      decoded += text[at];
+      continue;
+    }
+    const std::string_view digits = text.substr(at + 1, kDigits);
+    const auto byte = ParseInteger<std::uint8_t>(digits, 16);
+    if (digits.size() < kDigits || !byte) {
+      return std::nullopt;
+    }
+    decoded += static_cast<char>(*byte);
+    at += kDigits;
+  }
+  return decoded;
+}
+
 }  // namespace
 
 std::string unlisted_notice::ToText() const {
@@ -56,18 +96,18 @@
 }
 
 std::string registration_query::ToTarget() const {
-  return fmt::format("{}?{}{}&{}{}&{}{}", kRegistrationPath, kInstanceParameter, instance,
-                     kRunParameter, notice.started_millis, kUnlistedParameter,
-                     ToMillis(notice.unlisted_for));
+  return fmt::format("{}?{}{}&{}{}&{}{}", kRegistrationPath, kInstanceParameter,
+                     PercentEncode(instance), kRunParameter, notice.started_millis,
+                     kUnlistedParameter, ToMillis(notice.unlisted_for));
 }
 
 std::optional<registration_query> registration_query::Parse(std::string_view target) {
-  const std::string_view instance = ValueOf(target, kInstanceParameter);
+  auto instance = PercentDecode(ValueOf(target, kInstanceParameter));
   const auto notice = ToNotice(ValueOf(target, kRunParameter), ValueOf(target, kUnlistedParameter));
-  if (instance.empty() || !notice) {
+  if (!instance || instance->empty() || !notice) {
     return std::nullopt;
   }
-  return registration_query{.instance = std::string(instance), .notice = *notice};
+  return registration_query{.instance = *std::move(instance), .notice = *notice};
 }
 
 }  // namespace cuminferry
--- a/tests/relay/unlisted_targets_test.cpp
+++ b/tests/relay/unlisted_targets_test.cpp
@@ -123,6 +123,8 @@
   CPPUNIT_TEST(Unlisted_ServiceNoLongerDeclared_IsDropped);
   CPPUNIT_TEST(Unlisted_Retained_IsCountedInMetrics);
   CPPUNIT_TEST(ListedInstances_ItemOverwritten_IsNotReportedAsGone);
+  CPPUNIT_TEST(RegistrationQuery_AnyPrintableId_IsReadAsWritten);
+  CPPUNIT_TEST(RegistrationQuery_DamagedEscape_IsRejected);
   CPPUNIT_TEST(Unlisted_ClientSendsTheField_IsNotPassedOn);
   CPPUNIT_TEST(Unlisted_DrainTimeNotSet_CallerStopsAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -321,6 +323,40 @@
     CPPUNIT_ASSERT(changes_with({}).front().is_item_gone);
   }
 
+  // Guards against a node replying for another id than the caller means, or a request line that
+  // can't be parsed: ids may hold any printable character.
+  void RegistrationQuery_AnyPrintableId_IsReadAsWritten() {
+    std::vector<std::string> instances{"a&run=7", "a b", "50%", "%41", "x#y?z=1", "ü"};
+    for (char printable = ' '; printable <= '~'; ++printable) {
+      instances.push_back(std::string("i-") + printable);
+    }
+    for (const std::string& instance : instances) {
+      const registration_query query{
+          .instance = instance,
+          .notice = {.started_millis = 1'700'000'000'123, .unlisted_for = milliseconds(250)}};
+      const std::string target = query.ToTarget();
+      CPPUNIT_ASSERT(target.find_first_of(" #") == std::string::npos);
+      const auto read = registration_query::Parse(target);
+      CPPUNIT_ASSERT(read);
+      CPPUNIT_ASSERT_EQUAL(instance, read->instance);
+      CPPUNIT_ASSERT_EQUAL(query.notice.started_millis, read->notice.started_millis);
+      CPPUNIT_ASSERT(query.notice.unlisted_for == read->notice.unlisted_for);
+    }
+  }
+
+  void RegistrationQuery_DamagedEscape_IsRejected() {
+    const auto is_read = [](const std::string& id) {
+      return registration_query::Parse(std::string(kRegistrationPath) + "?id=" + id +
+                                       "&run=0&unlisted_ms=0")
+          .has_value();
+    };
+    CPPUNIT_ASSERT(is_read("i-1"));
+    CPPUNIT_ASSERT(is_read("i%2d1"));
+    for (const std::string id : {"", "i%", "i%4", "i%zz", "i%-1", "i%4g"}) {
+      CPPUNIT_ASSERT(!is_read(id));
+    }
+  }
+
   // Guards against a client making a node believe that its instance is not listed.
   void Unlisted_ClientSendsTheField_IsNotPassedOn() {
     SetUp(kDrain);
