Define the replies to registration queries once

Cause: the reply texts were defined in registration_controller.cpp and again in unlisted_exchange.cpp, so that one could have changed without the other. Ruled out: an enumeration with conversions, as both sides only compare or send the texts. Change: the texts are in unlisted_headers.h. DropUnfit is now DropIneligible. The comment on kRegistrationPath names the previous release. Behaviour is unchanged, so there is no new test; the tests of the replies (Unlisted_ReplyIsLeaving_TargetGetsNothingMore and others) state the texts themselves.

--- a/modules/cuminferry_relay/path/registration_controller.cpp
+++ b/modules/cuminferry_relay/path/registration_controller.cpp
@@ -13,12 +13,6 @@
 // Queries that wait for one probe. Each node sends a query a second for an instance.
 constexpr std::size_t kMaxWaitingQueries = 8'192;
 
-// The text of a reply to a query. @see kRegistrationPath
-constexpr std::string_view kServingText = "serving";
-constexpr std::string_view kUndecidedText = "undecided";
-constexpr std::string_view kLeavingText = "leaving";
-constexpr std::string_view kOtherText = "other";
-
 }  // namespace
 
 registration_controller::registration_controller(relay_board& node,
@@ -164,19 +158,19 @@
 std::string_view registration_controller::TextFor(const registration_query& query) const {
   const instant now = node_.loop.Now();
   if (node_.refuses_runs || node_.HasDeclaredLeaving(query.instance)) {
-    return kLeavingText;
+    return kLeavingReply;
   }
   switch (check_.StateOf(query.instance, now)) {
     case registration_state::kListed:
     case registration_state::kServing:
-      return kServingText;
+      return kServingReply;
     case registration_state::kLeaving:
-      return kLeavingText;
+      return kLeavingReply;
     case registration_state::kUndecided:
       break;
   }
-  return check_.IsAnotherHere(query.instance, query.notice.started_millis, now) ? kOtherText
-                                                                                : kUndecidedText;
+  return check_.IsAnotherHere(query.instance, query.notice.started_millis, now) ? kOtherReply
+                                                                                : kUndecidedReply;
 }
 
 void registration_controller::Reply(server_exchange& peer, const registration_query& query) const {
@@ -194,7 +188,7 @@
   OnNotice(query->instance, query->notice);
   Update("caller");
   ProbeIfDue();
-  if (TextFor(*query) == kUndecidedText && probe_.is_under_way() &&
+  if (TextFor(*query) == kUndecidedReply && probe_.is_under_way() &&
       waiting_queries_.size() < kMaxWaitingQueries) {
     waiting_queries_.push_back({.peer = std::move(peer), .query = *query});
     return;
--- a/modules/cuminferry_relay/path/unlisted_exchange.cpp
+++ b/modules/cuminferry_relay/path/unlisted_exchange.cpp
@@ -19,11 +19,6 @@
 // Nodes reply within milliseconds; one that doesn't is unreachable or gone and confirms nothing.
 constexpr duration kReplyTimeout = std::chrono::milliseconds(300);
 
-// What a node replies to a registration_query.
-constexpr std::string_view kServingReply = "serving";
-constexpr std::string_view kLeavingReply = "leaving";
-constexpr std::string_view kOtherReply = "other";
-
 }  // namespace
 
 struct unlisted_exchange::state {
@@ -58,7 +53,7 @@
   void OnInstancesChanged() {
     listed_services.reset();
     if (instances.may_have_unlisted()) {
-      DropUnfit();
+      DropIneligible();
     }
     LogRetention();
     if (instances.may_have_unlisted() && !std::exchange(is_checking, true)) {
@@ -68,18 +63,18 @@
 
   // Instances that declared that they leave, or whose service the table no longer declares, are
   // dropped, whatever their nodes confirm.
-  void DropUnfit() {
+  void DropIneligible() {
     const auto& table = board.table();
-    std::vector<std::pair<std::string, std::string_view>> unfit;
+    std::vector<std::pair<std::string, std::string_view>> ineligible;
     instances.ForEachUnlisted([&](const service_instance& instance, const auto&) {
       const auto leaving_run = board.LeavingRunOf(instance.id);
       if (leaving_run && *leaving_run >= instance.started_millis) {
-        unfit.emplace_back(instance.id, "declared_leaving");
+        ineligible.emplace_back(instance.id, "declared_leaving");
       } else if (table && table->FindService(instance.service) == nullptr) {
-        unfit.emplace_back(instance.id, "undeclared_service");
+        ineligible.emplace_back(instance.id, "undeclared_service");
       }
     });
-    for (const auto& [id, why] : unfit) {
+    for (const auto& [id, why] : ineligible) {
       Drop(id, why);
     }
   }
--- a/modules/cuminferry_relay/path/unlisted_headers.h
+++ b/modules/cuminferry_relay/path/unlisted_headers.h
@@ -15,9 +15,17 @@
 /** Header field of the answer to such a request: the target's node confirms that its backend server
     serves. Its value is the start time of the run. @see service_instance */
 inline constexpr std::string_view kServingField = "Relay-Serving";
-/** Path at which a node says whether its backend server serves. Nodes of the version before answer
-    with status 400. @see registration_query */
+/** Path at which a node says whether its backend server serves.
+    Nodes of the previous release respond with status 400. @see registration_query */
 inline constexpr std::string_view kRegistrationPath = "/relay/registration";
+/** Reply to a registration_query: the instance serves. */
+inline constexpr std::string_view kServingReply = "serving";
+/** Reply to a registration_query: the node can't tell yet whether the instance serves. */
+inline constexpr std::string_view kUndecidedReply = "undecided";
+/** Reply to a registration_query: the instance leaves. */
+inline constexpr std::string_view kLeavingReply = "leaving";
+/** Reply to a registration_query: another instance is at the address. */
+inline constexpr std::string_view kOtherReply = "other";
 /** Path at which a node lists the instances that it retains although they are not listed. */
 inline constexpr std::string_view kUnlistedPath = "/relay/unlisted";
 
