--- a/modules/cuminferry_fleet/replica/instance_list.cpp
+++ b/modules/cuminferry_fleet/replica/instance_list.cpp
@@ -66,6 +66,7 @@
   missing_.erase(found.id);
   of.listed = true;
   of.is_retained = false;
+  of.ranks_behind_listed = false;
   if (IsDistrusted(now) && of.instance.draining && !found.draining) {
     found.draining = true;
     draining_retained_.insert(found.id);
@@ -83,16 +84,18 @@
   return true;
 }
 
-void instance_list::SetMissing(std::string_view id, bool is_item_gone, instant now) {
+// Returns whether the change must be reported although the instance still counts.
+bool instance_list::SetMissing(std::string_view id, bool is_item_gone, instant now) {
   if (const auto withheld = withheld_.find(id); withheld != withheld_.end()) {
     withheld_.erase(withheld);
   }
   const auto known = entries_.find(id);
   if (known == entries_.end()) {
-    return;
+    return false;
   }
   entry& of = known->second;
-  if (std::exchange(of.listed, false)) {
+  const bool was_listed = std::exchange(of.listed, false);
+  if (was_listed) {
     missing_.insert(known->first);
     of.unlisted_since = now;
     of.awaits_confirmation_since = now;
@@ -100,6 +103,12 @@
     of.is_retainable = !of.instance.draining;
   }
   of.is_retainable = of.is_retainable && is_item_gone;
+  // The node beside the instance decides from now on which requests are accepted.
+  const bool is_reported = was_listed && retention_.is_on();
+  if (is_reported) {
+    changed_addresses_.insert(of.instance.backend);
+  }
+  return is_reported;
 }
 
 bool instance_list::Update(std::vector<service_instance> listed, instant now) {
@@ -131,7 +140,7 @@
     if (change.listed) {
       changed = Take(*std::move(change.listed), now) || changed;
     } else {
-      SetMissing(change.id, change.is_item_gone, now);
+      changed = SetMissing(change.id, change.is_item_gone, now) || changed;
     }
   }
   const bool taken = TakeWithheld(now);
@@ -167,16 +176,29 @@
   if (now < retain_missing_until_ || missing_.empty()) {
     return false;
   }
+  // All are marked before the first one is compared with others at its address. Otherwise a later
+  // instance that is marked ranks behind an earlier one that is not yet.
+  for (const std::string& id : missing_) {
+    entry& of = entries_.find(id)->second;
+    if (!std::exchange(of.ranks_behind_listed, true)) {
+      ChooseAt(of.instance.backend);
+    }
+  }
+  bool is_any_retained = false;
   std::vector<std::string> ended;
   for (const std::string& id : missing_) {
-    if (!Retain(id, entries_.find(id)->second, now)) {
+    entry& of = entries_.find(id)->second;
+    const bool was_retained = of.is_retained;
+    if (!Retain(id, of, now)) {
       ended.push_back(id);
+    } else if (!was_retained) {
+      is_any_retained = true;
     }
   }
   for (const std::string& id : ended) {
     Drop(id, now);
   }
-  return !ended.empty();
+  return is_any_retained || !ended.empty();
 }
 
 // Whether an entry that is no longer listed still counts, now that the time is over in which all
@@ -192,10 +214,7 @@
   if (!IsHeld(of, now)) {
     return ends_as(retention_event_kind::kNotConfirmed);
   }
-  if (is_new) {
-    of.is_retained = true;
-    ChooseAt(of.instance.backend);
-  }
+  of.is_retained = true;
   if (!IsChosen(id, of)) {
     return ends_as(retention_event_kind::kReplaced);
   }
@@ -356,7 +375,7 @@
   // counts: the reporting node may itself have been draining.
   const auto rank = [this](const std::string& id) {
     const entry& of = entries_.find(id)->second;
-    return std::tuple(!of.reported_absent, !of.is_retained, of.instance.created);
+    return std::tuple(!of.reported_absent, !of.ranks_behind_listed, of.instance.created);
   };
   at_address_[address] = *std::ranges::max_element(ids->second, {}, rank);
 }
--- a/tests/relay/unlisted_targets_test.cpp
+++ b/tests/relay/unlisted_targets_test.cpp
@@ -8,6 +8,7 @@
 
 #include "cuminferry_relay/path/listed_instances.h"
 #include "cuminferry_relay/path/peer_headers.h"
+#include "cuminferry_relay/path/unlisted_exchange.h"
 #include "cuminferry_relay/path/unlisted_headers.h"
 #include "relay/relay_fleet.h"
 
@@ -109,6 +110,7 @@
   CPPUNIT_TEST_SUITE(unlisted_targets_test);
   CPPUNIT_TEST(Unlisted_AnswersConfirm_CallerGoesOn);
   CPPUNIT_TEST(Unlisted_RepliesToQueriesConfirm_CallerGoesOn);
+  CPPUNIT_TEST(Unlisted_Again_FirstQueriesAreDelayedAtRandom);
   CPPUNIT_TEST(Unlisted_NobodyConfirms_CallerStops);
   CPPUNIT_TEST(Unlisted_RequestRefusedAsLeaving_TargetGetsNothingMore);
   CPPUNIT_TEST(Unlisted_ReplyIsLeaving_TargetGetsNothingMore);
@@ -121,6 +123,8 @@
   CPPUNIT_TEST(Unlisted_ServiceNoLongerDeclared_IsDropped);
   CPPUNIT_TEST(Unlisted_Retained_IsCountedInMetrics);
   CPPUNIT_TEST(ListedInstances_ItemOverwritten_IsNotReportedAsGone);
+  CPPUNIT_TEST(RegistrationQuery_AnyPrintableId_IsReadAsWritten);
+  CPPUNIT_TEST(RegistrationQuery_DamagedEscape_IsRejected);
   CPPUNIT_TEST(Unlisted_ClientSendsTheField_IsNotPassedOn);
   CPPUNIT_TEST(Unlisted_DrainTimeNotSet_CallerStopsAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -154,6 +158,33 @@
     }
   }
 
+  // Guards against all callers querying a node at the same moment when its instance is removed a
+  // second time.
+  void Unlisted_Again_FirstQueriesAreDelayedAtRandom() {
+    SetUp(kDrain);
+    ForEach([](standin_node& at) { at.says = {.registration = "serving"}; });
+    constexpr int kRemovals = 4;
+    constexpr duration kFirstCheck = unlisted_exchange::kCheckPeriod + milliseconds(50);
+    std::size_t immediate = 0;
+    std::size_t all = 0;
+    for (int removal = 0; removal < kRemovals; ++removal) {
+      const std::size_t before = TotalQueries();
+      fleet_->SetUnlisted({0, 1, 2, 3, kStartedNode});
+      fleet_->PublishTo(0, 2 + 2 * removal);
+      fleet_->RunFor(kFirstCheck);
+      immediate += TotalQueries() - before;
+      fleet_->RunFor(unlisted_queries::kMaxFirstDelay + unlisted_exchange::kCheckPeriod);
+      all += TotalQueries() - before;
+      fleet_->SetUnlisted({0, kStartedNode});
+      fleet_->PublishTo(0, 3 + 2 * removal);
+      // The previous queries no longer delay the next ones.
+      fleet_->RunFor(unlisted_queries::kQueryPeriod);
+    }
+    CPPUNIT_ASSERT_EQUAL(kRemovals * standins_.size(), all);
+    // About a quarter is expected.
+    CPPUNIT_ASSERT(immediate < all * 2 / 3);
+  }
+
   // Guards against requests to backend servers that have left, at nodes of the previous release
   // too, which confirm nothing.
   void Unlisted_NobodyConfirms_CallerStops() {
@@ -292,6 +323,40 @@
     CPPUNIT_ASSERT(changes_with({}).front().is_item_gone);
   }
 
+  // Guards against a node replying for another id than the caller means, or a request line that
+  // can't be parsed: ids may hold any printable character.
+  void RegistrationQuery_AnyPrintableId_IsReadAsWritten() {
+    std::vector<std::string> instances{"a&run=7", "a b", "50%", "%41", "x#y?z=1", "ü"};
+    for (char printable = ' '; printable <= '~'; ++printable) {
+      instances.push_back(std::string("i-") + printable);
+    }
+    for (const std::string& instance : instances) {
+      const registration_query query{
+          .instance = instance,
+          .notice = {.started_millis = 1'700'000'000'123, .unlisted_for = milliseconds(250)}};
+      const std::string target = query.ToTarget();
+      CPPUNIT_ASSERT(target.find_first_of(" #") == std::string::npos);
+      const auto read = registration_query::Parse(target);
+      CPPUNIT_ASSERT(read);
+      CPPUNIT_ASSERT_EQUAL(instance, read->instance);
+      CPPUNIT_ASSERT_EQUAL(query.notice.started_millis, read->notice.started_millis);
+      CPPUNIT_ASSERT(query.notice.unlisted_for == read->notice.unlisted_for);
+    }
+  }
+
+  void RegistrationQuery_DamagedEscape_IsRejected() {
+    const auto is_read = [](const std::string& id) {
+      return registration_query::Parse(std::string(kRegistrationPath) + "?id=" + id +
+                                       "&run=0&unlisted_ms=0")
+          .has_value();
+    };
+    CPPUNIT_ASSERT(is_read("i-1"));
+    CPPUNIT_ASSERT(is_read("i%2d1"));
+    for (const std::string id : {"", "i%", "i%4", "i%zz", "i%-1", "i%4g"}) {
+      CPPUNIT_ASSERT(!is_read(id));
+    }
+  }
+
   // Guards against a client making a node believe that its instance is not listed.
   void Unlisted_ClientSendsTheField_IsNotPassedOn() {
     SetUp(kDrain);
@@ -360,6 +425,12 @@
     return total;
   }
 
+  std::size_t TotalQueries() {
+    std::size_t total = 0;
+    ForEach([&total](standin_node& at) { total += at.queries.size(); });
+    return total;
+  }
+
   // Returns the value of the metric at the caller.
   std::string UnlistedGauge() {
     const auto page =
