--- a/modules/cuminferry_fleet/replica/instance_list.cpp
+++ b/modules/cuminferry_fleet/replica/instance_list.cpp
@@ -64,7 +64,7 @@
     return false;
   }
   missing_.erase(found.id);
-  of.listed = true;
+  const bool was_unlisted = !std::exchange(of.listed, true);
   of.is_retained = false;
   of.ranks_behind_listed = false;
   if (IsDistrusted(now) && of.instance.draining && !found.draining) {
@@ -74,6 +74,10 @@
     draining_retained_.erase(found.id);
   }
   if (of.instance == found) {
+    if (was_unlisted && retention_.is_on()) {
+      ChooseAt(of.instance.backend);
+      return true;
+    }
     return false;
   }
   if (of.instance.started_millis != found.started_millis) {
--- a/tests/relay/instance_list_test.cpp
+++ b/tests/relay/instance_list_test.cpp
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(Unlisted_ItemStillExists_IsDroppedImmediately);
   CPPUNIT_TEST(Unlisted_AnotherIsListedAtItsAddress_IsReplaced);
   CPPUNIT_TEST(Unlisted_ListedAgain_IsNotDeniedAnyMore);
+  CPPUNIT_TEST(Unlisted_ListedAgainUnchanged_IsReportedAsChange);
   CPPUNIT_TEST(Unlisted_MissingAfterRelistTime_IsRetainedByConfirmation);
   CPPUNIT_TEST(Unlisted_RetainedAtTheEndOfRelistTime_IsReportedAsChange);
   CPPUNIT_TEST(Unlisted_RemovedWithinRelistTime_IsReportedAsChange);
@@ -317,6 +318,16 @@
     CPPUNIT_ASSERT(Ids(list) == ids{"x"});
   }
 
+  // Guards against the node beside an instance treating it as unlisted, or as leaving, for as long
+  // as nothing else of the list changes.
+  void Unlisted_ListedAgainUnchanged_IsReportedAsChange() {
+    instance_list list = Retaining({Instance("x")});
+    list.Apply({Removal("x")}, kRemoved);
+    list.TakeChanges();
+    CPPUNIT_ASSERT(list.Apply({{.id = "x", .listed = Instance("x")}}, kRemoved + seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list.TakeChanges().size());
+  }
+
   // Guards against a service losing its targets when the platform has recovered but the machines of
   // the service don't reach it yet.
   void Unlisted_MissingAfterRelistTime_IsRetainedByConfirmation() {
@@ -326,6 +337,8 @@
     list.OnConfirmed("x", 0, kRemoved + seconds(1));
     CPPUNIT_ASSERT(!list.Expire(kRemoved + instance_list::kRelistTime - milliseconds(1)));
     CPPUNIT_ASSERT(list.Expire(kRemoved + instance_list::kRelistTime));
+    CPPUNIT_ASSERT((Ids(list) == ids{"x", "y"}));
+    CPPUNIT_ASSERT(list.Expire(kRemoved + kRetention.unconfirmed));
     CPPUNIT_ASSERT(Ids(list) == ids{"x"});
   }
 
@@ -453,7 +466,8 @@
     list.Expire(kRemoved + milliseconds(100));
     CPPUNIT_ASSERT((EventsOf(list) == events{{"x", retention_event_kind::kRetained},
                                              {"y", retention_event_kind::kRetained}}));
-    list.Apply({{.id = "new", .listed = Instance("new", kAddress, 30)}}, kRemoved + seconds(2));
+    list.Apply({{.id = "new", .listed = Instance("new", kAddress, 30)}},
+               kRemoved + kRetention.unconfirmed);
     CPPUNIT_ASSERT((EventsOf(list) == events{{"x", retention_event_kind::kNotConfirmed},
                                              {"y", retention_event_kind::kNotConfirmed}}));
   }
