Encode figures of share messages from 2^-32 on

Cause: figures below 2^-8 became 0 in messages of /relay/limits/2. A pool whose customers send less than 1/256 of their published rates had loads or a level of 0 and was admitted or refused as a whole, and a limit's share of 0.003 became 0.

Change: the same two bytes hold 2^-32 to nearly 2^32 within 0.04% (formerly 2^-8 to 2^24 within 0.02%). A positive figure is never encoded as 0. The comment of the replay test now states the loss without shares as a third.

Result: Message_SmallFigures_AreNotZero failed before (0.003 became 0) and passes.

--- a/modules/cuminferry_policy/customers/demand_messages.h
+++ b/modules/cuminferry_policy/customers/demand_messages.h
@@ -43,20 +43,25 @@
   }
 }
 
-/** Encodes a figure that is not negative as its logarithm in two bytes: within 0.02% from 2^-8 to
-    2^24, with smaller ones as 0 and greater ones as 2^24. */
+/** Encodes a figure that is not negative as its logarithm in two bytes: within 0.04% from 2^-32 to
+    nearly 2^32. Figures outside these bounds are encoded as the nearer bound; only 0 is encoded as
+    0. With a smallest figure of 2^-8, a pool whose customers sent less than 1/256 of their
+   published rates had no level. */
 template <typename Archive>
 void SerializeFigure(Archive& archive, double& figure) {
-  constexpr double kStepsPerOctave = 2048.0;
-  constexpr double kLowestExponent = -8.0;
+  constexpr double kStepsPerOctave = 1024.0;
+  constexpr double kLowestExponent = -32.0;
+  // Code 0 is the figure 0.
+  constexpr double kLowestCode = 1.0;
   constexpr double kMaxCode = 65535.0;
   std::uint16_t code = 0;
   if (figure > 0.0) {
     const double steps = (std::log2(figure) - kLowestExponent) * kStepsPerOctave;
-    code = static_cast<std::uint16_t>(std::lround(std::clamp(steps, 0.0, kMaxCode)));
+    code = static_cast<std::uint16_t>(
+        std::lround(std::clamp(kLowestCode + steps, kLowestCode, kMaxCode)));
   }
   archive(code);
-  figure = code == 0 ? 0.0 : std::exp2(code / kStepsPerOctave + kLowestExponent);
+  figure = code == 0 ? 0.0 : std::exp2((code - kLowestCode) / kStepsPerOctave + kLowestExponent);
 }
 
 /** Encodes a count, which is negative where requests were taken back, in four bytes. */
--- a/tests/customers/customer_shares_test.cpp
+++ b/tests/customers/customer_shares_test.cpp
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(Level_TwoOfThreeCustomersHeld_SharesByWeight);
   CPPUNIT_TEST(Weight_NoPublishedRate_IsTheMean);
   CPPUNIT_TEST(Message_EncodedAndDecoded_KeepsItsFigures);
+  CPPUNIT_TEST(Message_SmallFigures_AreNotZero);
   CPPUNIT_TEST(Rate_SentSevenfold_IsKnownWithinASecond);
   CPPUNIT_TEST(Share_NodeJustStarted_IsThatOfAll);
   CPPUNIT_TEST(Share_NoCoordinator_FollowsOwnRequests);
@@ -175,6 +176,33 @@
     }
   }
 
+  // Guards against a pool whose customers send far less than their published rates, and which is
+  // admitted or refused as a whole because their figures become 0 in messages.
+  void Message_SmallFigures_AreNotZero() {
+    share_query sent;
+    sent.reports.push_back({.limit = {.customer = "a", .share = 0.003}, .counts_for_limit = true});
+    sent.loads.push_back({.pool = 7,
+                          .admitted = 5.0,
+                          .customers = {{.requested = 2.0, .saturation = 0.001},
+                                        {.requested = 6.0, .saturation = 0.003},
+                                        {.requested = 1e-30, .saturation = 1e-30}}});
+    const auto read = DecodeMessage<share_query>(EncodeMessage(sent));
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.003, read->reports[0].limit.share, 3e-6);
+    CPPUNIT_ASSERT(read->loads[0].customers[2].saturation > 0.0);
+    level_coordinator coordinator;
+    const instant start = FromMicros(1'000'000);
+    coordinator.OnLoads({}, read->loads, start);
+    coordinator.OnLoads({}, read->loads, start + level_coordinator::kSettleTime / 2);
+    share_reply reply;
+    reply.levels = coordinator.OnLoads({}, read->loads, start + level_coordinator::kSettleTime);
+    const auto replied = DecodeMessage<share_reply>(EncodeMessage(reply));
+    CPPUNIT_ASSERT(replied && replied->levels.size() == 1);
+    // Of the 5 requests, the first customer gets all of its 2 and the second one 3.
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0015, replied->levels[0].level, 1e-5);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, replied->levels[0].held_fraction, 0.01);
+  }
+
   void Rate_SentSevenfold_IsKnownWithinASecond() {
     random_source random(3);
     instant now = FromMicros(1'000'000);
@@ -229,7 +257,8 @@
   }
 
   // A customer sends seven times its usual rate, within its limit, to a fleet that can serve a
-  // quarter more than the usual load. Without shares, all others lose half of their requests.
+  // quarter more than the usual load. Without shares, all others lose a third
+  // of their requests.
   void Replay_CustomerSendsSevenfold_OthersKeepTheirShares() {
     for (const division divides : {division::kFleetLevel, division::kNone}) {
       share_fleet fleet({.divides = divides});
