Switch customers' shares off in deployments, and answer for them only where they are on

A node without the setting answers /relay/limits/2 with 400 and keeps no figures of others, and only with the setting does it take reports of shares as a sign that other nodes reach it; an unused constant is gone. Ruled out: landing the shares switched on, as a customer that sends seldom is refused like the others although it is below its share.

--- a/modules/cuminferry_policy/customers/customer_shares.h
+++ b/modules/cuminferry_policy/customers/customer_shares.h
@@ -62,9 +62,6 @@
       above the last rate: a customer that sends seven times its usual rate is noticed at once. */
   static constexpr duration kMinReportPeriod = std::chrono::milliseconds(100);
   static constexpr double kReportDeviations = 3.0;
-  /** Relative change of the admitted share within kLevelLag that changes the level at once.
-      Smaller ones are noise: customers below their share would be refused for them. */
-  static constexpr double kFastChange = 0.2;
   /** Minimum time between two computations of the level, and its part for each customer: 10,000
       customers cost half a percent of a core. */
   static constexpr duration kComputePeriod = std::chrono::milliseconds(20);
--- a/modules/cuminferry_relay/path/limit_exchange.cpp
+++ b/modules/cuminferry_relay/path/limit_exchange.cpp
@@ -124,7 +124,7 @@
       // coordinator has their reports then.
       if (found == board.settings.backend && board.coordinators.size() > 1 &&
           !coordinator.HasReportsOfOthers(customer, now) &&
-          !demand.HasReportsOfOthers(customer, now)) {
+          !(board.settings.customer_shares && demand.HasReportsOfOthers(customer, now))) {
         continue;
       }
       if (first) {
@@ -417,7 +417,9 @@
   }
 
   void AnswerShareQuery(server_exchange& peer, std::string_view body) {
-    const auto query = DecodeMessage<share_query>(body);
+    // Without the setting this node counts for nobody, like a node of the previous release.
+    const auto query = board.settings.customer_shares ? DecodeMessage<share_query>(body)
+                                                      : std::optional<share_query>();
     if (!query) {
       peer.Answer(MakeAnswer(http_status::kBadRequest), "");
       return;
--- a/tests/relay/relay_customers_test.cpp
+++ b/tests/relay/relay_customers_test.cpp
@@ -288,6 +288,10 @@
     const limit_report report{.customer = "farm", .requested = 1.0, .admitted = 1.0};
     const share_query query{.reports = {{.limit = report, .counts_for_limit = true, .pools = {}}}};
     CPPUNIT_ASSERT_EQUAL(200, Post(fleet, kLimitsPath, EncodeMessage(std::vector{report})));
+    CPPUNIT_ASSERT_EQUAL(400, Post(fleet, kSharesPath, EncodeMessage(query)));
+    relay_settings settings = fleet.SettingsOf(0);
+    settings.customer_shares = true;
+    fleet.node(0).ApplySettings(settings);
     CPPUNIT_ASSERT_EQUAL(200, Post(fleet, kSharesPath, EncodeMessage(query)));
     CPPUNIT_ASSERT_EQUAL(400, Post(fleet, kSharesPath, "?"));
     CPPUNIT_ASSERT_EQUAL(400, Post(fleet, "/relay/limits/3", EncodeMessage(query)));
