--- a/modules/cuminferry_policy/registration/departure_check.h
+++ b/modules/cuminferry_policy/registration/departure_check.h
@@ -53,7 +53,7 @@
       One may be announced for another reason. */
   static constexpr int kClosingAnswers = 2;
   /** Answers that announced a close longer than this before the removal was known don't count. An
-      entry is removed when its backend server begins to leave, and nodes know it two seconds later;
+      entry is removed when its backend server begins to leave, and nodes know it within seconds;
       an idle backend server may have closed two connections in a row long before. */
   static constexpr duration kClosingAnswerTime = std::chrono::seconds(5);
   /** Part of the drain time in which requests are accepted without evidence. The rest is for
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -134,9 +134,8 @@
 }
 
 // Requests that have not begun to run can still run elsewhere. All of them leave the queue before
-// the first is answered, as each answer starts what waits.
-// All are withdrawn before any is answered: each answer starts waiting requests, and one that is
-// refused then would start the next in turn, through the whole queue.
+// the first is answered: each answer starts what waits, and a request that is refused then would
+// start the next, through the whole queue.
 void serving_context::WithdrawRefused() {
   std::vector<std::pair<std::shared_ptr<serving_call>, relay_outcome>> withdrawn;
   for (const auto& [id, call] : calls) {
