Log and measure what each node's budget of repeats decides on

Cause: no line or metric tells how many repeats a target's node allowed, on which figures, and for how many targets it takes itself, so that the hypotheses on the exceeded bound can't be told apart. Change: the line repeats.decided once a second while repeats are decided, a counter of denied ones, a gauge of the budget's parts, and serving.end names a request that may be a repeat. No decision changes.

--- a/modules/cuminferry_policy/retries/repeat_budget.cpp
+++ b/modules/cuminferry_policy/retries/repeat_budget.cpp
@@ -134,6 +134,7 @@
   slice& newest = Newest();
   newest.requests += 1.0;
   newest.repeats += repeat_probability;
+  newest.charged += repeat_probability;
   newest.standalone_requests += nested ? 0.0 : 1.0;
 }
 
@@ -149,4 +150,14 @@
   return true;
 }
 
+repeat_budget::figures repeat_budget::FiguresAt(instant now) {
+  Advance(now);
+  return {.requests = Sum(&slice::requests, 0, kSlicesPerWindow),
+          .repeats = Sum(&slice::repeats, 0, kSlicesPerWindow),
+          .charged = Sum(&slice::charged, 0, kSlicesPerWindow),
+          .earned = EarnedRepeats(),
+          .allowance = kAllowanceFraction * allowance_ / static_cast<double>(targets_),
+          .targets = targets_};
+}
+
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/retries/repeat_budget.h
+++ b/modules/cuminferry_policy/retries/repeat_budget.h
@@ -63,6 +63,18 @@
   static constexpr double kSendWeight = 0.02;
   /** Minimum value of NestedShare(). */
   static constexpr double kMinNestedShare = 0.03;
+  /** What the decisions of one window rest on. */
+  struct figures {
+    double requests = 0.0;
+    double repeats = 0.0;
+    /** The part of `repeats` that are calls of repeated runs, which nobody decides about. */
+    double charged = 0.0;
+    double earned = 0.0;
+    /** This target's share of the allowance. */
+    double allowance = 0.0;
+    std::size_t targets = 0;
+  };
+
   /** @param ratio      repeats allowed for each request
       @param allowance  further repeats allowed in one window, over all targets
       @param window     period over which the bound holds */
@@ -91,13 +103,15 @@
   /** Share of the nested load whose repeats are within the budget, from kMinNestedShare to 1; 1
       while few requests are rejected. */
   double NestedShare(instant now);
+  figures FiguresAt(instant now);
 
  private:
   /** Counts of requests and repeats in one slice of a window. */
   struct slice {
     double requests = 0.0;
     double repeats = 0.0;
-    // The part of the two counts above that concerns standalone requests.
+    double charged = 0.0;
+    // The part of the first two counts above that concerns standalone requests.
     double standalone_requests = 0.0;
     double standalone_repeats = 0.0;
   };
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -62,8 +62,12 @@
       "Waiting requests that were refused in favour of more important ones, by kind.")};
   prometheus::Counter& displaced_clients{displaced.Add({{"kind", "client"}})};
   prometheus::Counter& displaced_nested{displaced.Add({{"kind", "nested"}})};
-  family_of_counters& repeats{MakeCounters(registry, "cuminferry_repeats_total",
-                                           "Requests sent to a further target, by service.")};
+  family_of_counters& repeats{
+      MakeCounters(registry, "cuminferry_repeats_total",
+                   "Requests that came to the own backend server once more.")};
+  family_of_counters& denied_repeats{
+      MakeCounters(registry, "cuminferry_repeats_denied_total",
+                   "Requests that the bound on repeats kept from the own backend server.")};
   family_of_counters& customers{MakeCounters(registry, "cuminferry_customer_requests_total",
                                              "Requests with a customer's key, by outcome.")};
   family_of_counters& control_messages{
@@ -173,6 +177,10 @@
   state_->repeats.Add({{"row", std::string(row)}}).Increment();
 }
 
+void relay_metrics::OnRepeatDenied(std::string_view row) {
+  state_->denied_repeats.Add({{"row", std::string(row)}}).Increment();
+}
+
 void relay_metrics::OnCustomerRequest(std::string_view customer, std::string_view outcome) {
   if (!state_->named_customers.contains(customer)) {
     if (state_->named_customers.size() < kMaxNamedCustomers) {
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -35,6 +35,8 @@
   void OnDisplaced(bool nested);
   /** Counts a repeat of a request of this row that was sent to the own backend server. */
   void OnRepeat(std::string_view row);
+  /** Counts a repeat of a request of this row that the bound on repeats did not allow. */
+  void OnRepeatDenied(std::string_view row);
 
   /** Counts a request with a customer's key by outcome: admitted, over the limit, or refused
       because the key may be stale. */
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -257,9 +257,7 @@
 bool serving_call::TakeRepeat() {
   const bool granted =
       context_.node.repeats.TakeOne(header_.nested, context_.node.loop.Now(), request_.has_turn);
-  if (granted) {
-    context_.node.metrics.OnRepeat(header_.row);
-  }
+  context_.repeat_decisions.OnDecision(header_.row, granted);
   return granted;
 }
 
@@ -577,6 +575,9 @@
                                 {"limit", context_.gate.limit()},
                                 {"sends", send_count_},
                                 {"level", RoundForLog(context_.level.share())}};
+  if (header_.may_be_repeat) {
+    detail["repeat"] = true;
+  }
   if (is_displaced_) {
     detail["reason"] = "displaced";
   }
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -34,6 +34,7 @@
       gate(kDefaultSlotCount),
       declarations(node, gate, [this] { WithdrawRefused(); }),
       registration(node, [this] { WithdrawRefused(); }),
+      repeat_decisions(node),
       step_timer_(node.loop),
       expiry_timer_(node.loop),
       turn_timer_(node.loop),
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -10,6 +10,7 @@
 #include "cuminferry_relay/path/declaration_controller.h"
 #include "cuminferry_relay/path/registration_controller.h"
 #include "cuminferry_relay/path/relay_board.h"
+#include "cuminferry_relay/path/repeat_log.h"
 #include "cuminferry_relay/path/serving_request.h"
 
 namespace cuminferry {
@@ -66,6 +67,7 @@
   suspect_isolation isolation;
   declaration_controller declarations;
   registration_controller registration;
+  repeat_log repeat_decisions;
   std::unordered_map<std::uint64_t, std::shared_ptr<serving_call>> calls;
 
  private:
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -54,6 +54,7 @@
   const serving_context& context = state_->context;
   context.declarations.SetGauges(metrics);
   context.registration.SetGauges(metrics);
+  context.repeat_decisions.SetGauges(metrics);
   metrics.SetGauge("cuminferry_level", context.level.share());
   metrics.SetGauge("cuminferry_slots_running", context.gate.running());
   metrics.SetGauge("cuminferry_slots_limit", context.gate.limit());
