Bound repeats by shares that add up over processes, restarts and reloads

Cause: each node allowed repeats by the largest of three windows of its own requests. These maxima don't add up to the largest window of the sum: where nodes restart, targets are replaced or load moves, one process spends what the earlier window earned and another what the latest did. The allowance was split by the targets that a node listed at the moment, handed out anew by each process, and a reload of any setting built the budget anew. Class: a bound that is shared in memory, by shares that don't add up once processes, load or views change. Change: repeats of any window are at most the ratio of 0.4 of that window's requests and 0.6 of those of the window half a window earlier. This mean adds up over all processes and is at most the larger of the two for the service. A process gets its share of the allowance in proportion to its time within its first window; shares go by the most targets known for a minute (recent_maximum), also by what calling nodes tell with a request that may be a repeat (Relay-Targets, ignored by the last landing's nodes). Reloads keep the counts. A request counts when it was sent and only once it reaches the backend server.

--- a/modules/cuminferry_core/cuminferry_core.h
+++ b/modules/cuminferry_core/cuminferry_core.h
@@ -3,7 +3,7 @@
 
     - result/   numbered result codes and their transport in an absl::Status
     - ids/      identifiers of requests, attempts and incarnations; endpoints
-    - time/     the time since boot, hybrid logical time
+    - time/     the time since boot, hybrid logical time, counts of the last minutes
     - random/   a seeded random number generator; there is no global one
     - text/     small helpers for ASCII text
     - threads/  the lock order, mutexes that check it, a worker pool
@@ -25,4 +25,5 @@
 #include "cuminferry_core/threads/worker_pool.h"
 #include "cuminferry_core/time/boot_clock.h"
 #include "cuminferry_core/time/hybrid_clock.h"
+#include "cuminferry_core/time/recent_maximum.h"
 #include "cuminferry_core/timeline/event_log.h"
--- a/modules/cuminferry_policy/retries/repeat_budget.h
+++ b/modules/cuminferry_policy/retries/repeat_budget.h
@@ -1,44 +1,53 @@
 #pragma once
 
-#include <array>
 #include <cstddef>
-#include <cstdint>
 
 #include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_policy/retries/repeat_counts.h"
 
 namespace cuminferry {
 
 /** Limits how many requests reach one backend server more than once, as its share of a
     bound on the whole service.
 
-    The bound holds over all targets of a service: in any window, the number of repeats is
-    at most a ratio of the requests of that window or of one of the two windows before it,
-    plus a fixed allowance. Each target's node counts the requests that reach its own backend
-    server and allows that ratio of them plus its share of the allowance. The sum over the
-    targets therefore stays within the bound without coordination, and repeats requested by
-    different nodes are charged to one budget. When a request runs again, its calls are
-    repeats at the services further down as well; they are charged when they arrive.
+    The bound holds over all targets of a service: in any window, the number of repeats is at most a
+    ratio of the requests of that window, of the window before it or of the one half a window before
+    it, plus a fixed allowance. Each target's node counts the requests that reach its own backend
+    server and allows repeats by them, and by its share of the allowance. Repeats requested by
+    different nodes are charged to one budget.
+
+    Nobody adds the targets up, so each node keeps to a bound that can be added up: in any window,
+   at most the ratio of kLatestWeight of that window's requests and kShiftedWeight of those of the
+    window that began half a window earlier. The sum over all processes, however the load moved
+   among them, is the same mean of the service's two windows, and the larger of these allows as much
+   at least. A process that has lost its counts has lost what they earned as well. If each node went
+   by the larger of its own windows, the sum would exceed the bound where load moves or a process
+    restarts: one process spends what the earlier window has earned, another what the latest has.
+
+    The allowance is not earned, so its shares are what could be spent twice. In its first window a
+    process gets its share little by little: all processes that ran at one place in a window get no
+    more than one share, and the one before them another. Shares go by the most targets that are
+   known of for minutes, as lists lose entries of targets that serve.
+
+    When a request runs again, its calls are repeats at the services further down as well; they are
+    charged when they arrive.
 
     A backend server that rejects about half of its requests at random needs more repeats than the
     budget has. Spread evenly, they complete hardly any request that needs several answers. The
     budget therefore tells which share of the nested load it can complete (NestedShare()), and
     the callers choose that share of their runs. @see repeat_turns
-
-    Budget earned while few repeats were needed remains available until its window has
-    passed. A fault that loses a quarter of all answers for four seconds requires repeats
-    for a third of the requests; if the ratio were spread evenly over the window, it would
-    allow only a fifth.
 */
 class repeat_budget {
  public:
-  /** Fraction of the ratio that is earned by requests of the latest window. The rest covers
-      calls of repeated runs that are counted as first sends. */
-  static constexpr double kLatestWindowFraction = 0.8;
-  /** Fraction of the ratio that is earned by requests of the two windows before the latest.
-      When load moves from one target to another, the first target counts its earlier requests
-      and the second its latest ones; with a quarter of the load moved, the sum over the targets
-      still stays within the ratio. */
-  static constexpr double kEarlierWindowFraction = 0.7;
+  /** Weight of a window's own requests in the repeats that it may have. The higher it is, the more
+     a process may repeat that has just started. */
+  static constexpr double kLatestWeight = 0.4;
+  /** Weight of the requests of the window that began half a window earlier. The higher it is, the
+      more of a short fault is covered by what was earned before it. */
+  static constexpr double kShiftedWeight = 1.0 - kLatestWeight;
+  /** What a nested request earns, as a fraction of the ratio. The rest covers calls of repeated
+     runs, which arrive whether or not there is budget left. */
+  static constexpr double kNestedEarning = 0.9;
   /** Maximum repeats within about a tenth of a window for each request of that time, or for each
       request that usually arrives in it: runs that fail make fewer calls. If the budget of a
       whole window were spent at once, it would double the load on a service that is failing. */
@@ -75,13 +84,27 @@
     std::size_t targets = 0;
   };
 
-  /** @param ratio      repeats allowed for each request
-      @param allowance  further repeats allowed in one window, over all targets
-      @param window     period over which the bound holds */
-  repeat_budget(double ratio, double allowance, duration window);
+  /** What operators set. */
+  struct bounds {
+    /** Repeats allowed for each request. */
+    double ratio = 0.0;
+    /** Further repeats allowed in one window, over all targets. */
+    double allowance = 0.0;
+    /** Period over which the bound holds. */
+    duration window{};
+
+    bool operator==(const bounds&) const = default;
+  };
+
+  /** @param started_at  when the process started */
+  repeat_budget(const bounds& chosen, instant started_at);
 
-  /** Sets the number of targets that share the allowance; 0 counts as 1. */
-  void SetTargets(std::size_t targets);
+  /** Changes the bounds. What was counted stays, unless the window changes. */
+  void SetBounds(const bounds& chosen, instant now);
+  /** Sets the number of targets that this node lists. */
+  void SetTargets(std::size_t targets, instant now) { targets_.Set(targets, now); }
+  /** Another node lists this many targets of the service. */
+  void OnTargetsTold(std::size_t targets, instant now) { targets_.Add(targets, now); }
 
   /** Counts a request that arrives for the first time.
       @param nested              whether the request is one of several calls that its parent
@@ -89,8 +112,10 @@
       @param repeat_probability  probability, 0 to 1, that the request is a call of a repeated
                                  run. Such calls are repeats at their service although no node
                                  decided to repeat them, so they reduce the budget for later
-                                 repeats */
-  void OnFirstSend(bool nested, double repeat_probability, instant now);
+                                 repeats
+      @param sent_at             when its sender sent it, as far as that is known. The bound counts
+                                 it then, however long it waited */
+  void OnFirstSend(bool nested, double repeat_probability, instant sent_at, instant now);
   /** Takes one repeat from the budget; returns false if the budget is spent.
       @param nested    whether the request is one of several calls that its parent needs. The
                        parent fails if any of them fails, so when repeats are short they go to
@@ -106,45 +131,32 @@
   figures FiguresAt(instant now);
 
  private:
-  /** Counts of requests and repeats in one slice of a window. */
-  struct slice {
-    double requests = 0.0;
-    double repeats = 0.0;
-    double charged = 0.0;
-    // The part of the first two counts above that concerns standalone requests.
-    double standalone_requests = 0.0;
-    double standalone_repeats = 0.0;
-  };
+  using slice = repeat_counts::slice;
 
-  static constexpr std::size_t kSlicesPerWindow = 20;
-  // Two windows, and the slice that is being filled.
-  static constexpr std::size_t kSlices = 2 * kSlicesPerWindow + 1;
+  static constexpr std::size_t kSlicesPerWindow = repeat_counts::kSlicesPerWindow;
+  static constexpr std::size_t kHalfWindow = kSlicesPerWindow / 2;
 
-  void Advance(instant now);
-  slice& Newest() { return slices_[static_cast<std::size_t>(newest_slice_) % kSlices]; }
-  /** Sums a counter over `count` slices, ending `age` slices before the newest one. */
-  double Sum(double slice::*counter, std::size_t age, std::size_t count) const;
+  /** This node's share of the allowance. */
+  double AllowanceAt(instant now);
+  /** Repeats that the requests allow in the latest window. */
   double EarnedRepeats() const;
+  /** Repeats that no window that includes the present lacks. */
+  double LeftInWindows(double allowance) const;
   /** Returns the repeats reserved for standalone requests, of a bound over `slices` slices. */
   double ReservedForStandalone(std::size_t slices, double bound) const;
-  bool MayRepeat(bool nested) const;
-  double NestedBound() const;
+  bool MayRepeat(bool nested, instant now);
+  double NestedBound(double allowance) const;
   double MaxBurst() const;
   /** Returns the largest sum over the latest window and the two before it. */
   double LargestWindow(double slice::*counter) const;
   double Severity() const;
 
-  double ratio_;
-  double allowance_;
-  duration slice_length_;
-  std::size_t targets_ = 1;
+  bounds bounds_;
+  instant counted_since_;
+  recent_maximum targets_;
   // Moving average of the rejected fraction of all sends.
   double rejected_fraction_ = 0.0;
-  std::array<slice, kSlices> slices_{};
-  // Number of the newest slice, counted from the epoch of `instant`.
-  std::int64_t newest_slice_ = 0;
-  // Fraction of the newest slice that has elapsed, 0 to 1.
-  double newest_elapsed_fraction_ = 0.0;
+  repeat_counts counts_;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/outbound_placement.cpp
+++ b/modules/cuminferry_relay/path/outbound_placement.cpp
@@ -212,6 +212,10 @@
   if (!has_turn) {
     head.Set(kNoTurnField, "1");
   }
+  head.Remove(kTargetsField);
+  if (about.may_be_repeat) {
+    head.Set(kTargetsField, std::to_string(board.KnownTargetsOf(record.service)));
+  }
   head.Remove(kRateField);
   const rate_request rate{.declared = picked.declared,
                           .started_millis = picked.target.started_millis,
--- a/modules/cuminferry_relay/path/peer_headers.h
+++ b/modules/cuminferry_relay/path/peer_headers.h
@@ -20,6 +20,9 @@
 /** Header field of a request that must not be repeated while repeats are scarce. A field of its
    own, as nodes of another version read the call's field to its end. @see repeat_turns */
 inline constexpr std::string_view kNoTurnField = "Relay-No-Turn";
+/** Header field of a request that may be a repeat: the most targets of its service that the calling
+    node has listed for minutes. @see repeat_budget */
+inline constexpr std::string_view kTargetsField = "Relay-Targets";
 /** Header field of an answer that reports scarce repeats. @see repeat_report */
 inline constexpr std::string_view kRepeatsField = "Relay-Repeats";
 /** Header field of an answer that says that the instance which the request was meant for has
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -26,7 +26,7 @@
       settings(std::move(chosen)),
       random(random_source::FromMachine()),
       log(loop, settings.instance),
-      repeats(settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window),
+      repeats(settings.repeat_bounds(), loop.Now()),
       limits(settings.customers.limits, random.Fraction()),
       removed_ids_(kMaxRecentIds),
       declared_leaving_(kMaxRecentIds) {}
@@ -59,7 +59,7 @@
   if (added.backend == settings.backend) {
     own_slots_ = added.slots;
   }
-  targets_of_service_ += added.service == settings.service ? 1 : 0;
+  CountTarget(added.service, true);
   removed_ids_.Erase(added.id);
   target_picker& picker = pickers_[added.service];
   if (added.draining) {
@@ -85,7 +85,7 @@
 
 // @param is_same_target  the instance has changed, so that what the picker knows of it stays
 void relay_board::RemoveInstance(const service_instance& removed, bool is_same_target) {
-  targets_of_service_ -= removed.service == settings.service ? 1 : 0;
+  CountTarget(removed.service, false);
   if (!is_same_target) {
     pickers_[removed.service].RemoveTarget(removed.id);
     removed_ids_.Insert(removed.id, removed.started_millis);
@@ -169,7 +169,24 @@
   const std::size_t listed = instances_.size() - draining_ids_.size();
   limits.SetNodes(listed);
   position_ = tree_.PositionOf(settings.backend, settings.failure_domain);
-  repeats.SetTargets(targets_of_service_);
+  // An instance whose own entry is missing takes part as well.
+  const std::size_t unlisted = OwnInstance() == nullptr ? 1 : 0;
+  repeats.SetTargets(targets_by_service_[settings.service].listed + unlisted, loop.Now());
+}
+
+void relay_board::CountTarget(const std::string& service, bool is_listed) {
+  target_count& count = targets_by_service_[service];
+  if (is_listed) {
+    ++count.listed;
+  } else {
+    --count.listed;
+  }
+  count.largest.Set(count.listed, loop.Now());
+}
+
+std::size_t relay_board::KnownTargetsOf(const std::string& service) {
+  const auto found = targets_by_service_.find(service);
+  return found == targets_by_service_.end() ? 0 : found->second.largest.ValueAt(loop.Now());
 }
 
 const service_instance* relay_board::OwnInstance() const {
@@ -189,8 +206,7 @@
   settings.order = changed.order;
   settings.customer_shares = changed.customer_shares;
   limits.SetBounds(settings.customers.limits);
-  repeats = repeat_budget(settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window);
-  repeats.SetTargets(targets_of_service_);
+  repeats.SetBounds(settings.repeat_bounds(), loop.Now());
 }
 
 endpoint relay_board::PeerAddressOf(const endpoint& backend) const {
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -68,6 +68,8 @@
   std::uint32_t own_slots() const { return own_slots_; }
   /** Determines which node this one queries for updates of the published items. */
   const tree_position& position() const { return position_; }
+  /** The most targets of a service that this node has listed for minutes. */
+  std::size_t KnownTargetsOf(const std::string& service);
   /** Peer addresses of all other nodes, in order. */
   const std::vector<endpoint>& peers() const { return peers_; }
 
@@ -144,6 +146,12 @@
   bool refuses_clients = false;
 
  private:
+  struct target_count {
+    std::size_t listed = 0;
+    recent_maximum largest;
+  };
+
+  void CountTarget(const std::string& service, bool is_listed);
   void AddPeerOf(const endpoint& backend);
   void RemovePeerOf(const endpoint& backend);
   void AddInstance(const service_instance& added);
@@ -164,7 +172,7 @@
   recent_ids removed_ids_;
   recent_ids declared_leaving_;
   std::uint32_t own_slots_ = 0;
-  std::size_t targets_of_service_ = 0;
+  std::map<std::string, target_count> targets_by_service_;
   dissemination_tree tree_;
   tree_position position_;
 };
--- a/modules/cuminferry_relay/path/relay_settings.h
+++ b/modules/cuminferry_relay/path/relay_settings.h
@@ -86,6 +86,10 @@
   double repeat_allowance = 0.0;
   duration repeat_window = std::chrono::seconds(10);
 
+  repeat_budget::bounds repeat_bounds() const {
+    return {.ratio = repeat_ratio, .allowance = repeat_allowance, .window = repeat_window};
+  }
+
   customer_bounds customers;
 
   /** Time within which a backend server that leaves must get no more requests. Zero where no such
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -229,10 +229,6 @@
     AnswerWithOutcome(relay_outcome::kNoRepeats);
     return;
   }
-  if (!header_.may_be_repeat) {
-    context_.node.repeats.OnFirstSend(header_.nested, header_.repeat_probability,
-                                      context_.node.loop.Now());
-  }
   if (!header_.awaits_release) {
     StartRun();
     return;
@@ -255,8 +251,9 @@
 
 // Repeats are limited here for all calling nodes together.
 bool serving_call::TakeRepeat() {
-  const bool granted =
-      context_.node.repeats.TakeOne(header_.nested, context_.node.loop.Now(), request_.has_turn);
+  const instant now = context_.node.loop.Now();
+  context_.node.repeats.OnTargetsTold(request_.known_targets, now);
+  const bool granted = context_.node.repeats.TakeOne(header_.nested, now, request_.has_turn);
   context_.repeat_decisions.OnDecision(header_.row, granted);
   return granted;
 }
@@ -286,6 +283,11 @@
     AnswerWithOutcome(*refusal);
     return;
   }
+  if (!header_.may_be_repeat) {
+    const instant sent_at = arrived_ - (header_.objective - header_.objective_left);
+    context_.node.repeats.OnFirstSend(header_.nested, header_.repeat_probability, sent_at,
+                                      context_.node.loop.Now());
+  }
   run_.Begin();
   if (header_.awaits_release) {
     // The ingress node expects another interim answer after it has released the request; the
--- a/modules/cuminferry_relay/path/serving_request.cpp
+++ b/modules/cuminferry_relay/path/serving_request.cpp
@@ -22,6 +22,9 @@
   if (const std::string* field = head.Find(names.deadline)) {
     request.time_left = std::chrono::milliseconds(ParseDecimal(*field).value_or(0));
   }
+  if (const std::string* field = head.Find(kTargetsField)) {
+    request.known_targets = ParseInteger<std::size_t>(*field).value_or(0);
+  }
   if (const std::string* field = head.Find(kRateField)) {
     request.rate = rate_request::Parse(*field);
   }
@@ -40,6 +43,7 @@
   head.RemoveConnectionFields();
   head.Remove(kCallField);
   head.Remove(kNoTurnField);
+  head.Remove(kTargetsField);
   head.Remove(kSuspectField);
   head.Remove(kRateField);
   head.Remove(kUnlistedField);
--- a/modules/cuminferry_relay/path/serving_request.h
+++ b/modules/cuminferry_relay/path/serving_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -27,6 +28,8 @@
   std::string customer;
   /** The request may be repeated while repeats are scarce. @see repeat_turns */
   bool has_turn = true;
+  /** Targets of the service that the calling node knows; 0 where it doesn't say. */
+  std::size_t known_targets = 0;
   /** What the calling node knows of the declared rate. */
   std::optional<rate_request> rate;
   /** Set where the calling node doesn't list the expected instance. */
