Count a second arrival and calls of runs that are sent again as repeats

Cause: two ways by which an arrival beyond the first was taken for a first one, found on reading. A request that its backend server turned away, and that found no connection when its node sent it again, was passed on as down, so that the next target counted it as new, and it even earned repeats. Calls of a run that its own node had sent again were taken for calls of a first run. Class: a count that loses what another place knows. Change: such a request is passed on as turned away; a run that is sent again counts as a repeat for the calls that it makes. Ruled out: a second of the same kind among the outcomes that count as not arrived (full, over-rate, leaving, unconfirmed, no-repeats, stale-key, blocked are all decided before the first send).

--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -424,6 +424,7 @@
       !context_.gate.TryTakeTurn(context_.node.loop.Now()) || !TakeRepeat()) {
     return false;
   }
+  run_.OnRepeat();
   Send();
   return true;
 }
@@ -434,7 +435,8 @@
   context_.RecordOutcome(false);
   if (failure == exchange_failure::kNotSent) {
     context_.OnBackendDown();
-    AnswerWithOutcome(relay_outcome::kDown);
+    // If it was sent before, that one has arrived, and the next one is a repeat.
+    AnswerWithOutcome(send_count_ > 1 ? relay_outcome::kTurnedAway : relay_outcome::kDown);
     return;
   }
   if (answer_started_ && !detached_) {
--- a/modules/cuminferry_relay/path/slot_run.cpp
+++ b/modules/cuminferry_relay/path/slot_run.cpp
@@ -10,10 +10,17 @@
   started_ = node.loop.Now();
   limit_when_full_ = context_.gate.limit_when_full();
   node.attribution.OnRunStart(header_.row, started_);
-  node.running.OnStart(arrived_ - header_.age, header_.repeat_probability);
+  node.running.OnStart(arrived_ - header_.age, repeat_probability_);
   node.demand.OnRunStart(node.attribution.CalleesOf(header_.row), header_.stands_for);
 }
 
+void slot_run::OnRepeat() {
+  running_work& running = context_.node.running;
+  running.OnEnd(arrived_ - header_.age, repeat_probability_);
+  repeat_probability_ = 1.0;
+  running.OnStart(arrived_ - header_.age, repeat_probability_);
+}
+
 call_attribution::run_outcome slot_run::ToRunOutcome(result completion) {
   switch (completion) {
     case result::kSuccess:
@@ -36,7 +43,7 @@
   relay_board& node = context_.node;
   const instant now = node.loop.Now();
   node.attribution.OnRunEnd(header_.row, started_, now, ToRunOutcome(completion));
-  node.running.OnEnd(arrived_ - header_.age, header_.repeat_probability);
+  node.running.OnEnd(arrived_ - header_.age, repeat_probability_);
   if (completion == result::kAborted) {
     context_.gate.Release();
     return;
--- a/modules/cuminferry_relay/path/slot_run.h
+++ b/modules/cuminferry_relay/path/slot_run.h
@@ -21,10 +21,15 @@
   /** @param header   outlives the run
       @param arrived  arrival of the request at this node */
   slot_run(serving_context& context, const call_header& header, instant arrived)
-      : context_(context), header_(header), arrived_(arrived) {}
+      : context_(context),
+        header_(header),
+        arrived_(arrived),
+        repeat_probability_(header.repeat_probability) {}
 
   /** Begins the run in a slot that the gate has granted. */
   void Begin();
+  /** The request is sent again in its slot, so that its calls are those of a repeat. */
+  void OnRepeat();
   /** Ends the run and releases the slot; does nothing where no run is under way. */
   void End(result completion);
 
@@ -40,6 +45,7 @@
   const call_header& header_;
   const instant arrived_;
   instant started_{};
+  double repeat_probability_;
   // Concurrency limit of the gate when the run began; zero if slots were free.
   std::uint32_t limit_when_full_ = 0;
   bool is_running_ = false;
