Let the soak restart a service's nodes while its backend servers reject

The soak knew the bound on repeats, but no plan had restarts in the same window as a fault that needs repeats. Change: one round in four has all backend servers of a service reject 0.6 of what they get for nine seconds, and its nodes killed after three; the summary names the largest use of the bound.

--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -46,6 +46,8 @@
 constexpr int kEditsInSeries = 8;
 constexpr duration kSeriesInterval = milliseconds(80);
 constexpr double kBurstFactor = 4.0;
+constexpr double kShedInRestarts = 0.6;
+constexpr duration kRestartInterval = milliseconds(300);
 // The requirement: at most three crashes before the request is blocked, and three more from
 // requests that were already sent.
 constexpr int kMaxCrashes = 6;
@@ -514,6 +516,9 @@
       case soak_action::kLeavesUnlisted:
         LeaveUnlisted(node);
         break;
+      case soak_action::kShedsInRestarts:
+        ShedInRestarts(node, event.span);
+        break;
       case soak_action::kBurst:
         burst_factor_ = kBurstFactor;
         After(event.span, [this] { burst_factor_ = 1.0; });
@@ -624,6 +629,18 @@
                                   .end = loop_.Now() + span});
   }
 
+  void ShedInRestarts(soak_node& node, duration span) {
+    int restarts = 0;
+    for (const auto& each : nodes_) {
+      if (ServiceOf(each->number) == ServiceOf(node.number)) {
+        soak_node& affected = *each;
+        InjectTargetFault(affected, {.rejections = kShedInRestarts}, span);
+        After(span / 3 + kRestartInterval * restarts++,
+              [this, &affected] { Kill(affected, kSeriesInterval); });
+      }
+    }
+  }
+
   // The recorded fault lasts until the restarted process is ready.
   void Kill(soak_node& node, duration span) {
     if (node.outage == nullptr) {
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -343,7 +343,7 @@
   }
 }
 
-void soak_ledger::CheckRepeats(violations& into) const {
+std::vector<soak_ledger::repeat_use> soak_ledger::LargestRepeatUses() const {
   std::map<std::string, std::vector<instant>> requests;
   std::map<std::string, std::vector<instant>> repeats;
   for (const auto& [id, request] : requests_) {
@@ -357,20 +357,32 @@
     return std::count_if(times.begin(), times.end(),
                          [begin](instant at) { return at >= begin && at < begin + kRepeatWindow; });
   };
+  std::vector<repeat_use> uses;
   for (const auto& [service, times] : repeats) {
+    repeat_use largest{.service = service};
     const auto [first, last] = std::minmax_element(times.begin(), times.end());
     for (instant begin = *first; begin <= *last; begin += kWindowStep) {
       const auto most = std::max({count(requests[service], begin),
                                   count(requests[service], begin - kRepeatWindow),
                                   count(requests[service], begin - kRepeatWindow / 2)});
       const auto seen = count(times, begin);
-      if (static_cast<double>(seen) >
-          kRepeatRatio * static_cast<double>(most) + repeat_allowance_) {
-        into.push_back(
-            fmt::format("{} repeats at {} within one window of {} requests", seen, service, most));
-        break;
+      const double share = static_cast<double>(seen) /
+                           (kRepeatRatio * static_cast<double>(most) + repeat_allowance_);
+      if (share > largest.share) {
+        largest = {.service = service, .repeats = seen, .requests = most, .share = share};
       }
     }
+    uses.push_back(std::move(largest));
+  }
+  return uses;
+}
+
+void soak_ledger::CheckRepeats(violations& into) const {
+  for (const repeat_use& use : LargestRepeatUses()) {
+    if (use.share > 1.0) {
+      into.push_back(fmt::format("{} repeats at {} within one window of {} requests", use.repeats,
+                                 use.service, use.requests));
+    }
   }
 }
 
@@ -403,6 +415,9 @@
   for (std::size_t i = 0; i < counts.size(); ++i) {
     text += fmt::format(" {} {}", kOutcomeNames[i], counts[i]);
   }
+  for (const repeat_use& use : LargestRepeatUses()) {
+    text += fmt::format(", {:.2f} of the bound on repeats used at {}", use.share, use.service);
+  }
   return text;
 }
 
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -193,6 +193,14 @@
   void CheckDeclaredLeaving(violations& into) const;
   void CheckLeftUnlisted(violations& into) const;
   void CheckServiceTargets(violations& into) const;
+  /** The window in which a service had most repeats as a share of the bound. */
+  struct repeat_use {
+    std::string service;
+    std::ptrdiff_t repeats = 0;
+    std::ptrdiff_t requests = 0;
+    double share = 0.0;
+  };
+  std::vector<repeat_use> LargestRepeatUses() const;
   void CheckRepeats(violations& into) const;
   void CheckFaultFreePeriods(violations& into) const;
 
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -9,13 +9,14 @@
 using std::chrono::milliseconds;
 
 constexpr std::array kActionNames{
-    "kill",           "kill-all",       "pause",         "delay",         "reset",
-    "silence",        "cut-to-node",    "cut-from-node", "cut-off",       "store-cut",
-    "store-reset",    "store-down",     "store-silent",  "store-forgets", "target-slow",
-    "target-loses",   "target-damages", "target-sheds",  "target-crash",  "stop",
-    "reload",         "edit",           "edits",         "replace",       "burst",
-    "store-returns",  "crashing",       "target-limits", "target-leaves", "store-lost",
-    "leaves-unlisted"};
+    "kill",           "kill-all",      "pause",           "delay",
+    "reset",          "silence",       "cut-to-node",     "cut-from-node",
+    "cut-off",        "store-cut",     "store-reset",     "store-down",
+    "store-silent",   "store-forgets", "target-slow",     "target-loses",
+    "target-damages", "target-sheds",  "target-crash",    "stop",
+    "reload",         "edit",          "edits",           "replace",
+    "burst",          "store-returns", "crashing",        "target-limits",
+    "target-leaves",  "store-lost",    "leaves-unlisted", "sheds-in-restarts"};
 // Actions from this one on are drawn separately.
 constexpr auto kDrawableActions = static_cast<std::uint64_t>(soak_action::kStoreReturns);
 constexpr auto kFirstPlanned = static_cast<std::uint64_t>(soak_action::kStop);
@@ -34,6 +35,10 @@
 constexpr milliseconds kRegistrationStartWindow{500};
 // Makes the random stream of lost registrations differ from the others of the same seed.
 constexpr std::uint64_t kRegistrationStream = 0x2E61'57E2;
+// The repeats before and after the restarts fall into one window of the bound.
+constexpr milliseconds kRestartsTime{9'000};
+// Makes the random stream of restarts in series differ from the others of the same seed.
+constexpr std::uint64_t kRestartsStream = 0x7E57'A127;
 // Planned events start within this time, so that a drain completes within kPlannedTime.
 constexpr milliseconds kPlannedStartWindow{3'000};
 
@@ -58,6 +63,7 @@
   random_source separate_random(~seed);
   random_source declaration_random(seed ^ kDeclarationStream);
   random_source registration_random(seed ^ kRegistrationStream);
+  random_source restarts_random(seed ^ kRestartsStream);
   soak_plan plan;
   duration now = kStartTime;
   const auto draw = [&](std::uint64_t first, duration begin, duration latest, duration end) {
@@ -115,6 +121,13 @@
     const auto leaver = static_cast<std::size_t>(registration_random.Below(nodes));
     draw_registration(soak_action::kLeavesUnlisted,
                       is_lost ? (lost + kServices * StoreLostCount(nodes)) % nodes : leaver);
+    constexpr std::uint64_t kOneInSeeds = 4;
+    if (restarts_random.Below(kOneInSeeds) == 0) {
+      plan.events.push_back({.action = soak_action::kShedsInRestarts,
+                             .start = now,
+                             .span = kRestartsTime,
+                             .node = static_cast<std::size_t>(restarts_random.Below(nodes))});
+    }
     now += kFaultTime;
     add_fault_free_period();
     draw(kFirstPlanned, now, kPlannedStartWindow, now + kPlannedTime);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -38,12 +38,13 @@
   // Load.
   kBurst,  ///< clients send at four times the usual rate
   // Drawn from a separate random stream, so that earlier seeds give the same plans.
-  kStoreReturns,    ///< the store is restored from a backup that is as old as the span
-  kCrashing,        ///< a request that crashes backend servers is sent repeatedly
-  kTargetLimits,    ///< a backend server declares a rate in its answers
-  kTargetLeaves,    ///< a backend server declares that it leaves, is listed as ready, and ends
-  kStoreLost,       ///< a third of the machines, with their backend servers, loses the store
-  kLeavesUnlisted,  ///< a backend server leaves, is removed without being listed as draining
+  kStoreReturns,     ///< the store is restored from a backup that is as old as the span
+  kCrashing,         ///< a request that crashes backend servers is sent repeatedly
+  kTargetLimits,     ///< a backend server declares a rate in its answers
+  kTargetLeaves,     ///< a backend server declares that it leaves, is listed as ready, and ends
+  kStoreLost,        ///< a third of the machines, with their backend servers, loses the store
+  kLeavesUnlisted,   ///< a backend server leaves, is removed without being listed as draining
+  kShedsInRestarts,  ///< the backend servers of a service reject half; its nodes restart in turn
 };
 
 std::string_view ToText(soak_action action);
