Count nodes whose entries lapsed when a customer's limit is split

Where the entries of a part that is cut off expire, each part takes itself for the whole fleet and hands out the whole limit; the equal share, used where no coordinator replies, grows the same way. Change: nodes that were removed without announcing that they leave count as unreachable for a minute. Announced departures count at once, so that a fleet that shrinks by plan keeps its customers' limits. Ruled out by reading: customer_limits and customer_coordinator after a reload (SetBounds keeps the counts) and after a restart (a new coordinator assumes a full window, an equal share starts nearly empty); repeat_turns (a belief of a second, no bound); rate_control (the node beside the target sees all it gets, a new process asks for what callers know); limit_shares (a new process holds back what the one before may have lent).

--- a/modules/cuminferry_policy/customers/coordinator_picker.cpp
+++ b/modules/cuminferry_policy/customers/coordinator_picker.cpp
@@ -18,12 +18,21 @@
 }  // namespace
 
 void coordinator_picker::AddNode(const node& added) {
-  RemoveNode(added.backend);
+  Extract(added.backend);
+  missing_.erase(added.backend);
   nodes_.emplace(added.backend, added.failure_domain);
   ++nodes_by_domain_[added.failure_domain];
 }
 
-void coordinator_picker::RemoveNode(const endpoint& backend) {
+void coordinator_picker::RemoveNode(const endpoint& backend, instant now) {
+  std::erase_if(missing_, [now](const auto& entry) { return now - entry.second > kMissingTime; });
+  if (nodes_.contains(backend)) {
+    missing_.insert_or_assign(backend, now);
+    Extract(backend);
+  }
+}
+
+void coordinator_picker::Extract(const endpoint& backend) {
   const auto removed = nodes_.extract(backend);
   if (removed.empty()) {
     return;
@@ -75,7 +84,13 @@
   return at == nodes_.end() ? "" : at->second;
 }
 
-double coordinator_picker::ReachableShare(const cut_off_predicate& is_cut_off) const {
+std::size_t coordinator_picker::CountAt(instant now) const {
+  const auto missing = std::ranges::count_if(
+      missing_, [now](const auto& entry) { return now - entry.second <= kMissingTime; });
+  return nodes_.size() + static_cast<std::size_t>(missing);
+}
+
+double coordinator_picker::ReachableShare(const cut_off_predicate& is_cut_off, instant now) const {
   if (nodes_.empty()) {
     return 1.0;
   }
@@ -83,7 +98,7 @@
   for (const auto& [domain, count] : nodes_by_domain_) {
     reachable += is_cut_off(domain) ? 0 : count;
   }
-  return static_cast<double>(reachable) / static_cast<double>(nodes_.size());
+  return static_cast<double>(reachable) / static_cast<double>(CountAt(now));
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/customers/coordinator_picker.h
+++ b/modules/cuminferry_policy/customers/coordinator_picker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -29,24 +30,37 @@
   /** Returns whether a failure domain is cut off from this node. */
   using cut_off_predicate = std::function<bool(std::string_view domain)>;
 
+  /** For this long a node counts that is no longer listed and did not announce that it leaves:
+     lists lose entries of nodes that run and admit requests by their parts. */
+  static constexpr duration kMissingTime = std::chrono::seconds(60);
+
   /** Adds a node, or changes the failure domain of one. */
   void AddNode(const node& added);
-  void RemoveNode(const endpoint& backend);
+  /** Removes a node that is no longer listed. */
+  void RemoveNode(const endpoint& backend, instant now);
+  /** The node has announced that it leaves; it no longer counts once it is removed. */
+  void OnLeaving(const endpoint& backend) { missing_.erase(backend); }
 
   /** Returns at most two nodes, in two failure domains if there are two; the first one is queried
       first. */
   std::vector<endpoint> CoordinatorsOf(std::string_view customer,
                                        const cut_off_predicate& is_cut_off) const;
-  /** Share of the nodes that are reachable; 1 where no node is known. */
-  double ReachableShare(const cut_off_predicate& is_cut_off) const;
+  /** Share of the nodes that are reachable; 1 where no node is known. Missing ones are not. */
+  double ReachableShare(const cut_off_predicate& is_cut_off, instant now) const;
+  /** Number of nodes, missing ones included. */
+  std::size_t CountAt(instant now) const;
   /** Failure domain of a node; empty where the node isn't known. */
   std::string DomainOf(const endpoint& backend) const;
   std::size_t size() const { return nodes_.size(); }
 
  private:
+  void Extract(const endpoint& backend);
+
   // Failure domains by address.
   std::map<endpoint, std::string> nodes_;
   std::map<std::string, std::size_t, std::less<>> nodes_by_domain_;
+  // When nodes were removed that did not announce that they leave.
+  std::map<endpoint, instant> missing_;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/path/limit_exchange.cpp
+++ b/modules/cuminferry_relay/path/limit_exchange.cpp
@@ -73,6 +73,7 @@
   void SendReports() {
     const instant now = board.loop.Now();
     std::vector<customer_report> reports;
+    board.limits.SetNodes(board.coordinators.CountAt(now));
     for (limit_report& report : board.limits.TakeReports(now)) {
       customer_report taken{.limit = std::move(report), .counts_for_limit = true, .pools = {}};
       taken.pools = board.shares.TakeDemand(taken.limit.customer, now);
@@ -381,7 +382,7 @@
 
   double ReachableShare() const {
     return board.coordinators.ReachableShare(
-        [this](std::string_view domain) { return IsCutOff(domain); });
+        [this](std::string_view domain) { return IsCutOff(domain); }, board.loop.Now());
   }
 
   // Counts a report for the customer's limit, and returns the share that the node may admit.
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -64,6 +64,7 @@
   target_picker& picker = pickers_[added.service];
   if (added.draining) {
     draining_ids_.insert(added.id);
+    coordinators.OnLeaving(added.backend);
     picker.RemoveTarget(added.id);
     return;
   }
@@ -94,7 +95,7 @@
     draining_ids_.erase(removed.id);
     return;
   }
-  coordinators.RemoveNode(removed.backend);
+  coordinators.RemoveNode(removed.backend, loop.Now());
   tree_.Remove(removed.backend, removed.failure_domain);
 }
 
@@ -166,8 +167,7 @@
           instance.service == settings.service ? std::max(own_slots_, instance.slots) : own_slots_;
     }
   }
-  const std::size_t listed = instances_.size() - draining_ids_.size();
-  limits.SetNodes(listed);
+  limits.SetNodes(coordinators.CountAt(loop.Now()));
   position_ = tree_.PositionOf(settings.backend, settings.failure_domain);
   // An instance whose own entry is missing takes part as well.
   const std::size_t unlisted = OwnInstance() == nullptr ? 1 : 0;
--- a/tests/customers/customer_limits_test.cpp
+++ b/tests/customers/customer_limits_test.cpp
@@ -38,6 +38,19 @@
       fraction >= minimum);
 }
 
+endpoint NodeAddress(std::size_t node) {
+  return {.address = static_cast<std::uint32_t>(node) + 1, .port = 1};
+}
+
+coordinator_picker PickerOf(std::size_t nodes, std::size_t domains) {
+  coordinator_picker picker;
+  for (std::size_t node = 0; node < nodes; ++node) {
+    picker.AddNode(
+        {.backend = NodeAddress(node), .failure_domain = "d" + std::to_string(node % domains)});
+  }
+  return picker;
+}
+
 }  // namespace
 
 // Limits that hold over a whole fleet without a global counter.
@@ -56,6 +69,8 @@
   CPPUNIT_TEST(Limit_CoordinatorDoesNotReply_RequestsWaitShortly);
   CPPUNIT_TEST(Limit_CustomerPausesAfterExcess_IsNotRefused);
   CPPUNIT_TEST(Limit_RandomFleets_Holds);
+  CPPUNIT_TEST(Nodes_EntriesOfCutOffDomainLapse_StillCount);
+  CPPUNIT_TEST(Nodes_AnnouncedThatTheyLeave_CountNoLonger);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +143,31 @@
     CPPUNIT_ASSERT(fleet.Of("c").requested > requested);
   }
 
+  // Guards against two parts of a fleet that each hand out the whole limit, as the entries of the
+  // other part have expired.
+  void Nodes_EntriesOfCutOffDomainLapse_StillCount() {
+    coordinator_picker picker = PickerOf(8, 4);
+    const auto is_cut_off = [](std::string_view domain) { return domain == "d3"; };
+    const instant now = FromMicros(1'000'000);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.75, picker.ReachableShare(is_cut_off, now), 1e-9);
+    picker.RemoveNode(NodeAddress(3), now);
+    picker.RemoveNode(NodeAddress(7), now);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.75, picker.ReachableShare(is_cut_off, now), 1e-9);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, picker.CountAt(now + coordinator_picker::kMissingTime));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6},
+                         picker.CountAt(now + coordinator_picker::kMissingTime + seconds(1)));
+  }
+
+  // Guards against limits that shrink each time the fleet does.
+  void Nodes_AnnouncedThatTheyLeave_CountNoLonger() {
+    coordinator_picker picker = PickerOf(8, 4);
+    const instant now = FromMicros(1'000'000);
+    picker.RemoveNode(NodeAddress(3), now);
+    picker.OnLeaving(NodeAddress(3));
+    const auto none = [](std::string_view) { return false; };
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, picker.ReachableShare(none, now), 1e-9);
+  }
+
   // A failure domain is cut off while a customer sends too much on both sides. With two independent
   // counters, twice the limit would run.
   void Limit_DomainCutOffWhileOver_HoldsOverBothParts() {
--- a/tests/customers/limit_fleet.cpp
+++ b/tests/customers/limit_fleet.cpp
@@ -180,7 +180,8 @@
   const std::uint64_t incarnation = nodes_[node].incarnation;
   const auto count_report = [this, coordinator, node, who, report] {
     const double reachable_share = coordinators_.ReachableShare(
-        [this, coordinator](std::string_view domain) { return SeesCut(coordinator, domain); });
+        [this, coordinator](std::string_view domain) { return SeesCut(coordinator, domain); },
+        now_);
     return nodes_[coordinator].coordinator.OnReport(report, who, reachable_share,
                                                     coordinator == node, now_);
   };
--- a/tests/customers/share_fleet.cpp
+++ b/tests/customers/share_fleet.cpp
@@ -53,7 +53,7 @@
       return;
     }
     if (down) {
-      picker_.RemoveNode(AddressOf(node));
+      picker_.RemoveNode(AddressOf(node), now_);
     } else {
       picker_.AddNode({.backend = AddressOf(node), .failure_domain = DomainOf(node)});
     }
@@ -314,7 +314,7 @@
 share_reply share_fleet::Answer(std::size_t node, const share_query& query, bool is_own) {
   node_state& state = nodes_[node];
   const double reachable = picker_.ReachableShare(
-      [this, node](std::string_view domain) { return SeesCut(node, domain); });
+      [this, node](std::string_view domain) { return SeesCut(node, domain); }, now_);
   share_reply reply;
   for (const customer_report& report : query.reports) {
     const customer& who = loads_[report.limit.customer].who;
