Play waiting requests and quiet services against the bound on repeats, and describe it

The property counted requests at the moment they reach a target. They wait up to a second now, before each send, and count when they were sent, as the bound does. A quiet service whose nodes restart each 0.4 s is new.

--- a/modules/cuminferry_policy/retries/repeat_budget.h
+++ b/modules/cuminferry_policy/retries/repeat_budget.h
@@ -17,17 +17,18 @@
     different nodes are charged to one budget.
 
     Nobody adds the targets up, so each node keeps to a bound that can be added up: in any window,
-   at most the ratio of kLatestWeight of that window's requests and kShiftedWeight of those of the
+    at most the ratio of kLatestWeight of that window's requests and kShiftedWeight of those of the
     window that began half a window earlier. The sum over all processes, however the load moved
-   among them, is the same mean of the service's two windows, and the larger of these allows as much
-   at least. A process that has lost its counts has lost what they earned as well. If each node went
-   by the larger of its own windows, the sum would exceed the bound where load moves or a process
-    restarts: one process spends what the earlier window has earned, another what the latest has.
+    among them, is the same mean of the service's two windows, and the larger of these allows at
+    least as much. A process that has lost its counts has lost what they earned as well. If each
+    node went by the larger of its own windows, the sum would exceed the bound where load moves or a
+    process restarts: one process spends what the earlier window earned, another what the latest
+    did.
 
     The allowance is not earned, so its shares are what could be spent twice. In its first window a
     process gets its share little by little: all processes that ran at one place in a window get no
-    more than one share, and the one before them another. Shares go by the most targets that are
-   known of for minutes, as lists lose entries of targets that serve.
+    more than one share, and the one before them another. Shares go by the most targets known in
+    the last minutes, as lists lose entries of targets that serve.
 
     When a request runs again, its calls are repeats at the services further down as well; they are
     charged when they arrive.
@@ -40,13 +41,13 @@
 class repeat_budget {
  public:
   /** Weight of a window's own requests in the repeats that it may have. The higher it is, the more
-     a process may repeat that has just started. */
+      a process may repeat that has just started. */
   static constexpr double kLatestWeight = 0.4;
   /** Weight of the requests of the window that began half a window earlier. The higher it is, the
       more of a short fault is covered by what was earned before it. */
   static constexpr double kShiftedWeight = 1.0 - kLatestWeight;
   /** What a nested request earns, as a fraction of the ratio. The rest covers calls of repeated
-     runs, which arrive whether or not there is budget left. */
+      runs, which arrive whether or not there is budget left. */
   static constexpr double kNestedEarning = 0.9;
   /** Maximum repeats within about a tenth of a window for each request of that time, or for each
       request that usually arrives in it: runs that fail make fewer calls. If the budget of a
--- a/tests/relay/repeat_bound_test.cpp
+++ b/tests/relay/repeat_bound_test.cpp
@@ -35,6 +35,7 @@
       fleet_.AddTarget(1.0);
     }
     TellAll(targets);
+    fleet_.SetLongestWait(milliseconds(random_.Below(1'000)));
     usual_ = 20.0 + 400.0 * random_.Fraction();
     has_restarts_ = random_.Below(2) == 0;
     has_moves_ = random_.Below(2) == 0;
@@ -112,6 +113,7 @@
   CPPUNIT_TEST_SUITE(repeat_bound_test);
   CPPUNIT_TEST(Bound_NodesRestartDuringFault_Holds);
   CPPUNIT_TEST(Bound_NodesRestartInSeries_Holds);
+  CPPUNIT_TEST(Bound_NodesOfQuietServiceRestartInSeries_Holds);
   CPPUNIT_TEST(Bound_SettingsReloadedInSeries_Holds);
   CPPUNIT_TEST(Bound_LoadMovesToOneTargetAfterAnother_Holds);
   CPPUNIT_TEST(Bound_ListsLapse_Holds);
@@ -146,6 +148,19 @@
     }
   }
 
+  // Guards against the same where requests earn next to nothing beside the allowance.
+  void Bound_NodesOfQuietServiceRestartInSeries_Holds() {
+    for (const std::size_t targets : {3, 4, 30}) {
+      repeat_fleet fleet = MakeFleet(targets, seconds(30));
+      for (std::size_t i = 0; i < 60; ++i) {
+        fleet.Restart(i % targets, duration::zero());
+        fleet.SetView(i % targets, targets);
+        fleet.Play(milliseconds(400), 20.0, 0.95);
+      }
+      CPPUNIT_ASSERT(fleet.LargestUse() <= 1.0);
+    }
+  }
+
   // Guards against a reload of the settings that forgets the repeats of the window.
   void Bound_SettingsReloadedInSeries_Holds() {
     for (const std::size_t targets : {3, 4, 30}) {
--- a/tests/relay/repeat_fleet.cpp
+++ b/tests/relay/repeat_fleet.cpp
@@ -55,29 +55,31 @@
   return nullptr;
 }
 
-void repeat_fleet::Send(double failing_share) {
-  ++requests_.back();
-  ++sent_;
-  target* at = Draw();
+void repeat_fleet::Wait(const waiting_request& request) {
+  const double wait = random_.Fraction() * static_cast<double>(longest_wait_.count());
+  waiting_.emplace(now_ + duration(static_cast<duration::rep>(wait)), request);
+}
+
+void repeat_fleet::Arrive(waiting_request request, double failing_share) {
+  target* const at = Draw();
   if (at == nullptr) {
     return;
   }
-  at->budget.OnFirstSend(false, 0.0, now_, now_);
-  for (int sends = 1; sends <= kMaxSends; ++sends) {
-    if (random_.Fraction() >= failing_share) {
-      ++succeeded_;
-      return;
-    }
-    at = Draw();
-    if (at == nullptr) {
-      return;
-    }
+  if (request.sends == 0) {
+    at->budget.OnFirstSend(false, 0.0, request.sent_at, now_);
+  } else {
     at->budget.OnTargetsTold(callers_view_, now_);
     if (!at->budget.TakeOne(false, now_)) {
       return;
     }
     ++repeats_.back();
   }
+  ++request.sends;
+  if (random_.Fraction() >= failing_share) {
+    ++succeeded_;
+  } else if (request.sends < kMaxSends) {
+    Wait(request);
+  }
 }
 
 void repeat_fleet::Play(duration length, double requests_a_second, double failing_share) {
@@ -87,7 +89,13 @@
     repeats_.push_back(0);
     due_ += requests_a_second * ToSeconds(kStep);
     for (; due_ >= 1.0; due_ -= 1.0) {
-      Send(failing_share);
+      ++requests_.back();
+      ++sent_;
+      Wait({.sent_at = now_});
+    }
+    while (!waiting_.empty() && waiting_.begin()->first <= now_) {
+      const waiting_request next = waiting_.extract(waiting_.begin()).mapped();
+      Arrive(next, failing_share);
     }
   }
 }
--- a/tests/relay/repeat_fleet.h
+++ b/tests/relay/repeat_fleet.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <vector>
 
 #include "cuminferry_policy/cuminferry_policy.h"
@@ -34,6 +35,8 @@
   void SetLoadShare(std::size_t target, double share) { targets_[target].load_share = share; }
   /** The node lists this many targets from now on. */
   void SetView(std::size_t target, std::size_t listed);
+  /** Each request waits up to this long before each of its sends reaches a target. */
+  void SetLongestWait(duration longest) { longest_wait_ = longest; }
   /** Requests that tell how many targets their senders know tell this number, from now on. */
   void SetCallersView(std::size_t listed) { callers_view_ = listed; }
 
@@ -56,8 +59,15 @@
     instant busy_until{};
   };
 
+  /** A request before its next send. */
+  struct waiting_request {
+    instant sent_at{};
+    int sends = 0;
+  };
+
   static repeat_budget MakeBudget(instant now);
-  void Send(double failing_share);
+  void Wait(const waiting_request& request);
+  void Arrive(waiting_request request, double failing_share);
   /** Draws a target by load share among those that take requests; nullptr where none does. */
   target* Draw();
 
@@ -66,6 +76,8 @@
   std::size_t callers_view_ = 0;
   instant now_ = FromMicros(1'000'000'000);
   double due_ = 0.0;
+  duration longest_wait_{};
+  std::multimap<instant, waiting_request> waiting_;
   // Requests and repeats by step.
   std::vector<int> requests_;
   std::vector<int> repeats_;
