--- a/tests/core/time_test.cpp
+++ b/tests/core/time_test.cpp
@@ -47,6 +47,36 @@
   }
 };
 
+class recent_maximum_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(recent_maximum_test);
+  CPPUNIT_TEST(Value_CountFalls_IsHeldForItsMemory);
+  CPPUNIT_TEST(Value_ToldOnce_IsHeldForItsMemory);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a share that grows at once when a list loses entries, and against one that never
+  // grows again.
+  void Value_CountFalls_IsHeldForItsMemory() {
+    const instant start = FromMicros(1'000'000'000);
+    recent_maximum targets;
+    targets.Set(7, start);
+    targets.Set(2, start + std::chrono::seconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7}, targets.ValueAt(start + recent_maximum::kMemory));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, targets.ValueAt(start + 3 * recent_maximum::kMemory));
+  }
+
+  // Guards against a number that one calling node told long ago.
+  void Value_ToldOnce_IsHeldForItsMemory() {
+    const instant start = FromMicros(1'000'000'000);
+    recent_maximum targets;
+    targets.Set(2, start);
+    targets.Add(5, start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, targets.ValueAt(start + recent_maximum::kMemory));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, targets.ValueAt(start + 3 * recent_maximum::kMemory));
+  }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(hybrid_clock_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(recent_maximum_test);
 
 }  // namespace cuminferry
