--- a/modules/cuminferry_policy/customers/coordinator_picker.cpp
+++ b/modules/cuminferry_policy/customers/coordinator_picker.cpp
@@ -25,9 +25,10 @@
 }
 
 void coordinator_picker::RemoveNode(const endpoint& backend, instant now) {
-  std::erase_if(missing_, [now](const auto& entry) { return now - entry.second > kMissingTime; });
-  if (nodes_.contains(backend)) {
-    missing_.insert_or_assign(backend, now);
+  std::erase_if(missing_, [now](const auto& entry) { return !entry.second.CountsAt(now); });
+  const auto removed = nodes_.find(backend);
+  if (removed != nodes_.end()) {
+    missing_.insert_or_assign(backend, missing_node{removed->second, now});
     Extract(backend);
   }
 }
@@ -86,7 +87,7 @@
 
 std::size_t coordinator_picker::CountAt(instant now) const {
   const auto missing = std::ranges::count_if(
-      missing_, [now](const auto& entry) { return now - entry.second <= kMissingTime; });
+      missing_, [now](const auto& entry) { return entry.second.CountsAt(now); });
   return nodes_.size() + static_cast<std::size_t>(missing);
 }
 
@@ -98,7 +99,11 @@
   for (const auto& [domain, count] : nodes_by_domain_) {
     reachable += is_cut_off(domain) ? 0 : count;
   }
-  return static_cast<double>(reachable) / static_cast<double>(CountAt(now));
+  const auto missing = std::ranges::count_if(missing_, [&](const auto& entry) {
+    return entry.second.CountsAt(now) && is_cut_off(entry.second.failure_domain);
+  });
+  return static_cast<double>(reachable) /
+         static_cast<double>(nodes_.size() + static_cast<std::size_t>(missing));
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_policy/customers/coordinator_picker.h
+++ b/modules/cuminferry_policy/customers/coordinator_picker.h
@@ -45,7 +45,8 @@
       first. */
   std::vector<endpoint> CoordinatorsOf(std::string_view customer,
                                        const cut_off_predicate& is_cut_off) const;
-  /** Share of the nodes that are reachable; 1 where no node is known. Missing ones are not. */
+  /** Share of the nodes that are reachable; 1 where no node is known. Missing nodes of domains
+      that are cut off count as unreachable; those of other domains have ended. */
   double ReachableShare(const cut_off_predicate& is_cut_off, instant now) const;
   /** Number of nodes, missing ones included. */
   std::size_t CountAt(instant now) const;
@@ -54,13 +55,20 @@
   std::size_t size() const { return nodes_.size(); }
 
  private:
+  struct missing_node {
+    std::string failure_domain;
+    instant removed_at{};
+
+    bool CountsAt(instant now) const { return now - removed_at <= kMissingTime; }
+  };
+
   void Extract(const endpoint& backend);
 
   // Failure domains by address.
   std::map<endpoint, std::string> nodes_;
   std::map<std::string, std::size_t, std::less<>> nodes_by_domain_;
-  // When nodes were removed that did not announce that they leave.
-  std::map<endpoint, instant> missing_;
+  // Removed nodes that did not announce that they leave.
+  std::map<endpoint, missing_node> missing_;
 };
 
 }  // namespace cuminferry
