Check for probes of an idle instance where no node asks about it by itself

Cause, traced with the times of the probes over three runs of the unchanged test: the only listed instance of the service is removed, so the node asks about it by itself, one second after it last confirmed it, and each query starts probes again. The interval between probes is rounded up to the node's step of 100 ms, so the last probe is sent 4.4 to 4.8 s after the removal, and the node's own query 6.3 to 6.8 s after it. The test expected no probe from 6.0 to 6.5 s. One of the three runs on a quiet machine shows a probe at 6.304 s, so the phase of the timers decides, not the load.

The test now lists a second instance of the service, so that no node asks unless it has requests, and expects no probe for two query periods, four times as long as before. The product is unchanged.

--- a/tests/relay/unlisted_serving_test.cpp
+++ b/tests/relay/unlisted_serving_test.cpp
@@ -48,14 +48,7 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    fleet_ = std::make_unique<relay_fleet>(1);
-    fleet_->target(0).on_request = [this](scripted_target::scripted_request& exchange) {
-      OnRequest(exchange);
-    };
-    SetDrain(kDrain);
-    fleet_->PublishTo(0, 1);
-  }
+  void setUp() override { StartFleet(1); }
 
   void tearDown() override { fleet_.reset(); }
 
@@ -158,11 +151,15 @@
 
   // Guards against callers dropping an idle instance because the first reply says nothing.
   void Query_IdleInstance_IsAnsweredByAProbe() {
-    Unlist();
+    // A node asks about an unlisted instance by itself where its service has no listed one.
+    StartFleet(2);
+    fleet_->SetUnlisted({0});
+    fleet_->PublishTo(0, 2);
     // The probes that the removal itself is a reason for are over then.
     fleet_->RunFor(departure_check::kInterestTime + departure_check::kEvidenceTime);
     const int before = probes_;
-    fleet_->RunFor(departure_check::kProbeInterval);
+    CPPUNIT_ASSERT(before > 0);
+    fleet_->RunFor(2 * unlisted_queries::kQueryPeriod);
     CPPUNIT_ASSERT_EQUAL(before, probes_);
     CPPUNIT_ASSERT_EQUAL(std::string("serving"), Query(kInstance));
     CPPUNIT_ASSERT_EQUAL(before + 1, probes_);
@@ -214,6 +211,16 @@
   }
 
  private:
+  // Lists all instances at the first node, which is the one under test.
+  void StartFleet(int nodes) {
+    fleet_ = std::make_unique<relay_fleet>(nodes);
+    fleet_->target(0).on_request = [this](scripted_target::scripted_request& exchange) {
+      OnRequest(exchange);
+    };
+    SetDrain(kDrain);
+    fleet_->PublishTo(0, 1);
+  }
+
   void SetDrain(duration drain) {
     relay_settings settings = fleet_->SettingsOf(0);
     settings.drain = drain;
