Count a customer's demand where all its requests arrive at its coordinator

What callers saw: where customers share what is admitted (customer_shares, off in deploy/), a customer whose clients use one node could get twice its fair share, and others lost as much.

Cause, traced by node and second in virtual time: a coordinator that gets no reports of other nodes doesn't query itself, as it may be cut off, and asks the customer's other coordinator. A fleet of one failure domain has none, so the customer had no rate over all nodes and was admitted like one that sends less.

Change: a listed coordinator whose reports can't be delivered counts the demand itself. The limit follows the equal share as before, and nothing changes without the setting.

Shares_AllRequestsAtTheCoordinator_AreFair failed before (312 admitted, 167 fair) and passes. The model of the tests shows it; no real nodes were played with shares in force.

--- a/modules/cuminferry_relay/path/limit_exchange.cpp
+++ b/modules/cuminferry_relay/path/limit_exchange.cpp
@@ -1,5 +1,6 @@
 #include "cuminferry_relay/path/limit_exchange.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
@@ -107,6 +108,9 @@
       SendToCoordinator(chosen, is_first_query, std::move(batch));
     }
     UseEqualShares(undeliverable);
+    if (board.settings.customer_shares) {
+      CountOwnDemand(undeliverable);
+    }
   }
 
   // Chooses among the coordinators of a customer that did not fail to reply recently: the first
@@ -333,6 +337,21 @@
     }
   }
 
+  // Without a rate, a customer is admitted like those that send less. All requests of a customer
+  // may arrive at its coordinator, which then gets no reports of other nodes.
+  void CountOwnDemand(const std::vector<customer_report>& reports) {
+    share_query own;
+    for (const customer_report& report : reports) {
+      const auto coordinators = board.coordinators.CoordinatorsOf(
+          report.limit.customer, [this](std::string_view domain) { return IsCutOff(domain); });
+      if (std::ranges::find(coordinators, board.settings.backend) != coordinators.end()) {
+        own.reports.push_back(
+            {.limit = {.customer = report.limit.customer}, .pools = report.pools});
+      }
+    }
+    ApplyReply(own.reports, Answer(own, true));
+  }
+
   // @param reply  has as many figures as there are reports
   void ApplyReply(const std::vector<customer_report>& reports, const share_reply& reply) {
     const instant now = board.loop.Now();
--- a/tests/customers/customer_shares_test.cpp
+++ b/tests/customers/customer_shares_test.cpp
@@ -133,6 +133,7 @@
   CPPUNIT_TEST(Shares_DomainCutOff_AreFairOnEachSide);
   CPPUNIT_TEST(Shares_CustomersCoordinatorLost_AreFairAgain);
   CPPUNIT_TEST(Shares_LevelCoordinatorLost_AreFairAgain);
+  CPPUNIT_TEST(Shares_AllRequestsAtTheCoordinator_AreFair);
   CPPUNIT_TEST(Traffic_Overloaded_IsNoMoreThanWithoutShares);
 #endif
   CPPUNIT_TEST_SUITE_END();
@@ -332,6 +333,22 @@
     CheckFairFor(fleet, 2, "back");
   }
 
+  // Guards against a customer whose clients use one node getting a multiple of its share, because
+  // that node is its coordinator and no other node reports requests of it.
+  void Shares_AllRequestsAtTheCoordinator_AreFair() {
+    share_fleet fleet({.nodes = 3, .domains = 1, .capacity = 400.0});
+    for (std::size_t at = 0; at < 12; ++at) {
+      const std::string name = "c" + std::to_string(at);
+      const bool uses_one_node = at % 2 == 0;
+      fleet.Set({.who = Weighted(name, 30.0),
+                 .requested = uses_one_node ? 600.0 : 15.0 * static_cast<double>(at),
+                 .first_node = fleet.CoordinatorOf(name),
+                 .nodes = uses_one_node ? std::size_t{1} : std::size_t{0}});
+    }
+    fleet.RunFor(seconds(2) + kSettleTime);
+    CheckFairFor(fleet, 3, "one node");
+  }
+
   void Traffic_Overloaded_IsNoMoreThanWithoutShares() {
     for (const std::size_t nodes : {3, 14, 64, 200}) {
       std::uint64_t bytes[2] = {};
--- a/tests/customers/share_fleet.cpp
+++ b/tests/customers/share_fleet.cpp
@@ -233,10 +233,7 @@
   const auto add = [&](customer_report report) {
     const auto coordinators = CoordinatorsOf(node, report.limit.customer);
     if (coordinators.empty()) {
-      if (report.counts_for_limit) {
-        state.limits.OnNoReply(report.limit, now_);
-        RunWaiting(node, report.limit.customer);
-      }
+      OnUndelivered(node, report);
       return;
     }
     queries[coordinators.front()].reports.push_back(std::move(report));
@@ -254,6 +251,22 @@
   }
 }
 
+// The limit follows the equal share then. A listed coordinator that no other node queries counts
+// the demand itself.
+void share_fleet::OnUndelivered(std::size_t node, const customer_report& report) {
+  const std::string& name = report.limit.customer;
+  if (report.counts_for_limit) {
+    nodes_[node].limits.OnNoReply(report.limit, now_);
+    RunWaiting(node, name);
+  }
+  const auto listed =
+      picker_.CoordinatorsOf(name, [&](std::string_view domain) { return SeesCut(node, domain); });
+  if (std::ranges::find(listed, AddressOf(node)) != listed.end()) {
+    const share_query query{.reports = {{.limit = {.customer = name}, .pools = report.pools}}};
+    OnReply(node, query, Answer(node, query, true));
+  }
+}
+
 void share_fleet::SendLoads(std::size_t node) {
   if (options_.divides != division::kFleetLevel) {
     return;
@@ -292,9 +305,8 @@
         const auto others = CoordinatorsOf(node, report.limit.customer);
         if (sent.is_first && !others.empty()) {
           Send(node, others.back(), {.query = {.reports = {report}}, .is_first = false});
-        } else if (report.counts_for_limit) {
-          nodes_[node].limits.OnNoReply(report.limit, now_);
-          RunWaiting(node, report.limit.customer);
+        } else {
+          OnUndelivered(node, report);
         }
       }
     });
--- a/tests/customers/share_fleet.h
+++ b/tests/customers/share_fleet.h
@@ -137,6 +137,7 @@
   void Finish(std::size_t node, const load& of);
   void StepLevel();
   void SendReports(std::size_t node);
+  void OnUndelivered(std::size_t node, const customer_report& report);
   void SendLoads(std::size_t node);
   void RunWaiting(std::size_t node, const std::string& customer);
   std::vector<std::size_t> CoordinatorsOf(std::size_t node, const std::string& key) const;
