Say plainly in the model when the limit follows the equal share

Cause: read as a newcomer, the comment's "then" had nothing to refer to. Ruled out: a change of behaviour (comment only).

--- a/tests/customers/share_fleet.cpp
+++ b/tests/customers/share_fleet.cpp
@@ -251,8 +251,8 @@
   }
 }
 
-// The limit follows the equal share then. A listed coordinator that no other node queries counts
-// the demand itself.
+// Without a coordinator, the limit follows the node's equal share. A listed coordinator that no
+// other node queries counts the demand itself.
 void share_fleet::OnUndelivered(std::size_t node, const customer_report& report) {
   const std::string& name = report.limit.customer;
   if (report.counts_for_limit) {
