Build the report of own demand in place

Cause: the deploy build (g++ 12) failed on: it takes the temporary that push_back moves from for uninitialized (-Werror=maybe-uninitialized). Ruled out: a member left uninitialized (each has an initializer; clang builds it). Change: the element is built in place. Result: the deploy build passes.

--- a/modules/cuminferry_relay/path/limit_exchange.cpp
+++ b/modules/cuminferry_relay/path/limit_exchange.cpp
@@ -345,8 +345,9 @@
       const auto coordinators = board.coordinators.CoordinatorsOf(
           report.limit.customer, [this](std::string_view domain) { return IsCutOff(domain); });
       if (std::ranges::find(coordinators, board.settings.backend) != coordinators.end()) {
-        own.reports.push_back(
-            {.limit = {.customer = report.limit.customer}, .pools = report.pools});
+        customer_report& demand = own.reports.emplace_back();
+        demand.limit.customer = report.limit.customer;
+        demand.pools = report.pools;
       }
     }
     ApplyReply(own.reports, Answer(own, true));
