--- a/review/build.sh
+++ b/review/build.sh
@@ -8,3 +8,7 @@
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O2 -pthread -I review/stand_ins -o "target/review/case_$number" "$source"
 done
+# Trials that the report tells of. They are no cases, and no script starts them.
+for source in review/trials/*.cc; do
+  g++ -std=c++20 -O2 -pthread -I review/stand_ins -o "target/review/$(basename "$source" .cc)" "$source"
+done
