Let a soak play a whole site as real processes, and count both rules on it

Cause: the users' record is of 64 real nodes on one busy machine, with requests that call three services deep, bodies, customers and overlapping troubles.

Change: cuminferry-site-soak, with the shape of that site, and a plan of overlapping faults. Backend servers read one request at a time on a connection. The ledger counts runs of at-most-once requests and refusals of requests that ran, prints their arrivals, and may be filled by several threads.

--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "cuminferry_relay/http/message_reader.h"
@@ -14,6 +15,7 @@
 // Clients don't detect a dead node faster than other hosts do.
 constexpr duration kSilenceTimeout = std::chrono::seconds(20);
 constexpr std::size_t kMaxHeadBytes = 64 * 1024;
+constexpr duration kPieceInterval = std::chrono::milliseconds(4);
 // A request without an answer is recorded as lost this long after its timeout.
 constexpr duration kHangTimeout = std::chrono::seconds(4);
 
@@ -29,13 +31,14 @@
   explicit session(soak_client& owner)
       : owner_(owner),
         timer_(owner.loop_),
+        body_timer_(owner.loop_),
         reader_(message_reader::kind::kResponses, kMaxHeadBytes,
                 {.on_head = [this](http_head head) { head_ = std::move(head); },
                  .on_interim = {},
                  .on_body = [this](std::string_view bytes) { body_.append(bytes); },
                  .on_message_end = [this] { is_complete_ = true; }}) {}
 
-  bool idle() const { return request_ == nullptr && connection_ != nullptr; }
+  bool idle() const { return request_ == nullptr && connection_ != nullptr && !is_sending_; }
 
   void Send(const client_request_options& request, sent_request& entry) {
     if (!connection_) {
@@ -51,7 +54,7 @@
     head_ = {};
     body_.clear();
     is_complete_ = false;
-    connection_->Write(RequestText());
+    SendPieces(RequestText());
     const bool abandons = request.abandon_after > duration::zero();
     timer_.StartOnce(abandons ? request.abandon_after : entry.timeout + kHangTimeout,
                      [this, abandons] { abandons ? Abandon() : OnHang(); });
@@ -75,6 +78,9 @@
       head.framing = options_.chunked ? body_framing::kChunked : body_framing::kLength;
       head.length = body.size();
     }
+    if (!options_.key.empty()) {
+      head.Set("Authorization", "Bearer " + options_.key);
+    }
     if (!body.empty()) {
       head.Set(soak_target::kBodyBytesField, std::to_string(body.size()));
     }
@@ -86,6 +92,25 @@
     return head.ToRequestText() + sent_body;
   }
 
+  void SendPieces(std::string text) {
+    body_timer_.Stop();
+    const auto pieces = static_cast<std::size_t>(std::max(1, options_.body_pieces));
+    const std::size_t size = text.size() / pieces + 1;
+    connection_->Write(text.substr(0, size));
+    is_sending_ = size < text.size();
+    if (!is_sending_) {
+      return;
+    }
+    body_timer_.StartPeriodic(kPieceInterval, [this, size, rest = text.substr(size)]() mutable {
+      connection_->Write(rest.substr(0, size));
+      rest.erase(0, size);
+      is_sending_ = !rest.empty();
+      if (!is_sending_) {
+        body_timer_.Stop();
+      }
+    });
+  }
+
   void OnData(std::string_view bytes) {
     const auto keep = shared_from_this();
     if (request_ == nullptr) {
@@ -189,12 +214,14 @@
 
   void Close() {
     timer_.Stop();
+    body_timer_.Stop();
     connection_.reset();
     owner_.sessions_.erase(shared_from_this());
   }
 
   soak_client& owner_;
   loop_timer timer_;
+  loop_timer body_timer_;
   std::unique_ptr<tcp_connection> connection_;
   message_reader reader_;
   client_request_options options_;
@@ -202,6 +229,8 @@
   http_head head_;
   std::string body_;
   bool is_complete_ = false;
+  // Pieces of the request's body are still to be sent.
+  bool is_sending_ = false;
 };
 
 //==============================================================================
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -14,8 +14,12 @@
 struct client_request_options {
   std::string method = "GET";
   std::string path;
+  /** The customer's key; empty: none. */
+  std::string key;
   std::size_t body_bytes = 0;
   bool chunked = false;
+  /** Number of pieces in which the body is sent, a few ms apart; 1: with the head. */
+  int body_pieces = 1;
   /** Reuses an idle connection and leaves it open afterwards. */
   bool reuse_connection = false;
   /** The client closes the connection after this time; 0: never. */
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -88,6 +88,7 @@
     client_row{"load", "upload", "permits", 1, milliseconds(2'000), milliseconds(800)},
     client_row{"feed", "safe", "maps", 1, milliseconds(700), milliseconds(300)}};
 constexpr std::string_view kCalledRow = "feed";
+constexpr milliseconds kCallTimeout{700};
 
 json RouteOf(const client_row& row, const std::string& name) {
   return {{"type", "routes"},
@@ -263,7 +264,10 @@
   void StartTarget(soak_node& node) {
     node.target_number = ++targets_started_;
     node.target_id = fmt::format("i-{}", node.target_number);
-    const bool calls = ServiceOf(node.number) == "permits";
+    target_work work;
+    if (ServiceOf(node.number) == "permits") {
+      work.calls = {{.row = std::string(kCalledRow), .service = "maps", .timeout = kCallTimeout}};
+    }
     node.target = std::make_unique<soak_target>(
         loop_,
         soak_target::options{
@@ -273,7 +277,7 @@
             .number = node.target_number,
             .node_number = node.number,
             .service = ServiceOf(node.number),
-            .called_row = calls ? std::string(kCalledRow) : "",
+            .work_of = [work](std::string_view) { return work; },
             .on_crash = [this, &node] { OnCrashingRequest(node); },
             .node_incarnation = [&node] { return node.incarnation; }},
         ledger_, random_);
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -34,12 +34,19 @@
 
 }  // namespace
 
+void soak_ledger::OnViolation(std::string text) {
+  const std::scoped_lock lock(mutex_);
+  violations_.push_back(std::move(text));
+}
+
 sent_request& soak_ledger::OnSent(sent_request request) {
   const std::string id = request.id;
+  const std::scoped_lock lock(mutex_);
   return requests_.emplace(id, std::move(request)).first->second;
 }
 
 observed_run& soak_ledger::OnArrival(observed_run run) {
+  const std::scoped_lock lock(mutex_);
   runs_.push_back(std::make_unique<observed_run>(std::move(run)));
   runs_by_id_[runs_.back()->id].push_back(runs_.back().get());
   return *runs_.back();
@@ -83,8 +90,12 @@
 
 std::vector<std::string> soak_ledger::Check() const {
   violations found = violations_;
-  CheckRunOnce(found);
-  CheckRefusals(found);
+  CheckSenders(found);
+  const at_most_once_breaches breaches = CheckAtMostOnce();
+  found.insert(found.end(), breaches.ran_twice.begin(), breaches.ran_twice.end());
+  found.insert(found.end(), breaches.refused_and_ran.begin(), breaches.refused_and_ran.end());
+  found.insert(found.end(), breaches.refused_and_ran_idempotent.begin(),
+               breaches.refused_and_ran_idempotent.end());
   CheckCallers(found);
   CheckLostAnswers(found);
   CheckLateAnswers(found);
@@ -100,29 +111,45 @@
   return found;
 }
 
-void soak_ledger::CheckRunOnce(violations& into) const {
+void soak_ledger::CheckSenders(violations& into) const {
   for (const auto& [id, runs] : runs_by_id_) {
-    const auto sent = requests_.find(id);
-    if (sent == requests_.end()) {
+    if (!requests_.contains(id)) {
       into.push_back("a backend server received a request that no client sent: " + id);
-      continue;
-    }
-    const auto ran =
-        std::count_if(runs.begin(), runs.end(), [](const auto* run) { return run->ran; });
-    if (!sent->second.idempotent && ran > 1) {
-      into.push_back(fmt::format("ran {} times: {}", ran, Describe(sent->second)));
     }
   }
 }
 
-void soak_ledger::CheckRefusals(violations& into) const {
-  for (const auto& [id, request] : requests_) {
-    const auto& runs = RunsOf(id);
-    if (request.outcome == request_outcome::kRefused &&
-        std::any_of(runs.begin(), runs.end(), [](const auto* run) { return run->ran; })) {
-      into.push_back("refused, but it ran: " + Describe(request));
+std::string soak_ledger::DescribeArrivals(const sent_request& request) const {
+  std::string text = Describe(request);
+  for (const observed_run* run : RunsOf(request.id)) {
+    text += fmt::format(" [target {} after {:.3f} s, ", run->target,
+                        ToSeconds(run->arrived - request.sent));
+    text += run->ran
+                ? fmt::format("ran from {:.3f} to {:.3f} s]", ToSeconds(run->began - request.sent),
+                              ToSeconds(run->ended - request.sent))
+                : "did not run]";
+  }
+  return text;
+}
+
+at_most_once_breaches soak_ledger::CheckAtMostOnce() const {
+  at_most_once_breaches found;
+  for (const auto& [id, arrivals] : runs_by_id_) {
+    const auto sent = requests_.find(id);
+    if (sent == requests_.end()) {
+      continue;
+    }
+    const sent_request& request = sent->second;
+    const auto ran = std::ranges::count_if(arrivals, [](const auto* run) { return run->ran; });
+    if (!request.idempotent && ran > 1) {
+      found.ran_twice.push_back(fmt::format("ran {} times: {}", ran, DescribeArrivals(request)));
+    }
+    if (request.outcome == request_outcome::kRefused && ran > 0) {
+      auto& refused = request.idempotent ? found.refused_and_ran_idempotent : found.refused_and_ran;
+      refused.push_back("refused, but it ran: " + DescribeArrivals(request));
     }
   }
+  return found;
 }
 
 void soak_ledger::CheckCallers(violations& into) const {
@@ -406,7 +433,7 @@
   }
 }
 
-std::string soak_ledger::Summary() const {
+std::string soak_ledger::CountOutcomes() const {
   std::array<std::size_t, kOutcomeNames.size()> counts{};
   for (const auto& [id, request] : requests_) {
     ++counts[static_cast<std::size_t>(request.outcome)];
@@ -415,6 +442,11 @@
   for (std::size_t i = 0; i < counts.size(); ++i) {
     text += fmt::format(" {} {}", kOutcomeNames[i], counts[i]);
   }
+  return text;
+}
+
+std::string soak_ledger::Summary() const {
+  std::string text = CountOutcomes();
   for (const repeat_use& use : LargestRepeatUses()) {
     text += fmt::format(", {:.2f} of the bound on repeats used at {}", use.share, use.service);
   }
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <utility>
 #include <vector>
@@ -98,9 +99,21 @@
   instant end{};
 };
 
+/** Breaches of the promises that work which is not idempotent runs at most once, and that a refused
+    request has not run. */
+struct at_most_once_breaches {
+  /** One line for each request that ran more than once. */
+  std::vector<std::string> ran_twice;
+  /** One line for each request that was refused with a promise and ran. */
+  std::vector<std::string> refused_and_ran;
+  /** The same for idempotent requests, where a second run does no harm. */
+  std::vector<std::string> refused_and_ran_idempotent;
+};
+
 /** Records what was sent, run and answered in one soak, and checks the guarantees.
     The records come from the soak's own clients and backend servers only, never from
-    what the nodes report. */
+    what the nodes report. Recording is thread-safe; a returned reference is for the thread that
+    called. The checks are for the time after all threads have ended. */
 class soak_ledger {
  public:
   /** The bounds on time do not hold for this long after a disturbance. */
@@ -157,12 +170,18 @@
     fault_free_periods_.emplace_back(begin, end);
   }
   /** Records a violation that is detected while the soak runs. */
-  void OnViolation(std::string text) { violations_.push_back(std::move(text)); }
+  void OnViolation(std::string text);
 
   //============================================================================
   /** One line for each violated guarantee; empty if there is none. */
   std::vector<std::string> Check() const;
+  /** What Check() finds of runs, each with the request's arrivals. */
+  at_most_once_breaches CheckAtMostOnce() const;
+  /** What was recorded by OnViolation(). */
+  const std::vector<std::string>& Recorded() const { return violations_; }
   /** Number of requests per outcome. */
+  std::string CountOutcomes() const;
+  /** The same, and the use of the bound on repeats. */
   std::string Summary() const;
 
  private:
@@ -180,9 +199,9 @@
   /** No kFault disturbance of any node overlaps this request. */
   bool WasWithoutFault(const sent_request& request) const;
   const std::vector<const observed_run*>& RunsOf(const std::string& id) const;
+  std::string DescribeArrivals(const sent_request& request) const;
 
-  void CheckRunOnce(violations& into) const;
-  void CheckRefusals(violations& into) const;
+  void CheckSenders(violations& into) const;
   void CheckCallers(violations& into) const;
   void CheckLostAnswers(violations& into) const;
   void CheckLateAnswers(violations& into) const;
@@ -205,6 +224,7 @@
   void CheckFaultFreePeriods(violations& into) const;
 
   double repeat_allowance_;
+  std::mutex mutex_;
   std::map<std::string, sent_request, std::less<>> requests_;
   std::vector<std::unique_ptr<observed_run>> runs_;
   std::map<std::string, std::vector<const observed_run*>> runs_by_id_;
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -12,7 +12,6 @@
 
 constexpr duration kSilenceTimeout = std::chrono::seconds(20);
 constexpr std::size_t kMaxHeadBytes = 64 * 1024;
-constexpr std::size_t kMaxQueuedPerSlot = 2;
 constexpr std::size_t kMaxAnswerBytes = 30'000;
 // Requests with longer bodies may be rejected before they are in.
 constexpr std::size_t kLongBodyBytes = 50'000;
@@ -24,7 +23,6 @@
 // An answer without a length is sent in two halves, so that faults fall into it.
 constexpr duration kHalfDelay = std::chrono::milliseconds(150);
 constexpr duration kDuplicateDelay = std::chrono::milliseconds(30);
-constexpr duration kCallTimeout = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -59,11 +57,11 @@
     run_->began = owner_.loop_.Now();
     if (head_.target.find(kCrashPathPart) != std::string::npos) {
       timer_.StartOnce(kCrashDelay, owner_.options_.on_crash);
-    } else if (owner_.options_.called_row.empty()) {
-      StartWork();
-    } else {
-      Call();
+      return;
     }
+    work_ = owner_.options_.work_of(head_.target);
+    next_call_ = 0;
+    CallOrWork();
   }
 
   void Abort() {
@@ -76,14 +74,29 @@
  private:
   void OnData(std::string_view bytes) {
     const auto keep = shared_from_this();
-    while (!bytes.empty() && connection_) {
-      const auto taken = reader_.Read(bytes);
+    const instant now = owner_.loop_.Now();
+    const duration limit = owner_.fault_.forgotten_after;
+    const bool is_idle = !running_ && !waiting_ && reader_.between_messages();
+    if (limit > duration::zero() && is_idle && used_at_ != instant{} && now - used_at_ > limit) {
+      Abort();
+      return;
+    }
+    used_at_ = now;
+    unread_ += bytes;
+    ReadRequests();
+  }
+
+  // Requests behind a running one are read when it has ended.
+  void ReadRequests() {
+    const auto keep = shared_from_this();
+    while (!unread_.empty() && connection_ && !running_ && !waiting_) {
+      const auto taken = reader_.Read(unread_);
       if (!taken.ok()) {
         owner_.ledger_.OnViolation("a backend server received bytes that are not an HTTP request");
         Abort();
         return;
       }
-      bytes.remove_prefix(*taken);
+      unread_.erase(0, *taken);
     }
   }
 
@@ -140,7 +153,7 @@
     if (!expected.empty() && expected != owner_.options_.id) {
       Reject(421);
     } else if (DrawsTrue(owner_.fault_.rejections) ||
-               owner_.queue_.size() >= kMaxQueuedPerSlot * owner_.options_.slots) {
+               owner_.queue_.size() >= owner_.options_.queue) {
       Reject(503);
     } else if (owner_.running_ < owner_.options_.slots) {
       Start();
@@ -190,36 +203,46 @@
     return head;
   }
 
-  void Call() {
+  void CallOrWork() {
+    if (next_call_ == work_.calls.size()) {
+      StartWork();
+      return;
+    }
+    const target_call& call = work_.calls[next_call_++];
     std::weak_ptr<session> weak = weak_from_this();
-    const std::string call_id = fmt::format("c{}-{}", owner_.options_.number, ++owner_.calls_made_);
-    client_request_options call{.path = "/" + owner_.options_.called_row + "/x",
-                                .reuse_connection = true};
-    call.on_end = [weak](const sent_request& ended) {
-      if (const auto self = weak.lock(); self && self->running_) {
-        ended.status == 200 ? self->StartWork() : self->Answer(500);
+    client_request_options request{.path = "/" + call.row + "/x", .reuse_connection = true};
+    request.on_end = [weak, run = run_](const sent_request& ended) {
+      // The connection may run another request by now.
+      if (const auto self = weak.lock(); self && self->running_ && self->run_ == run) {
+        ended.status == 200 ? self->CallOrWork() : self->Answer(500);
       }
     };
-    owner_.caller_.Send(call, {.id = call_id,
-                               .row = owner_.options_.called_row,
-                               .service = "maps",
-                               .node = owner_.options_.node_number,
-                               .incarnation = owner_.options_.node_incarnation(),
-                               .idempotent = true,
-                               .nested = true,
-                               .timeout = kCallTimeout});
+    owner_.caller_.Send(request,
+                        {.id = fmt::format("c{}-{}", owner_.options_.number, ++owner_.calls_made_),
+                         .row = call.row,
+                         .service = call.service,
+                         .node = owner_.options_.node_number,
+                         .incarnation = owner_.options_.node_incarnation(),
+                         .idempotent = true,
+                         .nested = true,
+                         .timeout = call.timeout});
   }
 
   void StartWork() {
     const double factor = owner_.fault_.work_factor * (0.5 + owner_.random_.Fraction());
     const duration work(
-        static_cast<duration::rep>(factor * static_cast<double>(owner_.options_.work.count())));
+        static_cast<duration::rep>(factor * static_cast<double>(work_.time.count())));
     timer_.StartOnce(work, [this] { Answer(200); });
   }
 
   void Answer(int status) {
     const auto keep = shared_from_this();
     Finish();
+    SendAnswer(status);
+    ReadRequests();
+  }
+
+  void SendAnswer(int status) {
     if (DrawsTrue(owner_.fault_.lost_answers)) {
       run_->answer_damaged = true;
       Abort();
@@ -231,6 +254,10 @@
       Abort();
       return;
     }
+    if (DrawsTrue(owner_.fault_.mute_answers)) {
+      run_->answer_damaged = true;
+      return;
+    }
     if (DrawsTrue(owner_.fault_.endless_answers)) {
       run_->answer_damaged = true;
       AnswerWithoutEnd(status);
@@ -295,6 +322,7 @@
 
   void Finish() {
     timer_.Stop();
+    used_at_ = owner_.loop_.Now();
     if (std::exchange(running_, false)) {
       run_->ended = owner_.loop_.Now();
       --owner_.running_;
@@ -318,11 +346,17 @@
   message_reader reader_;
   http_head head_;
   std::string id_;
+  // Bytes behind the request that runs or waits.
+  std::string unread_;
   std::size_t body_bytes_ = 0;
   std::size_t expected_bytes_ = 0;
   bool rejects_early_ = false;
   bool is_rejected_early_ = false;
   std::string late_rejection_;
+  // When the connection was last used.
+  instant used_at_{};
+  target_work work_;
+  std::size_t next_call_ = 0;
   observed_run* run_ = nullptr;
   bool waiting_ = false;
   bool running_ = false;
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -6,6 +6,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "cuminferry_relay/cuminferry_relay.h"
 #include "soak/soak_client.h"
@@ -33,6 +35,24 @@
   double early_rejections = 0.0;
   /** The answer has no end, in its head or in its body. */
   double endless_answers = 0.0;
+  /** The request is run and never answered. */
+  double mute_answers = 0.0;
+  /** A connection that was idle for longer is reset by its next request; 0: none. */
+  duration forgotten_after{};
+};
+
+/** A call that a run makes. */
+struct target_call {
+  std::string row;
+  std::string service;
+  duration timeout{};
+};
+
+/** What one run of a request takes. */
+struct target_work {
+  duration time = std::chrono::milliseconds(20);
+  /** Made one after the other, before the work. */
+  std::vector<target_call> calls;
 };
 
 /** A backend server of the soak with slots, a queue, cancellation, calls to another
@@ -48,10 +68,13 @@
     std::size_t number = 0;
     std::size_t node_number = 0;
     std::string service;
-    /** The row that each run of a request calls once; empty: no calls. */
-    std::string called_row;
-    duration work = std::chrono::milliseconds(20);
+    /** Returns what a run of a request with this path takes. */
+    std::function<target_work(std::string_view path)> work_of = [](std::string_view) {
+      return target_work{};
+    };
     std::uint32_t slots = 20;
+    /** Number of requests that wait for slots; others are rejected. */
+    std::size_t queue = 40;
     /** Called when a request that crashes the backend server has run for 10 ms. */
     std::function<void()> on_crash = {};
     /** Number of starts of its node's process so far. */
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -153,6 +153,7 @@
   CPPUNIT_TEST(Proxy_CutToServer_CutsOneWay);
   CPPUNIT_TEST(Proxy_Reset_EndsBothSides);
   CPPUNIT_TEST(Plan_SameSeed_IsTheSame);
+  CPPUNIT_TEST(Site_RejectionsAreRepeated_RunsAtMostOnceAndNotIfRefused);
   CPPUNIT_TEST(Fleet_SeedsThatOnceFailed_KeepThePromises);
   CPPUNIT_TEST_SUITE_END();
 
@@ -399,6 +400,26 @@
     CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
     std::filesystem::remove_all(folder);
   }
+
+  // Guards against a request that is refused with a promise or sent again while it runs, at a site
+  // whose backend servers reject half of their requests and repeat each rejection.
+  void Site_RejectionsAreRepeated_RunsAtMostOnceAndNotIfRefused() {
+    const std::string folder =
+        (std::filesystem::temp_directory_path() / ("cuminferry-site-" + std::to_string(::getpid())))
+            .string();
+    std::filesystem::create_directories(folder);
+    const std::string programs = CUMINFERRY_BINARY_DIR;
+    auto started = trial::child_process::Start(
+        {programs + "/tests/soak/cuminferry-site-soak", "--program",
+         programs + "/platform/cuminferry", "--seed", "1", "--machines", "16", "--length", "8",
+         "--threads", "2", "--rejections", "0.5", "--late-rejections", "1", "--folder", folder},
+        folder + "/site.txt");
+    CPPUNIT_ASSERT(started.ok());
+    int exit_code = -1;
+    started->WaitForExit(kMaxRunTime, exit_code);
+    CPPUNIT_ASSERT_MESSAGE(ReadAll(folder + "/site.txt"), exit_code == 0);
+    std::filesystem::remove_all(folder);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(soak_test);
