Show in the log on whose word a request was held not to have run, and end promises that nobody made

What callers saw: a request that ran was answered 503, 429 or 408, which clients take for the promise that it has not run. An outcome was matched to a request by its connection alone, and a reason of a later release was passed on with its status.

Cause, one class: a status or an outcome was taken for proof without asking who said it, and of which request.

What is not conclusive closes its connection and means kLost once the body is released; a body that was held back needs no answer. The log: request.end and serving.end of requests that may run once have the trail of their sends (target, connection, requests that it had carried, idle time, the word, whose it is, its age). Lines of such requests that were sent again, or refused after a send, have a rate limit of their own, and log.left_out counts what falls to it. Answers that belong to no open request are logged (backend.stray_answer); one that disproves a rejection on its connection is counted (cuminferry_rejections_disproved_total).

--- a/modules/cuminferry_relay/http/http_client.cpp
+++ b/modules/cuminferry_relay/http/http_client.cpp
@@ -41,13 +41,15 @@
 /** A connection and what it has carried. */
 struct pooled_connection {
   std::unique_ptr<tcp_connection> connection;
-  bool is_new = true;
+  connection_use use;
   // Hashes of the ids of requests that must not be sent on this connection again.
   std::vector<std::size_t> repeatable_requests;
 
+  bool HasMarked(std::string_view request_id) const {
+    return std::ranges::find(repeatable_requests, HashOf(request_id)) != repeatable_requests.end();
+  }
   bool MayCarry(std::string_view request_id) const {
-    return request_id.empty() ||
-           std::ranges::find(repeatable_requests, HashOf(request_id)) == repeatable_requests.end();
+    return request_id.empty() || !HasMarked(request_id);
   }
 };
 
@@ -64,6 +66,7 @@
   endpoint server;
   options config;
   std::vector<idle_connection> idle;
+  std::uint64_t connections_opened = 0;
 
   state(event_loop& loop, const endpoint& server, options config)
       : loop(loop), server(server), config(config) {}
@@ -80,6 +83,7 @@
         break;
       } else if (at->pooled.MayCarry(wanted.request_id)) {
         pooled_connection taken = std::move(at->pooled);
+        taken.use.idle = now - at->since;
         idle.erase(at);
         return taken;
       }
@@ -93,7 +97,7 @@
     if (limit <= duration::zero() || pooled.repeatable_requests.size() > kMaxRepeatableRequests) {
       return;
     }
-    pooled.is_new = false;
+    ++pooled.use.requests_before;
     tcp_connection* const connection = pooled.connection.get();
     const tcp_connection* key = connection;
     std::weak_ptr<state> weak = weak_from_this();
@@ -103,7 +107,13 @@
       }
     };
     // An idle connection is dropped when it receives any bytes, since they belong to no request.
-    connection->SetHooks({.on_data = [drop](std::string_view) { drop(); },
+    connection->SetHooks({.on_data =
+                              [weak, key, drop](std::string_view bytes) {
+                                if (const auto self = weak.lock()) {
+                                  self->ReportStray(key, bytes);
+                                }
+                                drop();
+                              },
                           .on_end = [drop](close_reason) { drop(); },
                           .on_writable = {},
                           .on_connected = {}});
@@ -112,6 +122,23 @@
     idle.push_back({std::move(pooled), now, now + limit});
   }
 
+  void ReportStray(const tcp_connection* key, std::string_view bytes) const {
+    const auto found = std::ranges::find_if(idle, [key](const idle_connection& candidate) {
+      return candidate.pooled.connection.get() == key;
+    });
+    if (found == idle.end() || !config.on_stray) {
+      return;
+    }
+    const pooled_connection& pooled = found->pooled;
+    connection_use use = pooled.use;
+    use.idle = loop.Now() - found->since;
+    config.on_stray({.connection = use,
+                     .bytes = bytes,
+                     .has_brought_rejection_of = [&pooled](std::string_view request_id) {
+                       return pooled.HasMarked(request_id);
+                     }});
+  }
+
   void RemoveIdle(const tcp_connection* key) {
     std::erase_if(idle, [key](const idle_connection& candidate) {
       return candidate.pooled.connection.get() == key;
@@ -124,6 +151,7 @@
   hooks callbacks;
   std::string request_id;
   pooled_connection pooled;
+  connection_use use;
   std::unique_ptr<message_reader> reader;
   std::optional<duration> announced_idle_timeout;
   body_framing framing = body_framing::kNone;
@@ -273,7 +301,11 @@
   }
 }
 
-bool client_exchange::is_first_on_connection() const { return state_->pooled.is_new; }
+const connection_use& client_exchange::connection() const { return state_->use; }
+
+bool client_exchange::HasBroughtRejectionOf(std::string_view request_id) const {
+  return state_->pooled.HasMarked(request_id);
+}
 bool client_exchange::ended_by_close() const { return state_->ended_by_close; }
 
 std::size_t client_exchange::unsent_bytes() const {
@@ -353,7 +385,9 @@
     new_exchange->pooled.connection =
         tcp_connection::Connect(state_->loop, state_->server, state_->config.connect_timeout,
                                 state_->config.silence_timeout, std::move(connection_hooks));
+    new_exchange->pooled.use.number = ++state_->connections_opened;
   }
+  new_exchange->use = new_exchange->pooled.use;
   new_exchange->pooled.connection->Write(request.ToRequestText());
   return std::unique_ptr<client_exchange>(new client_exchange(std::move(new_exchange)));
 }
--- a/modules/cuminferry_relay/http/http_client.h
+++ b/modules/cuminferry_relay/http/http_client.h
@@ -19,6 +19,24 @@
   kInvalidAnswer,
 };
 
+/** What the log says of the connection that carries a request. */
+struct connection_use {
+  /** Counts the pool's connections from 1. */
+  std::uint64_t number = 0;
+  /** Number of requests that it carried before this one. */
+  std::size_t requests_before = 0;
+  /** Time for which it was idle before this request. */
+  duration idle{};
+};
+
+/** Bytes that a server sent on an idle connection, so that they belong to no request. */
+struct stray_bytes {
+  connection_use connection;
+  std::string_view bytes;
+  /** Returns whether the connection carried a request with this id that MarkRepeatable() marked. */
+  std::function<bool(std::string_view request_id)> has_brought_rejection_of;
+};
+
 /** One request that was sent to a server, and its answer.
 
     Answers are streamed. The server may answer before the whole request body has been sent. The
@@ -63,7 +81,11 @@
 
   /** Whether the connection has carried no request before, so that an answer on it can only belong
       to this one. */
-  bool is_first_on_connection() const;
+  bool is_first_on_connection() const { return connection().requests_before == 0; }
+  /** The connection that carries the request, also after the exchange has ended. */
+  const connection_use& connection() const;
+  /** Whether its connection has carried a request with this id that MarkRepeatable() marked. */
+  bool HasBroughtRejectionOf(std::string_view request_id) const;
   /** Whether only the close of the connection marked the end of the answer. If the server's process
       was killed, its kernel closes the connection just so. */
   bool ended_by_close() const;
@@ -91,6 +113,8 @@
     duration idle_timeout{};
     /** Maximum size of an answer's head in bytes. */
     std::size_t max_head_bytes = 64 * 1024;
+    /** Called with bytes on an idle connection, which is then closed. */
+    std::function<void(const stray_bytes&)> on_stray = {};
   };
 
   /** Which connection of the pool a request may use. */
--- a/modules/cuminferry_relay/http/http_status.cpp
+++ b/modules/cuminferry_relay/http/http_status.cpp
@@ -2,6 +2,11 @@
 
 namespace cuminferry::http_status {
 
+bool PromisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirectedRequest || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
 std::string_view ReasonOf(int status) {
   switch (status) {
     case kOk:
--- a/modules/cuminferry_relay/http/http_status.h
+++ b/modules/cuminferry_relay/http/http_status.h
@@ -25,6 +25,10 @@
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
 
+/** Whether clients take an answer with this status for the promise that the request has not run and
+    will not, so that it may be sent again whatever its kind. */
+bool PromisesNotRun(int status);
+
 /** Returns the standard reason phrase, or an empty string if none is listed for this status. */
 std::string_view ReasonOf(int status);
 
--- a/modules/cuminferry_relay/path/answer_check.cpp
+++ b/modules/cuminferry_relay/path/answer_check.cpp
@@ -17,6 +17,9 @@
   if (answer.Find(names.not_executed) != nullptr) {
     return relay_outcome::kTurnedAway;
   }
+  if (http_status::PromisesNotRun(answer.status)) {
+    return relay_outcome::kDamaged;
+  }
   const bool success =
       answer.status >= http_status::kOk && answer.status < http_status::kFirstRedirect;
   const bool is_signed = answer.Find(names.signature) != nullptr;
--- a/modules/cuminferry_relay/path/decision_log.cpp
+++ b/modules/cuminferry_relay/path/decision_log.cpp
@@ -56,8 +56,10 @@
   std::shared_ptr<spdlog::async_logger> logger;
   std::string batch;
   line_budget ordinary_budget{kMaxOrdinaryLinesPerSecond};
-  line_budget notable{kMaxNotableLinesPerSecond};
+  line_budget notable_budget{kMaxNotableLinesPerSecond};
+  line_budget evidence_budget{kMaxEvidenceLinesPerSecond};
   std::uint64_t left_out = 0;
+  std::uint64_t evidence_left_out = 0;
 
   state(event_loop& loop, std::string instance)
       : loop(loop), instance(std::move(instance)), flush(loop) {}
@@ -100,10 +102,14 @@
 
 decision_log::~decision_log() { Flush(); }
 
-bool decision_log::TryReserveLine(bool notable) {
-  line_budget& budget = notable ? state_->notable : state_->ordinary_budget;
+bool decision_log::TryReserveLine(line_kind kind) {
+  const bool is_evidence = kind == line_kind::kEvidence;
+  line_budget& budget = is_evidence                   ? state_->evidence_budget
+                        : kind == line_kind::kNotable ? state_->notable_budget
+                                                      : state_->ordinary_budget;
   const bool wanted = budget.Take(state_->loop.Now());
   state_->left_out += wanted ? 0 : 1;
+  state_->evidence_left_out += !wanted && is_evidence ? 1 : 0;
   return wanted;
 }
 
@@ -118,8 +124,10 @@
 void decision_log::Flush() {
   if (state_->left_out > 0) {
     state_->Append("log.left_out", {{"lines", state_->left_out},
+                                    {"evidence", state_->evidence_left_out},
                                     {"batches_lost", state_->writer->overrun_counter()}});
     state_->left_out = 0;
+    state_->evidence_left_out = 0;
   }
   if (!state_->batch.empty()) {
     state_->PassBatchToWriter();
--- a/modules/cuminferry_relay/path/decision_log.h
+++ b/modules/cuminferry_relay/path/decision_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -27,6 +28,10 @@
   /** Maximum rate of lines on requests that were refused, failed, late or sent to more than
       one target. This rate is higher, because operators inspect these requests. */
   static constexpr double kMaxNotableLinesPerSecond = 300.0;
+  /** Maximum rate of lines on requests that may run only once and were sent again, or refused after
+      they had been sent. Without them a breach of that promise can't be traced, so they have a rate
+      of their own, above what one backend server is sent. */
+  static constexpr double kMaxEvidenceLinesPerSecond = 1'000.0;
   static constexpr duration kFlushPeriod = std::chrono::milliseconds(200);
   /** Maximum number of batches that wait for the writer: 2 MB. */
   static constexpr std::size_t kMaxQueuedBatches = 128;
@@ -36,11 +41,13 @@
   decision_log(const decision_log&) = delete;
   decision_log& operator=(const decision_log&) = delete;
 
+  /** The maximum rate that a line counts against. */
+  enum class line_kind : std::uint8_t { kOrdinary, kNotable, kEvidence };
+
   /** Reserves a line on a request; false if the maximum rate is exceeded, and the line is then
       counted as suppressed. Called before the line is composed, so that a suppressed line costs
-      nothing else.
-      @param notable  whether the line counts against kMaxNotableLinesPerSecond */
-  bool TryReserveLine(bool notable);
+      nothing else. */
+  bool TryReserveLine(line_kind kind);
   /** Writes a line on one request. Call this only after TryReserveLine() returned true. */
   void LogRequest(std::string_view event, nlohmann::ordered_json detail);
   /** Writes a line on a change of this process's state; such lines are never suppressed. */
--- a/modules/cuminferry_relay/path/outbound_answer.cpp
+++ b/modules/cuminferry_relay/path/outbound_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/path/outbound_state.h"
+#include "cuminferry_relay/path/peer_answer.h"
 #include "cuminferry_relay/path/unlisted_headers.h"
 
 namespace cuminferry {
@@ -16,22 +17,30 @@
   answer_timer.Stop();
   const instant now = board.loop.Now();
   board.domains.OnReceived(target_domain, now);
+  const peer_answer meaning =
+      ReadPeerAnswer(head, {.request_id = record.request_id, .body_released = body_released},
+                     board.settings.headers);
+  if (!meaning.is_conclusive) {
+    LeaveTarget("inconclusive", head.status);
+    OnPlacementFailed(*meaning.outcome);
+    return;
+  }
+  record.trail.OnWord(meaning.outcome ? ToText(*meaning.outcome) : "answered",
+                      send_trail::source::kAnswer, head.status, now - sent_at);
   if (const std::string* serving = head.Find(kServingField)) {
     if (const auto run = ParseInteger<std::int64_t>(*serving)) {
       board.on_instance_confirmed(record.target_id, *run);
     }
   }
   ApplyLoadReport(head, now);
-  if (const std::string* field = head.Find(kOutcomeField)) {
-    outcome = ParseOutcome(*field);
-    if (outcome) {
-      // OnAnswerEnd(), which follows at once, decides what becomes of the request. A body
-      // that was not sent is finished empty here, so that the connection can be reused.
-      if (!body_released) {
-        upstream->FinishBody();
-      }
-      return;
+  outcome = meaning.outcome;
+  if (outcome) {
+    // OnAnswerEnd(), which follows at once, decides what becomes of the request. A body
+    // that was not sent is finished empty here, so that the connection can be reused.
+    if (!body_released) {
+      upstream->FinishBody();
     }
+    return;
   }
   head.Remove(kLoadField);
   head.Remove(kRepeatsField);
@@ -189,9 +198,14 @@
 
 void outbound_call::state::OnUpstreamFailed(exchange_failure why) {
   answer_timer.Stop();
+  const instant now = board.loop.Now();
+  if (!committed) {
+    record.trail.OnWord(why == exchange_failure::kNotSent ? "not-sent" : "connection-lost",
+                        send_trail::source::kNode, 0, now - sent_at);
+  }
   target_picker& picker = board.PickerOf(record.service);
   picker.OnDone(record.target_id);
-  picker.OnUnreachable(record.target_id, board.loop.Now());
+  picker.OnUnreachable(record.target_id, now);
   finished_upstream = std::move(upstream);
   if (failure.is_arriving()) {
     failure.Drop();
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -192,6 +192,7 @@
     return;
   }
   if (upstream) {
+    record.trail.OnWord("deadline", send_trail::source::kNode, 0, board.loop.Now() - sent_at);
     board.PickerOf(record.service).OnDone(record.target_id);
   }
   if (!body_released && !may_have_run) {
@@ -298,11 +299,18 @@
 }
 
 void outbound_call::state::LogEnd(std::string_view result, duration took) {
+  using kind = decision_log::line_kind;
   const bool late = route != nullptr && took > route->objective;
-  if (!board.log.TryReserveLine(result != "answered" || late || record.placements > 1)) {
+  const bool is_refused = result == "refused";
+  const bool is_evidence =
+      !record.trail.empty() && (is_refused || record.placements > 1 || may_have_run);
+  const bool is_notable = result != "answered" || late || record.placements > 1;
+  if (!board.log.TryReserveLine(is_evidence  ? kind::kEvidence
+                                : is_notable ? kind::kNotable
+                                             : kind::kOrdinary)) {
     return;
   }
-  if (result == "refused" && route != nullptr) {
+  if (is_refused && route != nullptr) {
     const instant now = board.loop.Now();
     record.level = board.admission.AdmittedShare(route->name, rank, now);
     if (*record.level < 1.0) {
--- a/modules/cuminferry_relay/path/outbound_placement.cpp
+++ b/modules/cuminferry_relay/path/outbound_placement.cpp
@@ -95,6 +95,9 @@
                             },
                         .on_writable = [with] { with([](state& at) { at.client->ResumeBody(); }); },
                         .is_matching_answer = {}});
+  if (route->repeat != repeat_rule::kIdempotent) {
+    record.trail.OnSend(target.id, upstream->connection(), now - started_at);
+  }
   if (body_released) {
     SendBufferedBody();
   } else if (request_body.bytes().size() > tcp_connection::kHighWater) {
@@ -169,9 +172,7 @@
   board.PickerOf(record.service).OnUnreachable(record.target_id, board.loop.Now());
   board.domains.OnUnanswered(target_domain, sent_at, board.loop.Now());
   if (!body_released) {
-    board.PickerOf(record.service).OnDone(record.target_id);
-    upstream->Cancel();
-    finished_upstream = std::move(upstream);
+    LeaveTarget("no-word");
     OnPlacementFailed(relay_outcome::kUnconfirmed);
     return;
   }
@@ -188,10 +189,16 @@
   }
   may_have_run = true;
   record.LogFailedPlacement(board.log, relay_outcome::kLost);
+  LeaveTarget("no-word");
+  Place();
+}
+
+// The target's node may still hold or run the request.
+void outbound_call::state::LeaveTarget(std::string_view word, int status) {
+  record.trail.OnWord(word, send_trail::source::kNode, status, board.loop.Now() - sent_at);
   board.PickerOf(record.service).OnDone(record.target_id);
   upstream->Cancel();
   finished_upstream = std::move(upstream);
-  Place();
 }
 
 http_head outbound_call::state::RequestHeadFor(const picked_target& picked, instant now) const {
--- a/modules/cuminferry_relay/path/outbound_record.cpp
+++ b/modules/cuminferry_relay/path/outbound_record.cpp
@@ -5,7 +5,7 @@
 namespace cuminferry {
 
 void outbound_record::LogFailedPlacement(decision_log& log, relay_outcome why) const {
-  if (!log.TryReserveLine(true)) {
+  if (!log.TryReserveLine(decision_log::line_kind::kNotable)) {
     return;
   }
   nlohmann::ordered_json detail{{"id", request_id},
@@ -64,6 +64,9 @@
   if (!reason.empty()) {
     detail["why"] = reason;
   }
+  if (!trail.empty()) {
+    detail["trail"] = trail.ToJson();
+  }
   if (level) {
     detail["level"] = RoundForLog(*level);
   }
--- a/modules/cuminferry_relay/path/outbound_record.h
+++ b/modules/cuminferry_relay/path/outbound_record.h
@@ -8,6 +8,7 @@
 
 #include "cuminferry_relay/path/decision_log.h"
 #include "cuminferry_relay/path/peer_headers.h"
+#include "cuminferry_relay/path/send_trail.h"
 
 namespace cuminferry {
 
@@ -49,6 +50,8 @@
   std::string limited_by;
   /** Digest of the request, if a backend server crashed while running it or it is blocked. */
   std::string suspect_digest;
+  /** Where the request was sent; empty if it may be repeated. */
+  send_trail trail;
   /** Why the request completed without an answer of a backend server. */
   std::string reason;
 
--- a/modules/cuminferry_relay/path/outbound_state.h
+++ b/modules/cuminferry_relay/path/outbound_state.h
@@ -66,6 +66,10 @@
   void SendBufferedBody();
   void OnInterimAnswer(int status);
   void OnAnswerTimeout();
+  /** Ends the placement without an answer that could be used.
+      @param word    why, for the log
+      @param status  of an answer; 0 without one */
+  void LeaveTarget(std::string_view word, int status = 0);
   http_head RequestHeadFor(const picked_target& picked, instant now) const;
 
   //============================================================================
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -79,6 +79,10 @@
   prometheus::Counter& sends{MakeCounters(registry, "cuminferry_backend_sends_total",
                                           "Requests sent to the own backend server, repeats too.")
                                  .Add({})};
+  prometheus::Counter& disproved_rejections{
+      MakeCounters(registry, "cuminferry_rejections_disproved_total",
+                   "Rejections by the own backend server whose requests it answered later.")
+          .Add({})};
   prometheus::Counter& bad_declarations{
       MakeCounters(registry, "cuminferry_bad_declarations_total",
                    "Answers of the own backend server that declare what can't be read.")
@@ -133,6 +137,8 @@
 
 void relay_metrics::OnSentToBackend() { state_->sends.Increment(); }
 
+void relay_metrics::OnRejectionDisproved() { state_->disproved_rejections.Increment(); }
+
 void relay_metrics::OnBadDeclaration() { state_->bad_declarations.Increment(); }
 
 void relay_metrics::OnServed(std::string_view row, std::string_view outcome, duration waited,
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -44,6 +44,9 @@
 
   /** Counts a request that is sent to the own backend server, also where it was sent before. */
   void OnSentToBackend();
+  /** Counts a rejection by the own backend server that a later answer to the same request
+     disproved: the request ran. */
+  void OnRejectionDisproved();
   /** Counts an answer of the own backend server that declares something that can't be read. */
   void OnBadDeclaration();
   /** Counts a crash of the own backend server.
--- a/modules/cuminferry_relay/path/serving_answer.cpp
+++ b/modules/cuminferry_relay/path/serving_answer.cpp
@@ -14,19 +14,37 @@
 constexpr std::size_t kMaxDiscardedBytes = 16 * 1024;
 constexpr duration kDiscardTimeout = std::chrono::milliseconds(100);
 
+std::string_view TextOf(exchange_failure failure) {
+  switch (failure) {
+    case exchange_failure::kNotSent:
+      return "not-sent";
+    case exchange_failure::kInvalidAnswer:
+      return "no-answer";
+    case exchange_failure::kConnectionLost:
+      break;
+  }
+  return "connection-lost";
+}
+
 }  // namespace
 
 // An answer without an id is taken for one to this request, but is not trusted on a connection that
 // has carried others. @see InvalidAnswerOutcome
-bool serving_call::IsAnswer(const http_head& head) const {
+bool serving_call::IsAnswer(const http_head& head) {
   const std::string* echoed = head.Find(context_.node.settings.headers.request_id);
-  return echoed == nullptr || request_.id.empty() || *echoed == request_.id;
+  if (echoed == nullptr || request_.id.empty() || *echoed == request_.id) {
+    return true;
+  }
+  context_.OnStrayAnswer(head, backend_->connection(), backend_->HasBroughtRejectionOf(*echoed));
+  return false;
 }
 
 void serving_call::OnAnswerHead(http_head head) {
   context_.OnAnswer();
   outcome_ = InvalidAnswerOutcome(head, context_.node.settings.headers,
                                   backend_->is_first_on_connection());
+  trail_.OnWord(outcome_ ? ToText(*outcome_) : "answered", send_trail::source::kAnswer, head.status,
+                context_.node.loop.Now() - sent_at_);
   if (outcome_) {
     backend_->MarkRepeatable();
   }
@@ -190,6 +208,7 @@
     OnAnswerEnd();
     return;
   }
+  trail_.OnWord(TextOf(failure), send_trail::source::kNode, 0, context_.node.loop.Now() - sent_at_);
   finished_backend_ = std::move(backend_);
   EndRun(slot_run::result::kAborted);
   context_.RecordOutcome(false);
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -335,9 +335,12 @@
        .is_matching_answer =
            [if_alive](const http_head& head) {
              bool is_matching_answer = false;
-             if_alive([&](const serving_call& self) { is_matching_answer = self.IsAnswer(head); });
+             if_alive([&](serving_call& self) { is_matching_answer = self.IsAnswer(head); });
              return is_matching_answer;
            }});
+  if (IsAtMostOnce()) {
+    trail_.OnSend({}, backend_->connection(), sent_at_ - arrived_);
+  }
   backend_->SendBody(request_body_.bytes());
   request_body_.Release();
   if (request_body_ended_) {
@@ -352,7 +355,7 @@
     // Answers on a connection are told apart by the id.
     return http_client::send_options::kNewConnectionOnly;
   }
-  return header_.repeat == repeat_rule::kIdempotent ? kMaxIdleForRepeatable : kMaxIdleForAtMostOnce;
+  return IsAtMostOnce() ? kMaxIdleForAtMostOnce : kMaxIdleForRepeatable;
 }
 
 suspect_registry::running_request serving_call::ToRunningRequest() const {
@@ -372,7 +375,7 @@
       node.suspects.StatusOf(digest, node.loop.Now()) == suspect_status::kBlocked;
   // Hundreds of requests may have been running for the first time, so the log limit applies to
   // them.
-  if (crashes > 1 || node.log.TryReserveLine(true)) {
+  if (crashes > 1 || node.log.TryReserveLine(decision_log::line_kind::kNotable)) {
     node.log.LogRequest("suspect.ran", {{"id", request_.id},
                                         {"row", header_.row},
                                         {"path", peer_->request().target},
@@ -397,6 +400,7 @@
     // An answer that has begun is delivered even after the deadline.
     return;
   }
+  trail_.OnWord("timed-out", send_trail::source::kNode, 0, context_.node.loop.Now() - sent_at_);
   backend_->Cancel();
   finished_backend_ = std::move(backend_);
   EndRun(slot_run::result::kFailure);
@@ -410,10 +414,9 @@
     Complete("caller_gone");
     return;
   }
-  const bool at_most_once = header_.repeat != repeat_rule::kIdempotent;
   // After the deadline nothing else would end the reading of an answer that has begun.
   const bool is_in_time = context_.node.loop.Now() < deadline_ + kDeadlineSlack;
-  if (at_most_once && request_body_ended_ && is_in_time) {
+  if (IsAtMostOnce() && request_body_ended_ && is_in_time) {
     detached_ = true;
     backend_->ResumeAnswer();
     return;
@@ -439,6 +442,9 @@
     http_head head = MakeAnswer(IsCertainlyNotRun(outcome) ? http_status::kUnavailable
                                                            : http_status::kBadGateway);
     head.Set(kOutcomeField, std::string(ToText(outcome)));
+    if (!request_.id.empty()) {
+      head.Set(context_.node.settings.headers.request_id, request_.id);
+    }
     context_.AddReports(header_, request_, head);
     if (!IsForLackOfRoom(outcome)) {
       // Such an outcome is no evidence that the backend server serves.
@@ -464,8 +470,12 @@
   const duration waited = started_at - arrived_;
   const duration ran_for = now - started_at;
   node.metrics.OnServed(header_.row, result, waited, ran_for);
+  using kind = decision_log::line_kind;
   const bool late = waited + ran_for > header_.objective / 2;
-  if (node.log.TryReserveLine(result != "answered" || late)) {
+  const bool is_evidence = !trail_.empty() && (send_count_ > 1 || result != "answered");
+  if (node.log.TryReserveLine(is_evidence                    ? kind::kEvidence
+                              : result != "answered" || late ? kind::kNotable
+                                                             : kind::kOrdinary)) {
     LogCompletion(result, waited, ran_for);
   }
   serving_context& context = context_;
@@ -495,6 +505,9 @@
   if (is_displaced_) {
     detail["reason"] = "displaced";
   }
+  if (!trail_.empty()) {
+    detail["trail"] = trail_.ToJson();
+  }
   context_.node.log.LogRequest("serving.end", std::move(detail));
 }
 
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -7,6 +7,7 @@
 #include "cuminferry_relay/http/http_server.h"
 #include "cuminferry_relay/path/buffered_answer.h"
 #include "cuminferry_relay/path/request_body_buffer.h"
+#include "cuminferry_relay/path/send_trail.h"
 #include "cuminferry_relay/path/serving_context.h"
 #include "cuminferry_relay/path/serving_request.h"
 #include "cuminferry_relay/path/slot_run.h"
@@ -74,8 +75,9 @@
   void ReleaseGrantedSlot();
   void StartRun();
   void Send();
+  bool IsAtMostOnce() const { return header_.repeat != repeat_rule::kIdempotent; }
   duration MaxIdleTime() const;
-  bool IsAnswer(const http_head& head) const;
+  bool IsAnswer(const http_head& head);
   void OnAnswerHead(http_head head);
   void ForwardHeldAnswer();
   void ForwardInChunks();
@@ -116,6 +118,8 @@
   int send_count_ = 0;
   // Time of the latest send.
   instant sent_at_{};
+  // Empty if the request may be repeated.
+  send_trail trail_;
   bool answer_started_ = false;
   // The request waited until more important ones left no room for it.
   bool is_displaced_ = false;
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cuminferry_relay/http/message_reader.h"
+#include "cuminferry_relay/path/answer_check.h"
 #include "cuminferry_relay/path/serving_call.h"
 
 namespace cuminferry {
@@ -16,6 +18,7 @@
 constexpr duration kDefaultBackendIdleTime = std::chrono::milliseconds(400);
 // A backend server that took no connection gets no requests for this long.
 constexpr duration kBackendDownTime = std::chrono::milliseconds(200);
+constexpr std::size_t kMaxStrayHeadBytes = 16 * 1024;
 // Applies until the list of instances contains the node's backend server.
 constexpr std::uint32_t kDefaultSlotCount = 32;
 // Bounds the length of the log line about a crash, which may abort hundreds of runs.
@@ -30,7 +33,8 @@
       backend(node.loop, node.settings.backend,
               {.connect_timeout = kBackendConnectTimeout,
                .silence_timeout = kBackendSilenceTimeout,
-               .idle_timeout = kDefaultBackendIdleTime}),
+               .idle_timeout = kDefaultBackendIdleTime,
+               .on_stray = [this](const stray_bytes& stray) { OnStrayBytes(stray); }}),
       gate(kDefaultSlotCount),
       declarations(node, gate, [this] { WithdrawRefused(); }),
       registration(node, [this] { WithdrawRefused(); }),
@@ -156,6 +160,44 @@
   node.on_instance_absent(expected);
 }
 
+// Only answers whose heads have arrived whole are looked at.
+void serving_context::OnStrayBytes(const stray_bytes& stray) {
+  std::optional<http_head> answer;
+  message_reader reader(message_reader::kind::kResponses, kMaxStrayHeadBytes,
+                        {.on_head = [&answer](http_head head) { answer = std::move(head); },
+                         .on_interim = {},
+                         .on_body = {},
+                         .on_message_end = {}});
+  if (!reader.Read(stray.bytes).ok() || !answer) {
+    return;
+  }
+  const std::string* id = answer->Find(node.settings.headers.request_id);
+  OnStrayAnswer(*answer, stray.connection, id != nullptr && stray.has_brought_rejection_of(*id));
+}
+
+void serving_context::OnStrayAnswer(const http_head& answer, const connection_use& connection,
+                                    bool was_rejected) {
+  const relay_header_names& names = node.settings.headers;
+  const bool disproves = was_rejected && !InvalidAnswerOutcome(answer, names, false);
+  if (disproves) {
+    node.metrics.OnRejectionDisproved();
+  }
+  if (!node.log.TryReserveLine(disproves ? decision_log::line_kind::kEvidence
+                                         : decision_log::line_kind::kNotable)) {
+    return;
+  }
+  const std::string* id = answer.Find(names.request_id);
+  node.log.LogRequest("backend.stray_answer",
+                      {{"id", id == nullptr ? std::string() : *id},
+                       {"status", answer.status},
+                       {"says_not_run", answer.Find(names.not_executed) != nullptr},
+                       {"connection", connection.number},
+                       {"carried", connection.requests_before},
+                       {"idle_us", connection.idle.count()},
+                       {"was_rejected", was_rejected},
+                       {"disproves", disproves}});
+}
+
 void serving_context::OnRunConnectionLost(std::shared_ptr<serving_call> run) {
   lost_runs_.push_back(std::move(run));
   crash_detector_.OnConnectionLost();
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -54,6 +54,10 @@
   /** The close of its connection ended a run's answer, which also happens if the backend server
       crashes. The run is told once it is known which of the two it was. */
   void AwaitEndConfirmation(std::shared_ptr<serving_call> run);
+  /** The backend server has sent an answer that belongs to no open request.
+      @param was_rejected  its connection brought a rejection of that request before, which the
+                           answer disproves if it is no rejection */
+  void OnStrayAnswer(const http_head& answer, const connection_use& connection, bool was_rejected);
   /** The backend server has answered a request. */
   void OnAnswer() { crash_detector_.OnAnswer(); }
 
@@ -75,6 +79,7 @@
 
  private:
   void Step();
+  void OnStrayBytes(const stray_bytes& stray);
   void ApplyQueueOrder();
   load_header LoadReportFor(const call_header& request) const;
   void OnLossCauseKnown(const backend_crash_detector::crash_finding& found);
