Let the soak's backend servers pass on the status of a refused call

Cause: many servers answer a request with the status of the call that failed below. Where that call was refused with 503, the request has run and its answer promises that it has not. No stand-in did so.

--- a/tests/soak/site_main.cpp
+++ b/tests/soak/site_main.cpp
@@ -39,6 +39,9 @@
       "rejections", "share of all requests that backend servers reject all the time",
       cxxopts::value<double>()->default_value("0"))(
       "late-rejections", "share of the rejections that are repeated late",
+      cxxopts::value<double>()->default_value("0"))(
+      "passed-on-refusals",
+      "share of the requests that backend servers answer with the status of a refused call",
       cxxopts::value<double>()->default_value("0"))("without-plan", "no other faults")(
       "block", "number of the block of loopback addresses; default: the process id",
       cxxopts::value<std::uint32_t>()->default_value(std::to_string(::getpid())))(
@@ -66,7 +69,8 @@
            .threads = given["threads"].as<std::size_t>(),
            .busy_threads = given["busy"].as<std::size_t>(),
            .fault = {.rejections = given["rejections"].as<double>(),
-                     .late_rejections = given["late-rejections"].as<double>()},
+                     .late_rejections = given["late-rejections"].as<double>(),
+                     .passed_on_refusals = given["passed-on-refusals"].as<double>()},
            .without_plan = given.count("without-plan") > 0,
            .block = given["block"].as<std::uint32_t>()});
       Print("ran more than once", result.breaches.ran_twice);
--- a/tests/soak/site_plan.cpp
+++ b/tests/soak/site_plan.cpp
@@ -29,6 +29,7 @@
     target_fault{.mute_answers = 0.45},
     target_fault{.forgotten_after = milliseconds(300)},
     target_fault{.rejections = 0.8, .late_rejections = 1.0},
+    target_fault{.passed_on_refusals = 1.0},
 };
 
 std::vector<std::size_t> DrawMachines(random_source& random, std::size_t machines, double share) {
--- a/tests/soak/site_worker.cpp
+++ b/tests/soak/site_worker.cpp
@@ -38,6 +38,7 @@
           .late_rejections = std::max(a.late_rejections, b.late_rejections),
           .early_rejections = std::max(a.early_rejections, b.early_rejections),
           .mute_answers = std::max(a.mute_answers, b.mute_answers),
+          .passed_on_refusals = std::max(a.passed_on_refusals, b.passed_on_refusals),
           .forgotten_after = std::max(a.forgotten_after, b.forgotten_after)};
 }
 
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -214,7 +214,7 @@
     request.on_end = [weak, run = run_](const sent_request& ended) {
       // The connection may run another request by now.
       if (const auto self = weak.lock(); self && self->running_ && self->run_ == run) {
-        ended.status == 200 ? self->CallOrWork() : self->Answer(500);
+        self->OnCallEnded(ended);
       }
     };
     owner_.caller_.Send(request,
@@ -228,6 +228,16 @@
                          .timeout = call.timeout});
   }
 
+  void OnCallEnded(const sent_request& ended) {
+    if (ended.status == 200) {
+      CallOrWork();
+      return;
+    }
+    const bool passes_on =
+        ended.outcome == request_outcome::kRefused && DrawsTrue(owner_.fault_.passed_on_refusals);
+    Answer(passes_on ? ended.status : 500);
+  }
+
   void StartWork() {
     const double factor = owner_.fault_.work_factor * (0.5 + owner_.random_.Fraction());
     const duration work(
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -37,6 +37,8 @@
   double endless_answers = 0.0;
   /** The request is run and never answered. */
   double mute_answers = 0.0;
+  /** A request whose call was refused is answered with the status of the call. */
+  double passed_on_refusals = 0.0;
   /** A connection that was idle for longer is reset by its next request; 0: none. */
   duration forgotten_after{};
 };
