--- a/tests/relay/not_run_test.cpp
+++ b/tests/relay/not_run_test.cpp
@@ -53,6 +53,48 @@
   }
 };
 
+/** A calling node that holds the bodies of its requests back, on one connection to a real node. */
+struct holding_caller {
+  relay_fleet fleet{1};
+  std::vector<std::string> bodies_run;
+  std::string answer_fields;
+  std::shared_ptr<client_result> result = std::make_shared<client_result>();
+  std::unique_ptr<tcp_connection> connection;
+
+  holding_caller() {
+    fleet.PublishToAll(1);
+    fleet.target(0).on_request = [this](scripted_target::scripted_request& at) {
+      bodies_run.push_back(at.body);
+      std::string answer = scripted_target::Answer(at.request);
+      answer.insert(answer.find("\r\n") + 2, answer_fields);
+      at.connection.Write(answer);
+    };
+    connection = fleet.ConnectTo(fleet.PeerAddress(0), result);
+  }
+
+  static std::string Head(std::string_view id) {
+    const call_header header{.row = "once",
+                             .repeat = repeat_rule::kOnce,
+                             .objective = std::chrono::seconds(1),
+                             .objective_left = std::chrono::seconds(1),
+                             .awaits_release = true,
+                             .framing = body_framing::kLength,
+                             .body_length = 6};
+    return "POST /once/x HTTP/1.1\r\nHost: h\r\nId: " + std::string(id) +
+           "\r\nInstance: i-0\r\nDeadline: 2000\r\nTransfer-Encoding: chunked\r\nExpect: "
+           "100-continue\r\n" +
+           std::string(kCallField) + ": " + header.ToText() + "\r\n\r\n";
+  }
+  static std::string Body(std::string_view six_bytes) {
+    return "6\r\n" + std::string(six_bytes) + "\r\n0\r\n\r\n";
+  }
+  /** Waits for the text, and forgets what came before its end. */
+  void Await(std::string_view text) {
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return result->Contains(text); }));
+    result->bytes.erase(0, result->bytes.find(text) + text.size());
+  }
+};
+
 const relay_header_names kNames{.request_id = "Id", .not_executed = "Not-Run"};
 
 http_head PeerHead(int status, std::string_view outcome, std::string_view id = {}) {
@@ -80,6 +122,8 @@
   CPPUNIT_TEST(Peer_OutcomeOfAnotherRequest_IsNotBelieved);
   CPPUNIT_TEST(Peer_OutcomeOfALaterRelease_IsNoPromise);
   CPPUNIT_TEST(Peer_BodyHeldBack_NoAnswerIsNeeded);
+  CPPUNIT_TEST(Grant_BodyComesAfterItExpired_OnlyTheNextRequestRuns);
+  CPPUNIT_TEST(Grant_WithdrawnWhileTheBodyIsSent_RequestNeverRuns);
   CPPUNIT_TEST(Rejection_AnswerFollowsOnTheIdleConnection_IsCounted);
   CPPUNIT_TEST(Rejection_AnswerFollowsBeforeTheNextOne_IsCounted);
   CPPUNIT_TEST(Trail_SentTwice_SaysWhoseWordEndedEachSend);
@@ -155,6 +199,33 @@
     CPPUNIT_ASSERT(!meaning.is_conclusive && meaning.outcome == relay_outcome::kUnconfirmed);
   }
 
+  // Guards against a late body that starts a request which was answered as not run, or that is
+  // taken for the body of the next request on its connection.
+  void Grant_BodyComesAfterItExpired_OnlyTheNextRequestRuns() {
+    holding_caller caller;
+    caller.connection->Write(holding_caller::Head("1"));
+    caller.Await("100 Continue");
+    caller.Await("unconfirmed");
+    caller.connection->Write(holding_caller::Body("first.") + holding_caller::Head("2"));
+    caller.Await("100 Continue");
+    caller.connection->Write(holding_caller::Body("second"));
+    caller.Await("200 OK");
+    CPPUNIT_ASSERT(caller.bodies_run == std::vector<std::string>{"second"});
+  }
+
+  // Guards against a granted request that runs though it was withdrawn from a server that leaves.
+  void Grant_WithdrawnWhileTheBodyIsSent_RequestNeverRuns() {
+    holding_caller caller;
+    caller.connection->Write(holding_caller::Head("1"));
+    caller.Await("100 Continue");
+    caller.answer_fields = "Leaving: 1\r\n";
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(caller.fleet, relay_fleet::Get("/safe/x", "0")));
+    caller.connection->Write(holding_caller::Body("first."));
+    caller.Await("leaving");
+    caller.fleet.RunFor(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, caller.bodies_run.size());
+  }
+
   // Guards against a server that rejects a request and runs it nevertheless, without a trace.
   void Rejection_AnswerFollowsOnTheIdleConnection_IsCounted() {
     relay_fleet fleet(1);
--- a/tests/soak/site_main.cpp
+++ b/tests/soak/site_main.cpp
@@ -77,7 +77,10 @@
       Print("refused, but ran", result.breaches.refused_and_ran);
       Print("refused, but ran (idempotent)", result.breaches.refused_and_ran_idempotent);
       Print("others", result.violations);
-      std::cout << "  " << result.summary << std::endl;
+      std::cout << "  " << result.summary
+                << "\n  nodes, with earlier seeds: " << cuminferry::ToSeconds(result.processor_time)
+                << " s of processor time, largest " << result.largest_memory_mb << " MB"
+                << std::endl;
       const bool kept =
           result.breaches.ran_twice.empty() && result.breaches.refused_and_ran.empty() &&
           result.breaches.refused_and_ran_idempotent.empty() && result.violations.empty();
--- a/tests/soak/site_soak.cpp
+++ b/tests/soak/site_soak.cpp
@@ -1,6 +1,7 @@
 #include "soak/site_soak.h"
 
 #include <spdlog/fmt/fmt.h>
+#include <sys/resource.h>
 
 #include <atomic>
 #include <csignal>
@@ -15,7 +16,7 @@
 #include "soak/loopback_proxy.h"
 #include "soak/site_plan.h"
 #include "soak/site_worker.h"
-#include "soak/soak_fleet.h"
+#include "soak/soak_addresses.h"
 #include "trial/child_process.h"
 
 namespace cuminferry::testing {
@@ -25,14 +26,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint16_t kOutboundPort = 18304;
-constexpr std::uint16_t kReadyPort = 18302;
-constexpr std::uint16_t kPeerPort = 17620;
-constexpr std::uint16_t kSeedPort = 17622;
-constexpr std::uint16_t kMetricsPort = 17621;
-constexpr std::uint16_t kBackendPort = 18301;
-constexpr std::uint16_t kStorePort = 18309;
-
 // Requests begin this long after the processes are started.
 constexpr duration kLeadTime = seconds(8);
 constexpr duration kHeartbeat = milliseconds(1'500);
@@ -48,25 +41,29 @@
  public:
   explicit site_soak(const site_options& options)
       : options_(options),
+        addresses_(options.block),
         ledger_(kRepeatAllowance),
         targets_(options.machines),
         plan_(PlanOf(options)),
-        store_(loop_, StoreAddress(0)),
+        store_(loop_, addresses_.Store()),
         check_(loop_),
         heartbeat_(loop_) {
     std::filesystem::create_directories(options_.folder);
-    layout_ = {.machines = options.machines,
-               .threads = options.threads,
-               .load = options.load,
-               .begin = loop_.Now() + kLeadTime,
-               .length = options.length,
-               .backend_of = [this](std::size_t at) { return NodeAddress(at, kBackendPort); },
-               .outbound_of = [this](std::size_t at) { return NodeAddress(at, kOutboundPort); },
-               .targets = &targets_};
+    layout_ = {
+        .machines = options.machines,
+        .threads = options.threads,
+        .load = options.load,
+        .begin = loop_.Now() + kLeadTime,
+        .length = options.length,
+        .backend_of =
+            [this](std::size_t at) { return addresses_.Node(at, soak_addresses::kBackendPort); },
+        .outbound_of =
+            [this](std::size_t at) { return addresses_.Node(at, soak_addresses::kOutboundPort); },
+        .targets = &targets_};
     for (std::size_t number = 0; number < options.machines; ++number) {
       nodes_.push_back(std::make_unique<node>());
       nodes_.back()->store_link =
-          std::make_unique<loopback_proxy>(loop_, StoreAddress(number + 1), StoreAddress(0));
+          std::make_unique<loopback_proxy>(loop_, addresses_.StoreLink(number), addresses_.Store());
       WriteSettings(number);
     }
   }
@@ -99,9 +96,17 @@
       thread.join();
     }
     nodes_.clear();
+    rusage used{};
+    ::getrusage(RUSAGE_CHILDREN, &used);
+    const auto time_of = [](const timeval& spent) {
+      return seconds(spent.tv_sec) + std::chrono::microseconds(spent.tv_usec);
+    };
+    constexpr double kKilobytesPerMegabyte = 1024.0;
     return {.breaches = ledger_.CheckAtMostOnce(),
             .violations = ledger_.Recorded(),
-            .summary = ledger_.CountOutcomes()};
+            .summary = ledger_.CountOutcomes(),
+            .processor_time = time_of(used.ru_utime) + time_of(used.ru_stime),
+            .largest_memory_mb = static_cast<double>(used.ru_maxrss) / kKilobytesPerMegabyte};
   }
 
  private:
@@ -124,21 +129,6 @@
     return plan;
   }
 
-  enum class group : std::uint8_t { kNode, kStore = 2 };
-
-  endpoint AddressOf(group which, std::size_t number, std::uint16_t port) const {
-    constexpr std::uint32_t kFirstBlock = 64;
-    const std::uint32_t block = kFirstBlock + options_.block % soak_options::kBlocks;
-    return {.address = (127U << 24) + (block << 16) + (static_cast<std::uint32_t>(which) << 8) +
-                       static_cast<std::uint32_t>(number) + 1,
-            .port = port};
-  }
-  endpoint NodeAddress(std::size_t number, std::uint16_t port) const {
-    return AddressOf(group::kNode, number, port);
-  }
-  endpoint StoreAddress(std::size_t number) const {
-    return AddressOf(group::kStore, number, kStorePort);
-  }
   std::string SettingsFile(std::size_t number) const {
     return fmt::format("{}/node-{}.json", options_.folder, number);
   }
@@ -147,34 +137,20 @@
   }
 
   void WriteSettings(std::size_t number) const {
-    const auto address = [this, number](std::uint16_t port) {
-      return NodeAddress(number, port).ToString();
-    };
-    const json settings = {
-        {"instance", fmt::format("node-{}", number)},
-        {"service", site_shape::ServiceOfMachine(number, options_.machines).name},
-        {"failure_domain", DomainOf(number)},
-        {"outbound", address(kOutboundPort)},
-        {"ready", address(kReadyPort)},
-        {"ready_path", "/cuminferry/readyz"},
-        {"peer", address(kPeerPort)},
-        {"seed", address(kSeedPort)},
-        {"metrics", address(kMetricsPort)},
-        {"metrics_path", "/metrics"},
-        {"backend", address(kBackendPort)},
-        {"platform", StoreAddress(number + 1).ToString()},
-        {"seeds", json::array()},
-        {"repeat_ratio", 0.2},
-        {"repeat_allowance", kRepeatAllowance},
-        {"repeat_window_s", 10},
-        {"withdrawal_strict", true},
-        {"withdrawal_s", 5},
-        {"limit_window_s", 5},
-        {"limit_excess", 0.25},
-        {"limit_allowance", 20},
-        {"drain_s", 2.5},
-        {"queue_order", "importance"},
-        {"grace_s", 6}};
+    json settings = addresses_.SettingsOf(
+        number, site_shape::ServiceOfMachine(number, options_.machines).name, DomainOf(number),
+        addresses_.Node(number, soak_addresses::kBackendPort));
+    settings.update({{"repeat_ratio", 0.2},
+                     {"repeat_allowance", kRepeatAllowance},
+                     {"repeat_window_s", 10},
+                     {"withdrawal_strict", true},
+                     {"withdrawal_s", 5},
+                     {"limit_window_s", 5},
+                     {"limit_excess", 0.25},
+                     {"limit_allowance", 20},
+                     {"drain_s", 2.5},
+                     {"queue_order", "importance"},
+                     {"grace_s", 6}});
     std::ofstream(SettingsFile(number)) << settings.dump(2);
   }
 
@@ -225,7 +201,7 @@
       const site_service& service = site_shape::ServiceOfMachine(number, options_.machines);
       store_.PutFor("servers/" + site_worker::TargetId(target),
                     json{{"service", service.name},
-                         {"addr", NodeAddress(number, kBackendPort).ToString()},
+                         {"addr", addresses_.Node(number, soak_addresses::kBackendPort).ToString()},
                          {"zone", DomainOf(number)},
                          {"version", "v1"},
                          {"capacity", service.slots},
@@ -339,6 +315,7 @@
   }
 
   site_options options_;
+  soak_addresses addresses_;
   soak_ledger ledger_;
   std::vector<std::atomic<std::size_t>> targets_;
   std::vector<site_event> plan_;
--- a/tests/soak/site_soak.h
+++ b/tests/soak/site_soak.h
@@ -30,7 +30,7 @@
   target_fault fault;
   /** Nothing but `fault` happens. */
   bool without_plan = false;
-  /** Number of the block of loopback addresses. @see soak_options */
+  /** @see soak_addresses */
   std::uint32_t block = 0;
 };
 
@@ -39,6 +39,9 @@
   /** What else was recorded while the soak ran. */
   std::vector<std::string> violations;
   std::string summary;
+  /** Processor time of all nodes, and the largest memory of one in MB. */
+  duration processor_time{};
+  double largest_memory_mb = 0.0;
 };
 
 /** Runs a site of the shape of site_shape: a real node for each machine, its backend server and
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <utility>
 
+#include "soak/soak_addresses.h"
 #include "trial/child_process.h"
 
 namespace cuminferry::testing {
@@ -18,14 +19,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint16_t kOutboundPort = 18304;
-constexpr std::uint16_t kReadyPort = 18302;
-constexpr std::uint16_t kPeerPort = 17620;
-constexpr std::uint16_t kSeedPort = 17622;
-constexpr std::uint16_t kMetricsPort = 17621;
-constexpr std::uint16_t kBackendPort = 18301;
-constexpr std::uint16_t kStorePort = 18309;
-
 constexpr std::size_t kDomains = 3;
 constexpr double kRepeatAllowance = 30.0;
 constexpr duration kHeartbeat = milliseconds(1'500);
@@ -66,8 +59,6 @@
                                  .early_rejections = 0.5,
                                  .endless_answers = 0.03};
 
-enum class address_group : std::uint8_t { kNode, kPublished, kStore };
-
 std::string ServiceOf(std::size_t node) {
   return node % soak_plan::kServices == 0 ? "maps" : "permits";
 }
@@ -145,9 +136,10 @@
  public:
   explicit soak_fleet(const soak_options& options)
       : options_(options),
+        addresses_(options.block),
         random_(options.seed * 31 + 7),
         ledger_(kRepeatAllowance),
-        store_(loop_, AddressOf(address_group::kStore, 0, kStorePort)),
+        store_(loop_, addresses_.Store()),
         tick_(loop_),
         heartbeat_(loop_),
         edit_probe_(loop_) {
@@ -189,32 +181,21 @@
   //============================================================================
   // The fleet.
 
-  // Each soak has its own loopback addresses, so that concurrent soaks do not interfere:
-  // 127.B.G.N with B from the soak's block, G the group, N the number plus one.
-  endpoint AddressOf(address_group which, std::size_t number, std::uint16_t port) const {
-    constexpr std::uint32_t kFirstBlock = 64;
-    const std::uint32_t block = kFirstBlock + options_.block % soak_options::kBlocks;
-    return {.address = (127U << 24) + (block << 16) + (static_cast<std::uint32_t>(which) << 8) +
-                       static_cast<std::uint32_t>(number) + 1,
-            .port = port};
-  }
-
   void MakeNode(std::size_t number) {
     auto node = std::make_unique<soak_node>();
     node->number = number;
     node->settings_file = fmt::format("{}/node-{}.json", options_.folder, number);
-    const endpoint published = AddressOf(address_group::kPublished, number, kPeerPort);
+    const endpoint published = addresses_.Published(number, soak_addresses::kPeerPort);
     node->link = std::make_unique<loopback_proxy>(
-        loop_, published, AddressOf(address_group::kNode, number, kPeerPort));
-    node->store_link = std::make_unique<loopback_proxy>(
-        loop_, AddressOf(address_group::kStore, number + 1, kStorePort),
-        AddressOf(address_group::kStore, 0, kStorePort));
+        loop_, published, addresses_.Node(number, soak_addresses::kPeerPort));
+    node->store_link =
+        std::make_unique<loopback_proxy>(loop_, addresses_.StoreLink(number), addresses_.Store());
     node->readiness_client = std::make_unique<http_client>(
-        loop_, AddressOf(address_group::kNode, number, kReadyPort),
+        loop_, addresses_.Node(number, soak_addresses::kReadyPort),
         http_client::options{
             .connect_timeout = kReadyPeriod, .silence_timeout = seconds(2), .idle_timeout = {}});
     node->clients = std::make_unique<soak_client>(
-        loop_, AddressOf(address_group::kNode, number, kOutboundPort), ledger_);
+        loop_, addresses_.Node(number, soak_addresses::kOutboundPort), ledger_);
     nodes_.push_back(std::move(node));
     WriteSettings(number, static_cast<int>(kRepeatAllowance));
     StartTarget(*nodes_.back());
@@ -222,27 +203,13 @@
   }
 
   void WriteSettings(std::size_t number, int allowance) {
-    const auto address = [this, number](std::uint16_t port) {
-      return AddressOf(address_group::kNode, number, port).ToString();
-    };
-    const json settings = {
-        {"instance", fmt::format("node-{}", number)},
-        {"service", ServiceOf(number)},
-        {"failure_domain", fmt::format("domain-{}", number % kDomains)},
-        {"outbound", address(kOutboundPort)},
-        {"ready", address(kReadyPort)},
-        {"ready_path", "/cuminferry/readyz"},
-        {"peer", address(kPeerPort)},
-        {"seed", address(kSeedPort)},
-        {"metrics", address(kMetricsPort)},
-        {"metrics_path", "/metrics"},
-        {"backend", AddressOf(address_group::kPublished, number, kBackendPort).ToString()},
-        {"platform", AddressOf(address_group::kStore, number + 1, kStorePort).ToString()},
-        {"seeds", json::array()},
-        {"repeat_allowance", allowance},
-        {"repeat_window_s", 10},
-        {"drain_s", std::chrono::duration<double>(kDrainBound).count()},
-        {"grace_s", std::chrono::duration<double>(kGracePeriod).count()}};
+    json settings = addresses_.SettingsOf(
+        number, ServiceOf(number), fmt::format("domain-{}", number % kDomains),
+        addresses_.Published(number, soak_addresses::kBackendPort));
+    settings["repeat_allowance"] = allowance;
+    settings["repeat_window_s"] = 10;
+    settings["drain_s"] = std::chrono::duration<double>(kDrainBound).count();
+    settings["grace_s"] = std::chrono::duration<double>(kGracePeriod).count();
     std::ofstream(nodes_[number]->settings_file) << settings.dump(2);
   }
 
@@ -271,8 +238,8 @@
     node.target = std::make_unique<soak_target>(
         loop_,
         soak_target::options{
-            .listen_address = AddressOf(address_group::kPublished, node.number, kBackendPort),
-            .node = AddressOf(address_group::kNode, node.number, kOutboundPort),
+            .listen_address = addresses_.Published(node.number, soak_addresses::kBackendPort),
+            .node = addresses_.Node(node.number, soak_addresses::kOutboundPort),
             .id = node.target_id,
             .number = node.target_number,
             .node_number = node.number,
@@ -308,7 +275,7 @@
     store_.PutFor(
         "servers/" + node.target_id,
         json{{"service", ServiceOf(node.number)},
-             {"addr", AddressOf(address_group::kPublished, node.number, kBackendPort).ToString()},
+             {"addr", addresses_.Published(node.number, soak_addresses::kBackendPort).ToString()},
              {"zone", fmt::format("domain-{}", node.number % kDomains)},
              {"version", "v1"},
              {"capacity", soak_target::options{}.slots},
@@ -811,6 +778,7 @@
   }
 
   soak_options options_;
+  soak_addresses addresses_;
   event_loop loop_;
   random_source random_;
   soak_ledger ledger_;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -26,10 +26,8 @@
   int rounds = 1;
   /** Requests a second that clients send to each node. */
   double rate = 15.0;
-  /** Number of the block of loopback addresses, taken modulo kBlocks. Concurrent soaks
-      need different blocks. */
+  /** Concurrent soaks need different blocks. @see soak_addresses */
   std::uint32_t block = 0;
-  static constexpr std::uint32_t kBlocks = 180;
 };
 
 /** Result of one soak. */
