Let the soak's clients send nothing on a connection that is about to close

The memory that the site soak prints is the peak of the node itself; a child's resource usage covers its parent's memory before the exec (173 MB printed, 9 to 10 are the node's).

--- a/tests/soak/site_soak.cpp
+++ b/tests/soak/site_soak.cpp
@@ -95,18 +95,18 @@
     for (std::thread& thread : threads) {
       thread.join();
     }
+    const double largest_memory_mb = LargestMemory();
     nodes_.clear();
     rusage used{};
     ::getrusage(RUSAGE_CHILDREN, &used);
     const auto time_of = [](const timeval& spent) {
       return seconds(spent.tv_sec) + std::chrono::microseconds(spent.tv_usec);
     };
-    constexpr double kKilobytesPerMegabyte = 1024.0;
     return {.breaches = ledger_.CheckAtMostOnce(),
             .violations = ledger_.Recorded(),
             .summary = ledger_.CountOutcomes(),
             .processor_time = time_of(used.ru_utime) + time_of(used.ru_stime),
-            .largest_memory_mb = static_cast<double>(used.ru_maxrss) / kKilobytesPerMegabyte};
+            .largest_memory_mb = largest_memory_mb};
   }
 
  private:
@@ -129,6 +129,26 @@
     return plan;
   }
 
+  // The largest peak of the processes that run now, in MB. What a child's resource usage reports
+  // covers the memory of this process before the exec.
+  double LargestMemory() const {
+    constexpr double kKilobytesPerMegabyte = 1024.0;
+    constexpr std::string_view kPeakField = "VmHWM:";
+    double largest = 0.0;
+    for (const auto& each : nodes_) {
+      if (!each->process) {
+        continue;
+      }
+      std::ifstream status(fmt::format("/proc/{}/status", each->process->id()));
+      for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(kPeakField)) {
+          largest = std::max(largest, std::stod(line.substr(kPeakField.size())));
+        }
+      }
+    }
+    return largest / kKilobytesPerMegabyte;
+  }
+
   std::string SettingsFile(std::size_t number) const {
     return fmt::format("{}/node-{}.json", options_.folder, number);
   }
--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -38,7 +38,9 @@
                  .on_body = [this](std::string_view bytes) { body_.append(bytes); },
                  .on_message_end = [this] { is_complete_ = true; }}) {}
 
-  bool idle() const { return request_ == nullptr && connection_ != nullptr && !is_sending_; }
+  bool idle() const {
+    return request_ == nullptr && connection_ != nullptr && !is_sending_ && !is_closing_;
+  }
 
   void Send(const client_request_options& request, sent_request& entry) {
     if (!connection_) {
@@ -163,7 +165,8 @@
                       request_->id, body_.size()));
     }
     RecordDeclarations();
-    const bool stays_open = head_.keep_alive && options_.reuse_connection;
+    // What is sent when this request is finished needs another connection then.
+    is_closing_ = !head_.keep_alive || !options_.reuse_connection;
     if (MeansNotRun(status)) {
       Finish(request_outcome::kRefused);
     } else if (signature != nullptr) {
@@ -171,7 +174,7 @@
     } else {
       Finish(status == 404 ? request_outcome::kNoRow : request_outcome::kUnknown);
     }
-    if (!stays_open) {
+    if (is_closing_) {
       Close();
     }
   }
@@ -229,6 +232,7 @@
   http_head head_;
   std::string body_;
   bool is_complete_ = false;
+  bool is_closing_ = false;
   // Pieces of the request's body are still to be sent.
   bool is_sending_ = false;
 };
