--- a/review/stand_ins_2/stand_ins.hh
+++ b/review/stand_ins_2/stand_ins.hh
@@ -334,7 +334,7 @@
     const string block = "127." + std::to_string(20 + draw % 200) + "." +
                          std::to_string(1 + draw / 200 % 250) + ".";
     bool is_free = true;
-    for (int host = 1; host <= 8 && is_free; ++host)
+    for (int host = 1; host <= 9 && is_free; ++host)
       for (const int port : {kPeer, kReady, kOutbound, kBackend, kMetrics, kSeed, kStore}) {
         const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const sockaddr_in at = Address(block + std::to_string(host), port);
