--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -11,7 +11,7 @@
 constexpr int kSlots = 6;
 constexpr double kWork = 0.3;
 constexpr double kLeavesAfter = 0.15;
-constexpr int kRounds = 6, kRequestsPerRound = 24;
+constexpr int kRounds = 10, kRequestsPerRound = 24;
 // In each round, 6 of 24 clients (0.25) leave.
 bool Leaves(int number) { return number % 10 % 3 == 2 && number < 22; }
 
