Bound the JSON of other writers before anything works on it

What callers saw: an entry of another writer under servers/, whose zone was a list in 100,000 levels, ended each node that read the store by signal 11, and again whenever it came back, for as long as the entry stood there.

Cause: RemoveRenewalCounter() parses each entry and writes it out again by json::dump(), which recurses once a level. Nothing bounded the depth before. ReplaceKeysByDigests() does the same to the table where it has customers, and copies fields of it, which recurses too.

Evidence: a program of the library's functions alone, built like the deploy build: text of 100,000 levels is parsed and destroyed without harm (10 MB at its peak), copying it ends by signal 11, and so does dump(). Ruled out by it: the parser and the destructor, which don't recurse in this version, and memory (10 MB of 260). The same program shows the second bound that was missing: 1 MB of text, as large as the store takes, becomes 20 to 40 MB of values.

A table of 1 MiB and an entry with fields to come are read as before.

--- a/tests/platform/published_records_test.cpp
+++ b/tests/platform/published_records_test.cpp
@@ -45,6 +45,17 @@
       {.key = key, .value = platform::RemoveRenewalCounter(key, value), .revision = 4});
 }
 
+// A list or object in 500,000 levels.
+std::string Nested(std::string_view open, std::string_view close) {
+  std::string text;
+  for (const std::string_view part : {open, std::string_view("0"), close}) {
+    for (int i = 0; i < (part == "0" ? 1 : 500'000); ++i) {
+      text += part;
+    }
+  }
+  return text;
+}
+
 item_replica Replica(const std::string& key, const std::string& value) {
   item_replica items;
   items.Apply(
@@ -72,6 +83,9 @@
   CPPUNIT_TEST(ReadInstance_OtherRecord_IsNone);
   CPPUNIT_TEST(RemoveRenewalCounter_OnlyTheCounterDiffers_IsTheSame);
   CPPUNIT_TEST(RemoveRenewalCounter_OtherRecords_AreUnchanged);
+  CPPUNIT_TEST(RemoveRenewalCounter_DeeplyNestedEntry_IsUnchanged);
+  CPPUNIT_TEST(ReplaceKeysByDigests_DeeplyNestedTable_IsRefused);
+  CPPUNIT_TEST(ReadRecords_UpToTheirBounds_AreDecoded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -269,6 +283,50 @@
     const std::string other = R"({"sequence": 1})";
     CPPUNIT_ASSERT_EQUAL(other, platform::RemoveRenewalCounter("op/config", other));
   }
+
+  // Guards against the end of every node that reads an entry of another writer: to write out a
+  // value of 500,000 levels exhausts the stack.
+  void RemoveRenewalCounter_DeeplyNestedEntry_IsUnchanged() {
+    for (const auto& [open, close] : {std::pair("[", "]"), std::pair(R"({"a":)", "}")}) {
+      std::string entry = kEntry;
+      const std::string zone = R"("halle-nord")";
+      entry.replace(entry.find(zone), zone.size(), Nested(open, close));
+      CPPUNIT_ASSERT(entry == platform::RemoveRenewalCounter("servers/i-1", entry));
+      CPPUNIT_ASSERT(!ReadEntry(entry));
+    }
+  }
+
+  // Guards against the end of every node that reads a table with a field of 500,000 levels: to
+  // replace the customers' keys the table is written out again.
+  void ReplaceKeysByDigests_DeeplyNestedTable_IsRefused() {
+    const std::string customers = std::string(kCustomer) +
+                                  R"(,{"type":"limits","metadata":{},"spec":{"later":)" +
+                                  Nested("[", "]") + "}}";
+    const std::string stored =
+        platform::ReplaceKeysByDigests("op/config", TableWithCustomers(customers));
+    CPPUNIT_ASSERT(stored.size() < 1'000);
+    const auto table = platform::ReadTable(Replica("op/config", stored));
+    CPPUNIT_ASSERT(!table.ok());
+    CPPUNIT_ASSERT(table.status().message().find("levels") != absl::string_view::npos);
+  }
+
+  void ReadRecords_UpToTheirBounds_AreDecoded() {
+    // A table of the largest size that the platform takes, and an entry with fields to come.
+    std::string rows;
+    for (int i = 0; rows.size() < 1024 * 1024; ++i) {
+      rows += R"(,{"type":"routes","metadata":{"name":"x-)" + std::to_string(i) +
+              R"("},"spec":{"host":"a","prefix":"/)" + std::to_string(i) +
+              R"(/","kind":"safe","timeout_ms":800,"service":"huvo11a"}})";
+    }
+    std::string table = kTable;
+    table.insert(table.size() - 2, rows);
+    const auto read = platform::ReadTable(Replica("op/config", table));
+    CPPUNIT_ASSERT_MESSAGE(std::string(read.status().message()), read.ok());
+    const std::string later(16 * 1024, 'x');
+    std::string entry = kEntry;
+    entry.insert(1, R"("later":{"a":[[["b"]]],"text":")" + later + R"("},)");
+    CPPUNIT_ASSERT(ReadEntry(entry).has_value());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(published_records_test);
