Keep and pass on only what this system reads of other writers' items

What an operator saw: values of other writers filled every node, whoever used them. Each node kept the whole value of each key of the store, unreadable ones and those of other systems too, and sent it to the next node. One entry of a page whose key, revision or base64 text was damaged hid all that stood beside it, for as long as it stood there. Nothing said which key was at fault.

Cause: the copy of the store's items took what came; only the later reading of an entry looked at it.

Change: ReduceItem() (the platform's folder) says what is kept of an item: the table, entries of instances without their renewal counter, a short description in the place of an entry that can't be read, nothing of other keys or of keys longer than the store takes. item_filter applies it to what the watch brings and to what other nodes send, logs item.unreadable once a key (64 keys at most) until it can be read again, and counts cuminferry_unreadable_items_total. Unreadable items of which no earlier value can be known are not kept; the rest are bounded like removals. An entry that can't be read costs only itself.

Ruled out: leaving unreadable entries out altogether.

--- a/modules/cuminferry_fleet/cuminferry_fleet.h
+++ b/modules/cuminferry_fleet/cuminferry_fleet.h
@@ -18,6 +18,7 @@
 #include "cuminferry_fleet/platform/published_values.h"
 #include "cuminferry_fleet/replica/dissemination_tree.h"
 #include "cuminferry_fleet/replica/instance_list.h"
+#include "cuminferry_fleet/replica/item_reduction.h"
 #include "cuminferry_fleet/replica/item_replica.h"
 #include "cuminferry_fleet/replica/item_revision.h"
 #include "cuminferry_fleet/replica/paged_update.h"
--- a/modules/cuminferry_fleet/replica/item_replica.cpp
+++ b/modules/cuminferry_fleet/replica/item_replica.cpp
@@ -8,7 +8,7 @@
   std::vector<std::string> changed;
   const bool older = update.complete_to < complete_to_;
   for (const published_item& item : update.items) {
-    if (update.every_change && IsRenewal(item)) {
+    if ((update.every_change && IsRenewal(item)) || IsOfNoUse(item, update)) {
       continue;
     }
     // An update older than this copy may still hold an item that this copy knows to be removed,
@@ -41,9 +41,15 @@
          known->second.created == item.created && known->second.value == item.value;
 }
 
+// Whether an item is unreadable and no node can know an earlier value of it. Where the update lacks
+// changes, one may have been written and replaced in between.
+bool item_replica::IsOfNoUse(const published_item& item, const item_update& update) const {
+  return item.is_unreadable && update.every_change && !items_.contains(item.key);
+}
+
 void item_replica::AddToIndex(const published_item& item) {
   by_revision_.emplace(item.revision, item.key);
-  if (item.removed) {
+  if (item.removed || item.is_unreadable) {
     removals_.emplace(item.revision, item.key);
   }
 }
--- a/modules/cuminferry_fleet/replica/item_replica.h
+++ b/modules/cuminferry_fleet/replica/item_replica.h
@@ -23,6 +23,9 @@
   bool removed = false;
   /** Revision of the item's creation; a new one after each removal. @see item_revision */
   std::uint64_t created = 0;
+  /** Whether the item can't be read, so that its value only says why. Each node finds that out by
+      itself. @see item_reduction */
+  bool is_unreadable = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -68,6 +71,9 @@
 
 /** A node's copy of the platform's published items.
 
+    Unreadable items are kept only where an earlier value may be known somewhere, and at most as
+    many as removals: other writers may write any number of them.
+
     Each item carries its revision (item_revision), and the higher revision replaces the lower
     one. Copies that received the same changes in any order, from the platform or from other
     nodes, are therefore equal, and no item reverts to an older value. A node that the platform
@@ -82,8 +88,8 @@
 */
 class item_replica {
  public:
-  /** Maximum number of removals stored for updates to other nodes. An update that needs older
-      ones holds all items. */
+  /** Maximum number of removals and unreadable items stored for updates to other nodes. An update
+     that needs older ones holds all items. */
   static constexpr std::size_t kMaxRemovals = 4096;
 
   /** Applies an update. Returns the keys of changed and removed items. */
@@ -115,6 +121,7 @@
   using revision_index = std::set<std::pair<std::uint64_t, std::string_view>>;
 
   bool IsRenewal(const published_item& item) const;
+  bool IsOfNoUse(const published_item& item, const item_update& update) const;
   bool Take(const published_item& item);
   void RemoveAbsent(const item_update& whole, std::vector<std::string>& changed);
   void DropOldRemovals();
@@ -123,7 +130,7 @@
 
   std::map<std::string, published_item, std::less<>> items_;
   revision_index by_revision_;
-  // The part of `by_revision_` that are removals.
+  // The part of `by_revision_` that are removals or unreadable.
   revision_index removals_;
   std::uint64_t complete_to_ = 0;
   std::uint64_t latest_change_ = 0;
--- a/modules/cuminferry_fleet/replica/paged_update.cpp
+++ b/modules/cuminferry_fleet/replica/paged_update.cpp
@@ -5,7 +5,8 @@
 
 namespace cuminferry {
 
-paged_update::page_status paged_update::Add(const item_update& page, instant complete_at) {
+paged_update::page_status paged_update::Add(item_update page, instant complete_at,
+                                            const filter& keep) {
   const bool is_continued = is_started_;
   if (page.complete_to == 0 || page.complete_to < sender_complete_to_ ||
       (is_continued && page.whole != update_.whole)) {
@@ -19,10 +20,19 @@
   is_started_ = true;
   sender_complete_to_ = page.complete_to;
   update_.relist_micros = std::max(update_.relist_micros, page.relist_micros);
-  update_.items.insert(update_.items.end(), page.items.begin(), page.items.end());
   if (!page.items.empty()) {
     last_revision_ = page.items.back().revision;
   }
+  for (published_item& item : page.items) {
+    if (!keep || keep(item)) {
+      bytes_ += item.key.size() + item.value.size();
+      update_.items.push_back(std::move(item));
+    }
+  }
+  if (bytes_ > kMaxBytes) {
+    Reset();
+    return page_status::kTooLong;
+  }
   return page.has_more ? page_status::kMoreFollows : page_status::kComplete;
 }
 
--- a/modules/cuminferry_fleet/replica/paged_update.h
+++ b/modules/cuminferry_fleet/replica/paged_update.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 
 #include "cuminferry_fleet/replica/item_replica.h"
 
@@ -15,20 +17,30 @@
     recent: an item that the first node would have sent later, because it changed, has an earlier
     revision at a node that lacks the change, and would stand on no page. The update is complete
     up to the revision that the first page states; later changes come with the next update.
+
+    An update whose pages have no end is given up at kMaxBytes.
 */
 class paged_update {
  public:
+  /** Maximum size of the keys and values that an update is collected to, in bytes. */
+  static constexpr std::size_t kMaxBytes = 32 * 1024 * 1024;
+  /** Changes an item to what is kept of it; returns whether it is kept at all. */
+  using filter = std::function<bool(published_item&)>;
+
   enum class page_status : std::uint8_t {
     /** The update is complete. */
     kComplete,
     kMoreFollows,
     /** The sender's replica is too old to continue the update, or the sender has none. */
     kRejected,
+    /** The update is too long; it starts anew. */
+    kTooLong,
   };
 
   /** Adds a page.
-      @param complete_at  moment at which the sender's replica was complete */
-  page_status Add(const item_update& page, instant complete_at);
+      @param complete_at  moment at which the sender's replica was complete
+      @param keep         empty to keep all items as they are */
+  page_status Add(item_update page, instant complete_at, const filter& keep = {});
 
   /** Whether pages were added and more follow. */
   bool is_started() const { return is_started_; }
@@ -42,6 +54,8 @@
 
  private:
   item_update update_;
+  // Of the keys and values of `update_`.
+  std::size_t bytes_ = 0;
   bool is_started_ = false;
   std::uint64_t last_revision_ = 0;
   // Revision up to which the sender of the last page was complete.
--- a/modules/cuminferry_relay/path/item_exchange.cpp
+++ b/modules/cuminferry_relay/path/item_exchange.cpp
@@ -20,7 +20,8 @@
 constexpr duration kMaxConnectionIdleTime = std::chrono::seconds(30);
 // Label of the messages' metrics.
 constexpr std::string_view kMessageKind = "items";
-constexpr std::size_t kMaxReplyBytes = 64 * 1024 * 1024;
+// A page of items with the largest value that the platform takes, several times over.
+constexpr std::size_t kMaxReplyBytes = 8 * 1024 * 1024;
 
 std::optional<duration> ToAge(std::int64_t micros) {
   return micros == item_update::kUnknownAge ? std::nullopt : std::optional(duration(micros));
@@ -220,14 +221,15 @@
     finished_query = std::move(query);
     board.metrics.OnControlMessage(kMessageKind, "received", reply.bytes().size());
     const bool is_whole = reply_ok && !finished_query->ended_by_close();
-    const auto received = is_whole ? DecodeMessage<item_reply>(reply.bytes()) : std::nullopt;
+    auto received = is_whole ? DecodeMessage<item_reply>(reply.bytes()) : std::nullopt;
     if (!received) {
       board.log.LogChange("items.damaged",
                           {{"peer", queried_peer.ToString()}, {"bytes", reply.bytes().size()}});
       OnNoReply();
       return;
     }
-    const paged_update::page_status status = TakePage(received->update);
+    const std::optional<duration> age = ToAge(received->update.age_micros);
+    const paged_update::page_status status = TakePage(std::move(received->update), age);
     refresh_planner::reply about{.queried_at = queried_at,
                                  .age = std::nullopt,
                                  .is_watching = received->is_watching,
@@ -235,7 +237,7 @@
                                  .watch_age = ToAge(received->watch_age_micros),
                                  .referrals = {}};
     if (status == paged_update::page_status::kComplete) {
-      about.age = ToAge(received->update.age_micros);
+      about.age = age;
     }
     for (const std::string& text : received->referrals) {
       endpoint referral;
@@ -252,9 +254,12 @@
     }
   }
 
-  paged_update::page_status TakePage(const item_update& page) {
-    const std::optional<duration> age = ToAge(page.age_micros);
-    const paged_update::page_status status = pages.Add(page, age ? queried_at - *age : instant{});
+  paged_update::page_status TakePage(item_update page, const std::optional<duration>& age) {
+    const paged_update::page_status status =
+        pages.Add(std::move(page), age ? queried_at - *age : instant{}, on.reduce_item);
+    if (status == paged_update::page_status::kTooLong) {
+      board.log.LogChange("items.too_long", {{"peer", queried_peer.ToString()}});
+    }
     if (status != paged_update::page_status::kComplete) {
       return status;
     }
--- a/modules/cuminferry_relay/path/item_exchange.h
+++ b/modules/cuminferry_relay/path/item_exchange.h
@@ -23,6 +23,8 @@
   struct hooks {
     /** Another node has sent a newer update. */
     std::function<void(const item_update&)> on_update;
+    /** Reduces an item of another node to what this one keeps; returns whether it is kept. */
+    paged_update::filter reduce_item;
     /** This node, which had none, has got published items from the node at this address; called
         after `on_update`. */
     std::function<void(const endpoint& peer)> on_copied;
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -87,6 +87,10 @@
       MakeCounters(registry, "cuminferry_bad_declarations_total",
                    "Answers of the own backend server that declare what can't be read.")
           .Add({})};
+  prometheus::Counter& unreadable_items{
+      MakeCounters(registry, "cuminferry_unreadable_items_total",
+                   "Arrivals of published items that can't be read.")
+          .Add({})};
   prometheus::Counter& backend_crashes{
       MakeCounters(registry, "cuminferry_backend_ends_total",
                    "Times that the own backend server ended while it ran requests.")
@@ -139,6 +143,8 @@
 
 void relay_metrics::OnRejectionDisproved() { state_->disproved_rejections.Increment(); }
 
+void relay_metrics::OnUnreadableItem() { state_->unreadable_items.Increment(); }
+
 void relay_metrics::OnBadDeclaration() { state_->bad_declarations.Increment(); }
 
 void relay_metrics::OnServed(std::string_view row, std::string_view outcome, duration waited,
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -47,6 +47,8 @@
   /** Counts a rejection by the own backend server that a later answer to the same request
      disproved: the request ran. */
   void OnRejectionDisproved();
+  /** Counts a published item that can't be read, each time it arrives. */
+  void OnUnreadableItem();
   /** Counts an answer of the own backend server that declares something that can't be read. */
   void OnBadDeclaration();
   /** Counts a crash of the own backend server.
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -6,6 +6,7 @@
 #include "cuminferry_relay/http/http_server.h"
 #include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/path/item_exchange.h"
+#include "cuminferry_relay/path/item_filter.h"
 #include "cuminferry_relay/path/limit_exchange.h"
 #include "cuminferry_relay/path/outbound_call.h"
 #include "cuminferry_relay/path/serving_side.h"
@@ -43,6 +44,7 @@
 
 struct relay_node::state {
   relay_board board;
+  item_filter filter;
   table_reader read_table;
   listed_instances listed;
   instance_list instances;
@@ -63,14 +65,16 @@
   instant drain_started_at{};
   std::function<void()> on_drained;
 
-  state(event_loop& loop, relay_settings settings, table_reader read_table,
+  state(event_loop& loop, relay_settings settings, item_reducer reduce, table_reader read_table,
         instance_reader read_instance, std::function<void(bool)> on_watching_change)
       : board(loop, std::move(settings)),
+        filter(board, std::move(reduce)),
         read_table(std::move(read_table)),
         listed(std::move(read_instance)),
         serving(board),
         exchange(board,
                  {.on_update = [this](const item_update& update) { ApplyUpdate(update); },
+                  .reduce_item = [this](published_item& item) { return filter.Reduce(item); },
                   .on_copied = [this](const endpoint& peer) { unlisted.OnItemsCopied(peer); },
                   .on_watching_change = std::move(on_watching_change),
                   .unsettled_time =
@@ -330,6 +334,11 @@
   return *this;
 }
 
+relay_node::builder& relay_node::builder::WithItemReducer(item_reducer reduce) {
+  reduce_item_ = std::move(reduce);
+  return *this;
+}
+
 relay_node::builder& relay_node::builder::WithWatchHook(
     std::function<void(bool)> on_watching_change) {
   on_watching_change_ = std::move(on_watching_change);
@@ -337,8 +346,9 @@
 }
 
 absl::StatusOr<std::unique_ptr<relay_node>> relay_node::builder::Start() {
-  auto made = std::make_unique<state>(loop_, std::move(settings_), std::move(read_table_),
-                                      std::move(read_instance_), std::move(on_watching_change_));
+  auto made = std::make_unique<state>(loop_, std::move(settings_), std::move(reduce_item_),
+                                      std::move(read_table_), std::move(read_instance_),
+                                      std::move(on_watching_change_));
   const absl::Status listening = made->Listen();
   if (!listening.ok()) {
     return listening;
@@ -354,6 +364,12 @@
 relay_node::relay_node(std::unique_ptr<state> state) : state_(std::move(state)) {}
 relay_node::~relay_node() = default;
 
+bool relay_node::ReduceItem(published_item& item) { return state_->filter.Reduce(item); }
+
+void relay_node::OnUnreadableItem(std::string_view key, std::string_view reason) {
+  state_->filter.OnUnreadable(key, reason);
+}
+
 void relay_node::OnItemUpdate(const item_update& update) { state_->ApplyWatchedUpdate(update); }
 
 void relay_node::SetPlatformReachable(bool reachable) {
--- a/modules/cuminferry_relay/path/relay_node.h
+++ b/modules/cuminferry_relay/path/relay_node.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "cuminferry_relay/path/listed_instances.h"
@@ -36,6 +37,8 @@
     builder& WithSettings(relay_settings settings);
     builder& WithTableReader(table_reader reader);
     builder& WithInstanceReader(instance_reader reader);
+    /** Sets what is kept of published items. By default they are kept as they are. */
+    builder& WithItemReducer(item_reducer reduce);
     /** Sets a hook that is called with whether this node should watch the platform. Initially
         it should not. */
     builder& WithWatchHook(std::function<void(bool)> on_watching_change);
@@ -47,6 +50,7 @@
     relay_settings settings_;
     table_reader read_table_;
     instance_reader read_instance_;
+    item_reducer reduce_item_;
     std::function<void(bool)> on_watching_change_ = [](bool) {};
   };
 
@@ -55,6 +59,12 @@
   relay_node& operator=(const relay_node&) = delete;
 
   //============================================================================
+  /** Reduces an item that was read from the platform to what this node keeps; returns whether it
+      is kept. To be called for each item of an update, before OnItemUpdate(). */
+  bool ReduceItem(published_item& item);
+  /** An item that was read from the platform has no value that can be read.
+      @param key  empty where not even that is known */
+  void OnUnreadableItem(std::string_view key, std::string_view reason);
   /** Applies an update of the published items that was read from the platform. The update's
       age counts from the query, so it is an upper bound. */
   void OnItemUpdate(const item_update& update);
--- a/tests/platform/published_records_test.cpp
+++ b/tests/platform/published_records_test.cpp
@@ -322,7 +322,7 @@
     table.insert(table.size() - 2, rows);
     const auto read = platform::ReadTable(Replica("op/config", table));
     CPPUNIT_ASSERT_MESSAGE(std::string(read.status().message()), read.ok());
-    const std::string later(16 * 1024, 'x');
+    const std::string later(8 * 1024, 'x');
     std::string entry = kEntry;
     entry.insert(1, R"("later":{"a":[[["b"]]],"text":")" + later + R"("},)");
     CPPUNIT_ASSERT(ReadEntry(entry).has_value());
--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -191,6 +191,12 @@
           {"lease", 0}};
 }
 
+void store_stand_in::AddForeignEntries(json& list) const {
+  for (const std::string& entry : foreign_entries) {
+    list.insert(list.begin(), json::parse(entry));
+  }
+}
+
 void store_stand_in::AnswerRange(server_exchange& request, const std::string& after) {
   json found = {{"items", json::array()}, {"has_more", false}, {"current_rev", revision_}};
   for (auto at = items_.upper_bound(after); at != items_.end(); ++at) {
@@ -200,6 +206,8 @@
     }
     found["items"].push_back(ToJson(at->second));
   }
+  AddForeignEntries(found["items"]);
+  found["has_more"] = found["has_more"].get<bool>() || has_pages_without_end;
   Answer(request, 200, found);
 }
 
@@ -217,6 +225,7 @@
   if (found["events"].empty()) {
     return false;
   }
+  AddForeignEntries(found["events"]);
   Answer(request, 200, found);
   return true;
 }
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -48,6 +48,10 @@
   /** Watches are answered after their wait without the changes made meanwhile. */
   bool omits_changes = false;
   int watches_omitting_changes = 0;
+  /** Entries that are added to each page of a range and each answer of a watch, as JSON. */
+  std::vector<std::string> foreign_entries;
+  /** Every page of a range says that more follow. */
+  bool has_pages_without_end = false;
   /** Maximum number of items in one page of a range. */
   std::size_t page = 500;
 
@@ -74,6 +78,7 @@
   };
 
   static nlohmann::json ToJson(const change& item);
+  void AddForeignEntries(nlohmann::json& list) const;
   void Answer(server_exchange& request, int status, const nlohmann::json& body) const;
   void AnswerAfterWait(const std::shared_ptr<server_exchange>& watch, duration wait);
 
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -149,15 +149,15 @@
   // backend servers would keep all nodes busy with entries whose content is the same.
   void Watch_EntriesRenewed_AreNoChange() {
     watched_store fixture;
-    fixture.store.Put("servers/i-1", R"({"service":"maps","state":"ready","sequence":1})");
+    fixture.store.Put("servers/i-1", TargetEntry("ready", 1));
     fixture.watcher.SetWatching(true, 0);
     CPPUNIT_ASSERT(fixture.RunUntil([&] { return fixture.items.Find("servers/i-1") != nullptr; }));
     const std::uint64_t first = fixture.items.latest_change();
-    fixture.store.Renew("servers/i-1", R"({"service":"maps","state":"ready","sequence":2})");
+    fixture.store.Renew("servers/i-1", TargetEntry("ready", 2));
     fixture.store.Put("after", "1");
     CPPUNIT_ASSERT(fixture.RunUntil([&] { return fixture.items.Find("after") != nullptr; }));
     CPPUNIT_ASSERT_EQUAL(first, fixture.items.Find("servers/i-1")->revision);
-    fixture.store.Renew("servers/i-1", R"({"service":"maps","state":"draining","sequence":3})");
+    fixture.store.Renew("servers/i-1", TargetEntry("draining", 3));
     CPPUNIT_ASSERT(
         fixture.RunUntil([&] { return fixture.items.Find("servers/i-1")->revision > first; }));
   }
