Take back what waits for a target once it is listed as leaving

What callers saw: requests that waited at the node beside a slow target when that target reported draining were sent to it up to 2.45 s later, longer than it has to serve on.

Cause: whether an instance gets requests was asked in two places that differ. At a request's arrival the list was looked at; when its slot came, before it was sent, and before a rejected one was sent again, only the target's own word and the registration of an unlisted one. An event in the list reached nothing that already waited.

Ruled out: the calling nodes' choice. Their lists took the target out at once, and no request that arrived after the event reached it; all late ones had arrived before.

Change: serving_context::RefusalOf() is the one place that says whether an instance still gets work, asked at arrival, when a slot is granted, before the run and before a repeat. A change of the list goes through all that waits: in the queue, with a slot but without its body, for a turn as a suspect. What may not be sent goes back to its calling node at once, in the queue's order, as not run, and is placed like any other request: it was never sent, so neither `attempts` nor the bound on repeats counts it. Where no target is left it is refused with Retry-After. A target that answers that it is another instance does the same. What an instance that was taken out of the list has waiting goes back too, if others are listed: it may serve on, as its health check says, or exit at any time. Runs are not touched.

--- a/modules/cuminferry_policy/serving/request_queue.cpp
+++ b/modules/cuminferry_policy/serving/request_queue.cpp
@@ -100,6 +100,22 @@
   return taken;
 }
 
+std::vector<std::uint64_t> request_queue::IdsInOrder() const {
+  std::vector<waiting_order::entry> entries;
+  entries.reserve(requests_.size());
+  for (const auto& [id, waiting] : requests_) {
+    entries.push_back(EntryFor(waiting));
+  }
+  std::ranges::sort(entries,
+                    [](const auto& left, const auto& right) { return left.IsBefore(right); });
+  std::vector<std::uint64_t> ids;
+  ids.reserve(entries.size());
+  for (const waiting_order::entry& entry : entries) {
+    ids.push_back(entry.id);
+  }
+  return ids;
+}
+
 std::optional<request_queue::request> request_queue::TakeNext() {
   if (empty()) {
     return std::nullopt;
--- a/modules/cuminferry_policy/serving/request_queue.h
+++ b/modules/cuminferry_policy/serving/request_queue.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
 #include "cuminferry_policy/serving/waiting_order.h"
@@ -81,6 +82,9 @@
       taken last. */
   std::optional<request> TakeLeastImportant();
   std::optional<request> Take(std::uint64_t id);
+  /** Returns the ids of all requests, that of the one that would start first in front. The
+      guaranteed share of nested calls is left out. Costs as much as to sort them. */
+  std::vector<std::uint64_t> IdsInOrder() const;
 
   //============================================================================
   std::size_t size() const { return all_.size(); }
--- a/modules/cuminferry_policy/serving/slot_gate.h
+++ b/modules/cuminferry_policy/serving/slot_gate.h
@@ -84,6 +84,8 @@
   /** Takes the waiting request that is first in the order, which counts as running from now on;
      returns nothing where no request waits or no slot is free. */
   std::optional<std::uint64_t> StartNext(instant now);
+  /** Returns the waiting requests, that which would start first in front. */
+  std::vector<std::uint64_t> WaitingInOrder() const { return queue_.IdsInOrder(); }
   /** Removes and returns the requests that can no longer complete in time. */
   std::vector<std::uint64_t> TakeExpired(instant now);
   /** Removes a waiting request whose caller cancelled it; returns false where it doesn't wait. */
--- a/modules/cuminferry_relay/path/outbound_placement.cpp
+++ b/modules/cuminferry_relay/path/outbound_placement.cpp
@@ -119,10 +119,11 @@
 // Whether the body is withheld until the target's node answers "100 Continue", so that the
 // target can't run the request before. This holds for requests that may run only once and for
 // targets whose reachability is uncertain: if the target's node is cut off, frozen or stopped,
-// the request surely has not run there and can be placed elsewhere.
+// the request surely has not run there and can be placed elsewhere. A long upload that waits at
+// this node's own target could not be placed elsewhere once its first part was passed on.
 bool outbound_call::state::MustAwaitContinue(const target_picker& picker, instant now) const {
-  return target_peer != board.settings.peer &&
-         (route->repeat != repeat_rule::kIdempotent ||
+  return route->repeat != repeat_rule::kIdempotent ||
+         (target_peer != board.settings.peer &&
           picker.IsReachabilityUncertain(record.target_id, now));
 }
 
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -194,6 +194,14 @@
   return own == instances_.end() ? nullptr : &own->second;
 }
 
+bool relay_board::HasOtherTargets() const {
+  return std::ranges::any_of(instances_, [this](const auto& listed) {
+    const service_instance& instance = listed.second;
+    return instance.service == settings.service && !instance.draining &&
+           instance.backend != settings.backend && !HasDeclaredLeaving(instance.id);
+  });
+}
+
 target_picker& relay_board::PickerOf(const std::string& service) { return pickers_[service]; }
 
 void relay_board::ApplyBounds(const relay_settings& changed) {
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -64,6 +64,8 @@
   std::size_t declared_leaving_count() const { return declared_leaving_.size(); }
   /** The listed instance at the address of the own backend server; nullptr where there is none. */
   const service_instance* OwnInstance() const;
+  /** Whether other instances of the own service are listed as ready. */
+  bool HasOtherTargets() const;
   /** Slots of the own backend server; 0 until known. */
   std::uint32_t own_slots() const { return own_slots_; }
   /** Determines which node this one queries for updates of the published items. */
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -60,11 +60,7 @@
     node.origins.OnArrival(header_.row, request_.caller_service);
   }
   context_.registration.OnRequest(expected, request_.unlisted);
-  // Of the own instance that is not listed, it is known here whether it leaves.
-  const bool removed =
-      !context_.registration.Decides(expected) && node.IsLeavingOrRemoved(expected);
-  const bool gone = !expected.empty() && (removed || context_.IsKnownAbsent(expected));
-  if (node.refuses_runs || gone) {
+  if (node.refuses_runs) {
     AnswerWithOutcome(relay_outcome::kLeaving);
     return;
   }
@@ -194,25 +190,22 @@
 }
 
 std::optional<relay_outcome> serving_call::RefusalOfInstance() const {
-  const std::string& expected = request_.expected_instance;
-  if (context_.node.HasDeclaredLeaving(expected)) {
-    return relay_outcome::kLeaving;
-  }
-  return context_.registration.RefusalOf(expected, request_.unlisted);
+  return context_.RefusalOf(request_.expected_instance, request_.unlisted);
 }
 
 std::optional<relay_outcome> serving_call::WithdrawIfRefused() {
-  if (ended_ || run_.has_begun()) {
-    return std::nullopt;
-  }
-  const std::optional<relay_outcome> refusal = RefusalOfInstance();
+  const std::optional<relay_outcome> refusal = has_run() ? std::nullopt : RefusalOfInstance();
   if (refusal) {
-    ReleaseGrantedSlot();
-    context_.gate.Remove(id_);
+    Withdraw();
   }
   return refusal;
 }
 
+void serving_call::Withdraw() {
+  ReleaseGrantedSlot();
+  context_.gate.Remove(id_);
+}
+
 void serving_call::OnDisplaced() {
   is_displaced_ = true;
   context_.node.metrics.OnDisplaced(header_.nested);
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -43,6 +43,11 @@
   /** Gives up the slot, or the place in the queue, of a request that has not begun to run and that
       its instance must not get. Returns the reason; nothing where it is no such request. */
   std::optional<relay_outcome> WithdrawIfRefused();
+  /** Gives up the slot, or the place in the queue, of a request that has not begun to run. */
+  void Withdraw();
+  /** Whether the request has begun to run, or has ended. */
+  bool has_run() const { return ended_ || run_.has_begun(); }
+  std::uint64_t id() const { return id_; }
   /** Answers the calling node with the reason why there is no answer of the backend server. */
   void AnswerWithOutcome(relay_outcome outcome);
   /** Whether the answer, which the close of the connection ended, is the whole one. */
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -1,6 +1,7 @@
 #include "cuminferry_relay/path/serving_context.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 #include "cuminferry_relay/http/message_reader.h"
@@ -138,12 +139,50 @@
   ScheduleWaiting();
 }
 
+std::optional<relay_outcome> serving_context::RefusalOf(
+    const std::string& instance, const std::optional<unlisted_notice>& notice) const {
+  // Of the own instance that is not listed, the registration says whether it leaves.
+  const bool has_left = !registration.Decides(instance) && node.IsLeavingOrRemoved(instance);
+  const bool is_absent = !instance.empty() && IsKnownAbsent(instance);
+  if (has_left || is_absent || node.HasDeclaredLeaving(instance)) {
+    return relay_outcome::kLeaving;
+  }
+  return registration.RefusalOf(instance, notice);
+}
+
+void serving_context::OnInstancesChanged() {
+  registration.OnInstancesChanged();
+  WithdrawRefused();
+  if (std::exchange(is_unlisted_, registration.may_refuse()) != registration.may_refuse() &&
+      is_unlisted_) {
+    WithdrawFromUnlisted();
+  }
+}
+
+// An instance that was taken out of the list may serve on for long, or exit at any time. What waits
+// is safer at another one, if there is one.
+void serving_context::WithdrawFromUnlisted() {
+  if (!node.HasOtherTargets()) {
+    return;
+  }
+  std::vector<std::shared_ptr<serving_call>> withdrawn;
+  for (const auto& call : CallsInOrder()) {
+    if (!call->has_run()) {
+      call->Withdraw();
+      withdrawn.push_back(call);
+    }
+  }
+  for (const auto& call : withdrawn) {
+    call->AnswerWithOutcome(relay_outcome::kUnconfirmed);
+  }
+}
+
 // Requests that have not begun to run can still run elsewhere. All of them leave the queue before
 // the first is answered: each answer starts what waits, and a request that is refused then would
 // start the next, through the whole queue.
 void serving_context::WithdrawRefused() {
   std::vector<std::pair<std::shared_ptr<serving_call>, relay_outcome>> withdrawn;
-  for (const auto& [id, call] : calls) {
+  for (const auto& call : CallsInOrder()) {
     if (const auto refusal = call->WithdrawIfRefused()) {
       withdrawn.emplace_back(call, *refusal);
     }
@@ -153,11 +192,35 @@
   }
 }
 
+// Requests that are not in the queue come first: they have a slot, or would be next.
+std::vector<std::shared_ptr<serving_call>> serving_context::CallsInOrder() const {
+  std::vector<std::shared_ptr<serving_call>> ordered;
+  std::vector<std::shared_ptr<serving_call>> waiting;
+  std::unordered_set<std::uint64_t> queued;
+  for (const std::uint64_t id : gate.WaitingInOrder()) {
+    if (const auto found = calls.find(id); found != calls.end()) {
+      queued.insert(id);
+      waiting.push_back(found->second);
+    }
+  }
+  for (const auto& [id, call] : calls) {
+    if (!queued.contains(id)) {
+      ordered.push_back(call);
+    }
+  }
+  std::ranges::sort(ordered, {}, [](const auto& call) { return call->id(); });
+  ordered.insert(ordered.end(), waiting.begin(), waiting.end());
+  return ordered;
+}
+
 void serving_context::OnBackendDown() { backend_down_until_ = node.loop.Now() + kBackendDownTime; }
 
 void serving_context::OnOtherInstance(std::string_view expected) {
   absent_instance_ = expected;
   node.on_instance_absent(expected);
+  // Answers to the calling nodes start what waits, which is done outside of the run that has
+  // brought this one.
+  node.loop.RunAtEndOfIteration([this] { WithdrawRefused(); });
 }
 
 // Only answers whose heads have arrived whole are looked at.
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -26,6 +26,16 @@
   serving_context& operator=(const serving_context&) = delete;
 
   //============================================================================
+  /** Returns the reason why an instance gets nothing that has not reached it yet; nothing where it
+      may. To be asked when a request arrives, and again before it is sent: what is known of the
+      instance may change while the request waits.
+      @param instance  id of the instance that the request is meant for; empty where any may run it
+      @param notice    set where the calling node doesn't list that instance */
+  std::optional<relay_outcome> RefusalOf(const std::string& instance,
+                                         const std::optional<unlisted_notice>& notice) const;
+  /** The list of instances has changed: requests that wait for an instance which gets nothing more
+      go back to their calling nodes at once, the first in the queue's order in front. */
+  void OnInstancesChanged();
   /** Starts waiting requests while slots are free. */
   void StartWaiting();
   /** Starts the suspects that may run now that another one has completed.
@@ -86,6 +96,8 @@
   void OnBackendCrash(std::uint64_t crash_id, std::vector<std::shared_ptr<serving_call>> runs);
   void OnExpiry();
   void WithdrawRefused();
+  void WithdrawFromUnlisted();
+  std::vector<std::shared_ptr<serving_call>> CallsInOrder() const;
   std::optional<row_limit> LimitFor(std::string_view row,
                                     const std::optional<double>& admitted_share) const;
 
@@ -100,6 +112,8 @@
   std::vector<std::shared_ptr<serving_call>> ended_by_close_;
   std::string absent_instance_;
   instant backend_down_until_{};
+  // The own instance is not listed, and what waited for it then was withdrawn.
+  bool is_unlisted_ = false;
   bool was_level_open_ = true;
 };
 
--- a/modules/cuminferry_relay/path/serving_side.cpp
+++ b/modules/cuminferry_relay/path/serving_side.cpp
@@ -37,7 +37,7 @@
 }
 
 void serving_side::OnPublishedItemsChanged() {
-  state_->context.registration.OnInstancesChanged();
+  state_->context.OnInstancesChanged();
   const std::uint32_t slots = state_->context.node.own_slots();
   if (slots > 0) {
     state_->context.gate.SetSlots(slots);
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -248,14 +248,30 @@
   return settings;
 }
 
+void relay_fleet::SetDraining(std::set<int> nodes) {
+  for (int node = 0; node < static_cast<int>(targets_.size()); ++node) {
+    revisions_[node] += nodes.contains(node) != draining_.contains(node) ? 1 : 0;
+  }
+  draining_ = std::move(nodes);
+}
+
+void relay_fleet::ReplaceInstance(int node) {
+  ++replacements_[node];
+  ++revisions_[node];
+}
+
 std::vector<service_instance> relay_fleet::Instances() const {
   std::vector<service_instance> all;
   for (std::size_t node = 0; node < targets_.size(); ++node) {
-    all.push_back({.id = "i-" + std::to_string(node),
+    const auto replaced = replacements_.find(static_cast<int>(node));
+    const std::string suffix =
+        replaced == replacements_.end() ? "" : "-" + std::to_string(replaced->second);
+    all.push_back({.id = "i-" + std::to_string(node) + suffix,
                    .service = kService,
                    .backend = AddressOf(static_cast<int>(node), kBackendPort),
                    .failure_domain = DomainOf(static_cast<int>(node)),
-                   .slots = 20});
+                   .slots = 20,
+                   .draining = draining_.contains(static_cast<int>(node))});
   }
   return all;
 }
@@ -285,8 +301,9 @@
   const std::vector<service_instance> instances = Instances();
   for (std::size_t listed = 0; listed < instances.size(); ++listed) {
     if (!unlisted_.contains(static_cast<int>(listed))) {
-      update.items.push_back(
-          {.key = "instance/" + instances[listed].id, .value = "", .revision = 1});
+      update.items.push_back({.key = "instance/" + instances[listed].id,
+                              .value = "",
+                              .revision = 1 + revisions_[static_cast<int>(listed)]});
     }
   }
   this->node(node).OnItemUpdate(update);
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -86,6 +86,11 @@
   void PublishTo(int node, std::uint64_t version);
   /** Leaves these nodes' instances out of what is published from now on. Initially none. */
   void SetUnlisted(std::set<int> nodes) { unlisted_ = std::move(nodes); }
+  /** Lists these nodes' instances as draining from what is published next on, all others as ready.
+   */
+  void SetDraining(std::set<int> nodes);
+  /** Another instance has the address of this node's one from what is published next on. */
+  void ReplaceInstance(int node);
   /** Sets the only service of the tables that are published from now on; without rows if it isn't
       kService. */
   void SetDeclaredService(std::string name) { declared_service_ = std::move(name); }
@@ -158,6 +163,10 @@
   int domains_;
   std::vector<customer> customers_;
   std::set<int> unlisted_;
+  std::set<int> draining_;
+  // Revisions of the instances' records, and how often each instance was replaced.
+  std::map<int, std::uint64_t> revisions_;
+  std::map<int, int> replacements_;
   std::string declared_service_ = kService;
   std::vector<bool> watches_platform_;
   std::vector<bool> platform_reachable_;
