Bound the fields of heads, and the times that fields state

What could happen: a head of 16 KiB of one-byte fields became 1 MiB in memory (5 MiB at the port of nodes), and each of its fields was compared with each name in Connection.

Cause: the bound on a head counts the bytes of names and values, not what a field takes; ParseDecimal() bounds nothing.

Change: as many fields as there are 32 bytes in the bound on the head, 128 at least; a client gets 431, an answer counts as damaged. ParseTime() bounds a stated time to 30 days, for deadlines between nodes and of clients, and for idle times.

Tests: Read_HeadOfEmptyFields_IsRejectedAsTooLarge read such a head without an error before; ParseTime is new.

--- a/modules/cuminferry_relay/http/http_client.cpp
+++ b/modules/cuminferry_relay/http/http_client.cpp
@@ -23,8 +23,7 @@
     const std::string_view part = TrimBlanks(raw);
     constexpr std::string_view kTimeout = "timeout=";
     if (EqualsIgnoringCase(part.substr(0, kTimeout.size()), kTimeout)) {
-      const auto seconds = ParseDecimal(part.substr(kTimeout.size()));
-      return seconds ? std::optional<duration>(std::chrono::seconds(*seconds)) : std::nullopt;
+      return ParseTime(part.substr(kTimeout.size()), std::chrono::seconds(1));
     }
   }
   return std::nullopt;
--- a/modules/cuminferry_relay/http/http_head.cpp
+++ b/modules/cuminferry_relay/http/http_head.cpp
@@ -39,6 +39,14 @@
   return ParseInteger<std::int64_t>(text);
 }
 
+std::optional<duration> ParseTime(std::string_view text, duration unit) {
+  const auto count = ParseDecimal(text);
+  if (!count) {
+    return std::nullopt;
+  }
+  return unit * std::clamp<std::int64_t>(*count, 0, kMaxStatedTime / unit);
+}
+
 std::string ToChunk(std::string_view bytes) {
   return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
 }
--- a/modules/cuminferry_relay/http/http_head.h
+++ b/modules/cuminferry_relay/http/http_head.h
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "cuminferry_core/cuminferry_core.h"
+
 namespace cuminferry {
 
 /** How the length of a message's body is determined. */
@@ -61,6 +63,11 @@
 /** Parses an integer in decimal digits. Returns nullopt if the text contains anything else, such
     as blanks or a fraction. */
 std::optional<std::int64_t> ParseDecimal(std::string_view text);
+/** Parses a time that a field states in whole units, such as "1500" milliseconds; nothing if the
+    text holds anything else. Negative times are 0, and longer ones than kMaxStatedTime are that:
+    the number of microseconds of a larger number of seconds can't be counted. */
+std::optional<duration> ParseTime(std::string_view text, duration unit);
+inline constexpr duration kMaxStatedTime = std::chrono::hours(24 * 30);
 
 /** Formats bytes as one chunk of a chunked body. */
 std::string ToChunk(std::string_view bytes);
--- a/modules/cuminferry_relay/http/message_reader.cpp
+++ b/modules/cuminferry_relay/http/message_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "cuminferry_core/cuminferry_core.h"
@@ -13,6 +14,10 @@
 constexpr int kContinueParsing = 0;
 constexpr int kSkipBody = 1;
 constexpr int kAbortParsing = -1;
+// A field of one byte takes 64 in memory. Heads of many fields have 32 bytes and more in each.
+constexpr std::size_t kMeanFieldBytes = 32;
+// Bound on the fields of the shortest heads.
+constexpr std::size_t kMinMaxFields = 128;
 
 }  // namespace
 
@@ -20,6 +25,7 @@
   http_parser parser{};
   kind message_kind;
   std::size_t max_head_bytes;
+  std::size_t max_fields;
   hooks callbacks;
   http_head head;
   std::size_t head_bytes = 0;
@@ -64,6 +70,10 @@
       return kContinueParsing;  // Trailer fields are discarded, since neither side uses them.
     }
     if (in_value || head.fields.empty()) {
+      if (head.fields.size() >= max_fields) {
+        is_head_too_large = true;
+        return kAbortParsing;
+      }
       head.fields.emplace_back();
       in_value = false;
     }
@@ -139,6 +149,7 @@
     : state_(std::make_unique<state>()) {
   state_->message_kind = kind;
   state_->max_head_bytes = max_head_bytes;
+  state_->max_fields = std::max(kMinMaxFields, max_head_bytes / kMeanFieldBytes);
   state_->callbacks = std::move(hooks);
   http_parser_init(&state_->parser, kind == kind::kRequests ? HTTP_REQUEST : HTTP_RESPONSE);
   state_->parser.data = state_.get();
--- a/modules/cuminferry_relay/path/outbound_call.cpp
+++ b/modules/cuminferry_relay/path/outbound_call.cpp
@@ -110,10 +110,7 @@
 void outbound_call::state::SetDeadline(const http_head& request) {
   duration left = route->timeout;
   if (const std::string* field = request.Find(board.settings.headers.deadline)) {
-    if (const auto millis = ParseDecimal(*field)) {
-      left =
-          std::min<duration>(left, std::chrono::milliseconds(std::max<std::int64_t>(0, *millis)));
-    }
+    left = std::min(left, ParseTime(*field, std::chrono::milliseconds(1)).value_or(left));
   }
   deadline = started_at + left;
   deadline_timer.StartOnce(left, [this] { OnDeadline(); });
--- a/modules/cuminferry_relay/path/serving_request.cpp
+++ b/modules/cuminferry_relay/path/serving_request.cpp
@@ -20,7 +20,7 @@
                           .customer = TextOf(head, names.customer),
                           .has_turn = head.Find(kNoTurnField) == nullptr};
   if (const std::string* field = head.Find(names.deadline)) {
-    request.time_left = std::chrono::milliseconds(ParseDecimal(*field).value_or(0));
+    request.time_left = ParseTime(*field, std::chrono::milliseconds(1)).value_or(duration::zero());
   }
   if (const std::string* field = head.Find(kTargetsField)) {
     request.known_targets = ParseInteger<std::size_t>(*field).value_or(0);
--- a/tests/relay/http_head_test.cpp
+++ b/tests/relay/http_head_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(ToRequestText_LengthFraming_HasContentLength);
   CPPUNIT_TEST(ToResponseText_Close_HasConnectionClose);
   CPPUNIT_TEST(ParseDecimal_NotAnInteger_ReturnsNullopt);
+  CPPUNIT_TEST(ParseTime_AnyNumber_IsBounded);
   CPPUNIT_TEST(RepeatReport_AsText_IsReadAgain);
   CPPUNIT_TEST(InvalidAnswer_OfABackendServer_IsToldApart);
   CPPUNIT_TEST_SUITE_END();
@@ -40,6 +41,21 @@
     CPPUNIT_ASSERT_EQUAL(std::string("true"), *head.Find("Caller"));
   }
 
+  // Guards against a deadline or an idle time that becomes negative once it is counted in
+  // microseconds.
+  void ParseTime_AnyNumber_IsBounded() {
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+    CPPUNIT_ASSERT(ParseTime("1500", milliseconds(1)) == duration(milliseconds(1'500)));
+    CPPUNIT_ASSERT(ParseTime("0", seconds(1)) == duration::zero());
+    CPPUNIT_ASSERT(ParseTime("-3", seconds(1)) == duration::zero());
+    CPPUNIT_ASSERT(ParseTime("9223372036854775807", milliseconds(1)) == kMaxStatedTime);
+    CPPUNIT_ASSERT(ParseTime("99999999999999", seconds(1)) == kMaxStatedTime);
+    for (const char* text : {"", "1.5", "x", "99999999999999999999"}) {
+      CPPUNIT_ASSERT(!ParseTime(text, seconds(1)));
+    }
+  }
+
   void ToRequestText_LengthFraming_HasContentLength() {
     http_head head;
     head.method = "POST";
--- a/tests/relay/message_reader_test.cpp
+++ b/tests/relay/message_reader_test.cpp
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(Read_TwoRequests_StopsBetweenThem);
   CPPUNIT_TEST(Read_LengthAndChunked_IsRejected);
   CPPUNIT_TEST(Read_LargeHead_IsRejectedAsTooLarge);
+  CPPUNIT_TEST(Read_HeadOfEmptyFields_IsRejectedAsTooLarge);
   CPPUNIT_TEST(Read_InterimAnswer_WaitsForTheFinalOne);
   CPPUNIT_TEST(Read_AnswerToHead_HasNoBody);
   CPPUNIT_TEST(ReadEnd_BodyUntilClose_IsComplete);
@@ -125,6 +126,21 @@
     CPPUNIT_ASSERT(collected.reader().head_too_large());
   }
 
+  // Guards against a head that takes 64 times its size in memory: each of its fields is one byte.
+  void Read_HeadOfEmptyFields_IsRejectedAsTooLarge() {
+    for (const auto& [kind, first_line] :
+         {std::pair(message_reader::kind::kRequests, "GET / HTTP/1.1\r\n"),
+          std::pair(message_reader::kind::kResponses, "HTTP/1.1 200 OK\r\n")}) {
+      message_collector collector(kind);
+      std::string text = first_line;
+      for (std::size_t i = 0; i < kMaxHeadBytes / 2; ++i) {
+        text += "a:\r\n";
+      }
+      CPPUNIT_ASSERT(!collector.Read(text + "\r\n"));
+      CPPUNIT_ASSERT(collector.reader().head_too_large());
+    }
+  }
+
   void Read_InterimAnswer_WaitsForTheFinalOne() {
     message_collector collected(message_reader::kind::kResponses);
     CPPUNIT_ASSERT(collected.Read(
