Bound the JSON that the own interface reads

The published lists of tables and instances, and a backend server's health answer, were parsed without a bound on their levels or values, as entries of the users' platform were. Nothing copies or writes them again, so none of them ended a node; 1 MB of them could take 40 MB. They go through ParseBoundedJson() now.

--- a/modules/cuminferry_fleet/platform/published_values.cpp
+++ b/modules/cuminferry_fleet/platform/published_values.cpp
@@ -2,11 +2,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cuminferry_table/reading/bounded_json.h"
+
 namespace cuminferry {
 namespace {
 
 using json = nlohmann::json;
 
+// An index of 360 services, or a service's instances, some ten values in 200 bytes for each.
+constexpr json_bounds kValueBounds{
+    .max_bytes = 16 * 1024 * 1024, .max_depth = 16, .max_values = 512 * 1024};
+
 absl::Status BadValue(std::string_view what) {
   return MakeStatus(result_code::kPlatformBadValue, what);
 }
@@ -31,8 +37,12 @@
 }
 
 absl::StatusOr<published_index> published_index::Parse(std::string_view text) {
+  const absl::StatusOr<json> parsed = ParseBoundedJson(text, kValueBounds);
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
   try {
-    const json value = json::parse(text);
+    const json& value = *parsed;
     published_index index;
     index.version = value.at("version").get<std::uint64_t>();
     index.fleet_size = value.at("fleet_size").get<std::uint32_t>();
@@ -61,8 +71,12 @@
 }
 
 absl::StatusOr<published_instances> published_instances::Parse(std::string_view text) {
+  const absl::StatusOr<json> parsed = ParseBoundedJson(text, kValueBounds);
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
   try {
-    const json value = json::parse(text);
+    const json& value = *parsed;
     published_instances list;
     list.service = value.at("service").get<std::string>();
     list.version = value.at("version").get<std::uint64_t>();
--- a/modules/cuminferry_node/backend/backend_client.cpp
+++ b/modules/cuminferry_node/backend/backend_client.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "cuminferry_node/backend/backend_connection.h"
+#include "cuminferry_table/reading/bounded_json.h"
 
 namespace cuminferry {
 namespace {
@@ -138,13 +139,18 @@
   return answer;
 }
 
+// A health answer has three fields; servers may add some of their own.
+constexpr json_bounds kHealthBounds{
+    .max_bytes = 64 * 1024, .max_depth = 16, .max_values = 4 * 1024};
+
 backend_health ReadHealth(const backend_answer& answer) {
   backend_health health;
   health.reachable = answer.outcome == backend_outcome::kAnswered;
-  const auto fields = nlohmann::json::parse(answer.body, nullptr, false);
-  if (!fields.is_object()) {
+  const auto parsed = ParseBoundedJson(answer.body, kHealthBounds);
+  if (!parsed.ok() || !parsed->is_object()) {
     return health;
   }
+  const nlohmann::json& fields = *parsed;
   const auto state = fields.find("state");
   health.draining = state != fields.end() && *state == "draining";
   health.starting = state != fields.end() && *state == "starting";
