--- a/tests/platform/published_records_test.cpp
+++ b/tests/platform/published_records_test.cpp
@@ -81,6 +81,8 @@
   CPPUNIT_TEST(ReadInstance_NoStartTime_IsDecoded);
   CPPUNIT_TEST(ReadInstance_EntryOfAnotherWriter_IsNone);
   CPPUNIT_TEST(ReadInstance_OtherRecord_IsNone);
+  CPPUNIT_TEST(ReadInstance_IdUnfitForAHeader_IsNone);
+  CPPUNIT_TEST(ReadInstance_AnyWarmUpTime_IsBounded);
   CPPUNIT_TEST(RemoveRenewalCounter_OnlyTheCounterDiffers_IsTheSame);
   CPPUNIT_TEST(RemoveRenewalCounter_OtherRecords_AreUnchanged);
   CPPUNIT_TEST(RemoveRenewalCounter_DeeplyNestedEntry_IsUnchanged);
@@ -267,6 +269,30 @@
     CPPUNIT_ASSERT(!platform::ReadInstance({.key = "op/config", .value = kEntry, .revision = 4}));
   }
 
+  // Guards against a request smuggled in by the key of an entry: the id is sent in a header field.
+  void ReadInstance_IdUnfitForAHeader_IsNone() {
+    for (const std::string& id :
+         {std::string(), std::string("a\r\nX: 1"), std::string("a\n"), std::string("a b"),
+          std::string("a\0b", 3), std::string("\xc3\xa9")}) {
+      published_item item{.key = "servers/" + id, .value = kEntry, .revision = 4};
+      CPPUNIT_ASSERT(!platform::ReadInstance(item));
+      CPPUNIT_ASSERT(platform::ReduceItem(item).use == item_reduction::use::kUnreadable);
+    }
+  }
+
+  // Guards against a time that no number holds once it is counted in microseconds.
+  void ReadInstance_AnyWarmUpTime_IsBounded() {
+    for (const char* millis : {"1e300", "-1e300", "9223372036854775807"}) {
+      std::string entry = kEntry;
+      const std::string field = R"("warmup_left_ms":0)";
+      entry.replace(entry.find(field), field.size(), R"("warmup_left_ms":)" + std::string(millis));
+      const auto instance = ReadEntry(entry);
+      CPPUNIT_ASSERT(instance.has_value());
+      CPPUNIT_ASSERT(instance->warm_up_time >= duration::zero());
+      CPPUNIT_ASSERT(instance->warm_up_time <= std::chrono::hours(30 * 24));
+    }
+  }
+
   void RemoveRenewalCounter_OnlyTheCounterDiffers_IsTheSame() {
     const auto entry = [](const char* state, int counter) {
       return platform::RemoveRenewalCounter("servers/i-1", std::string(R"({"state":")") + state +
