Read the table when its own record changes, not with each change

What an operator saw: while a table can't be read, each change of any entry logged table.refused once more, and every node parsed the whole table with each change of any entry. Another writer that changes its entry hundreds of times a second thereby set the processor time of all nodes.

Cause: ApplyUpdate() reads the table after each update that changed something, whatever it was.

Change: the relay is told the key of the table's item, and reads it when that item is among the changed ones. A table that is refused is logged once an edit and counted with the unreadable items.

--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -1,5 +1,6 @@
 #include "cuminferry_relay/path/relay_node.h"
 
+#include <algorithm>
 #include <unordered_map>
 #include <utility>
 
@@ -45,6 +46,7 @@
 struct relay_node::state {
   relay_board board;
   item_filter filter;
+  std::string table_key;
   table_reader read_table;
   listed_instances listed;
   instance_list instances;
@@ -65,10 +67,12 @@
   instant drain_started_at{};
   std::function<void()> on_drained;
 
-  state(event_loop& loop, relay_settings settings, item_reducer reduce, table_reader read_table,
-        instance_reader read_instance, std::function<void(bool)> on_watching_change)
+  state(event_loop& loop, relay_settings settings, item_reducer reduce, std::string table_key,
+        table_reader read_table, instance_reader read_instance,
+        std::function<void(bool)> on_watching_change)
       : board(loop, std::move(settings)),
         filter(board, std::move(reduce)),
+        table_key(std::move(table_key)),
         read_table(std::move(read_table)),
         listed(std::move(read_instance)),
         serving(board),
@@ -245,7 +249,10 @@
     if (changed.empty()) {
       return;
     }
-    ApplyTable();
+    // The table is long, and others' entries may change hundreds of times a second.
+    if (std::ranges::find(changed, table_key) != changed.end()) {
+      ApplyTable();
+    }
     instances.Apply(listed.OnChanged(board.items, changed), board.loop.Now());
     ApplyInstances();
   }
@@ -253,6 +260,7 @@
   void ApplyTable() {
     const auto table = read_table(board.items);
     if (!table.ok()) {
+      board.metrics.OnUnreadableItem();
       board.log.LogChange("table.refused", {{"error", std::string(table.status().message())}});
       return;
     }
@@ -324,7 +332,8 @@
   return *this;
 }
 
-relay_node::builder& relay_node::builder::WithTableReader(table_reader reader) {
+relay_node::builder& relay_node::builder::WithTableReader(std::string key, table_reader reader) {
+  table_key_ = std::move(key);
   read_table_ = std::move(reader);
   return *this;
 }
@@ -347,8 +356,8 @@
 
 absl::StatusOr<std::unique_ptr<relay_node>> relay_node::builder::Start() {
   auto made = std::make_unique<state>(loop_, std::move(settings_), std::move(reduce_item_),
-                                      std::move(read_table_), std::move(read_instance_),
-                                      std::move(on_watching_change_));
+                                      std::move(table_key_), std::move(read_table_),
+                                      std::move(read_instance_), std::move(on_watching_change_));
   const absl::Status listening = made->Listen();
   if (!listening.ok()) {
     return listening;
--- a/modules/cuminferry_relay/path/relay_node.h
+++ b/modules/cuminferry_relay/path/relay_node.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -17,7 +18,7 @@
 
         auto node = relay_node::builder(loop)
                         .WithSettings(settings)
-                        .WithTableReader(ReadTable)
+                        .WithTableReader(TableKey(), ReadTable)
                         .WithInstanceReader(ReadInstances)
                         .Start();
         loop.Run();
@@ -35,7 +36,8 @@
    public:
     explicit builder(event_loop& loop) : loop_(loop) {}
     builder& WithSettings(relay_settings settings);
-    builder& WithTableReader(table_reader reader);
+    /** @param key  of the item that holds the table; it is read when that item has changed */
+    builder& WithTableReader(std::string key, table_reader reader);
     builder& WithInstanceReader(instance_reader reader);
     /** Sets what is kept of published items. By default they are kept as they are. */
     builder& WithItemReducer(item_reducer reduce);
@@ -48,6 +50,7 @@
    private:
     event_loop& loop_;
     relay_settings settings_;
+    std::string table_key_;
     table_reader read_table_;
     instance_reader read_instance_;
     item_reducer reduce_item_;
--- a/tests/relay/relay_fleet.cpp
+++ b/tests/relay/relay_fleet.cpp
@@ -159,36 +159,40 @@
 }
 
 void relay_fleet::StartNode(int node) {
-  auto started = relay_node::builder(loop_)
-                     .WithSettings(SettingsOf(node))
-                     .WithTableReader([this](const item_replica& items)
-                                          -> absl::StatusOr<std::shared_ptr<const route_table>> {
-                       const published_item* item = items.Find("table");
-                       if (item == nullptr) {
-                         return std::shared_ptr<const route_table>();
-                       }
-                       std::shared_ptr<const customer_registry> customers;
-                       if (!customers_.empty()) {
-                         customers = *customer_registry::Make(customers_);
-                       }
-                       return route_table::Make(
-                           *ParseInteger<std::uint64_t>(item->value),
-                           declared_service_ == kService ? Routes() : std::vector<http_route>(),
-                           {ServiceNamed(declared_service_)}, {}, customers);
-                     })
-                     .WithInstanceReader([this](const published_item& item) {
-                       std::optional<service_instance> found;
-                       for (const service_instance& instance : Instances()) {
-                         if (item.key == "instance/" + instance.id) {
-                           found = instance;
-                         }
-                       }
-                       return found;
-                     })
-                     .WithWatchHook([this, node](bool watching) {
-                       watches_platform_[static_cast<std::size_t>(node)] = watching;
-                     })
-                     .Start();
+  auto started =
+      relay_node::builder(loop_)
+          .WithSettings(SettingsOf(node))
+          .WithTableReader(
+              "table",
+              [this](
+                  const item_replica& items) -> absl::StatusOr<std::shared_ptr<const route_table>> {
+                ++table_reads_;
+                const published_item* item = items.Find("table");
+                if (item == nullptr) {
+                  return std::shared_ptr<const route_table>();
+                }
+                std::shared_ptr<const customer_registry> customers;
+                if (!customers_.empty()) {
+                  customers = *customer_registry::Make(customers_);
+                }
+                return route_table::Make(
+                    *ParseInteger<std::uint64_t>(item->value),
+                    declared_service_ == kService ? Routes() : std::vector<http_route>(),
+                    {ServiceNamed(declared_service_)}, {}, customers);
+              })
+          .WithInstanceReader([this](const published_item& item) {
+            std::optional<service_instance> found;
+            for (const service_instance& instance : Instances()) {
+              if (item.key == "instance/" + instance.id) {
+                found = instance;
+              }
+            }
+            return found;
+          })
+          .WithWatchHook([this, node](bool watching) {
+            watches_platform_[static_cast<std::size_t>(node)] = watching;
+          })
+          .Start();
   if (!started.ok()) {
     throw std::runtime_error(std::string(started.status().message()));
   }
--- a/tests/relay/relay_fleet.h
+++ b/tests/relay/relay_fleet.h
@@ -148,6 +148,8 @@
   void StartNode(int node);
   void StopNode(int node) { nodes_[static_cast<std::size_t>(node)].reset(); }
   std::uint64_t TotalRequests() const;
+  /** How often nodes have read a table. */
+  int table_reads() const { return table_reads_; }
   event_loop& loop() { return loop_; }
 
   relay_settings SettingsOf(int node) const;
@@ -162,6 +164,7 @@
   int address_block_;
   int domains_;
   std::vector<customer> customers_;
+  int table_reads_ = 0;
   std::set<int> unlisted_;
   std::set<int> draining_;
   // Revisions of the instances' records, and how often each instance was replaced.
--- a/tests/relay/relay_items_test.cpp
+++ b/tests/relay/relay_items_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST_SUITE(relay_items_test);
   CPPUNIT_TEST(Watch_SixNodesOfADomain_TwoNodesWatch);
   CPPUNIT_TEST(Watch_SeveralDomains_TwoNodesWatch);
+  CPPUNIT_TEST(Table_EntriesOfOthersChange_IsNotReadAgain);
   CPPUNIT_TEST(Watch_WatchingNodesGone_OthersWatch);
   CPPUNIT_TEST(Removed_PlatformLostTheRemoval_GetsNoRequests);
   CPPUNIT_TEST(Watch_PlatformDown_FewNodesWatch);
@@ -57,6 +58,23 @@
     CPPUNIT_ASSERT_EQUAL(2, fleet.CountPlatformWatchers());
   }
 
+  // Guards against a node that reads a table of some megabytes whenever another writer's entry
+  // changes, and logs each time that it can't.
+  void Table_EntriesOfOthersChange_IsNotReadAgain() {
+    relay_fleet fleet(1);
+    fleet.PublishTo(0, 2);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.table_reads());
+    for (std::uint64_t revision = 3; revision < 100; ++revision) {
+      fleet.node(0).OnItemUpdate(
+          {.complete_to = revision,
+           .whole = false,
+           .items = {{.key = "other/x", .value = std::to_string(revision), .revision = revision}}});
+    }
+    CPPUNIT_ASSERT_EQUAL(1, fleet.table_reads());
+    fleet.PublishTo(0, 100);
+    CPPUNIT_ASSERT_EQUAL(2, fleet.table_reads());
+  }
+
   // Both watching nodes are lost concurrently. The other nodes must still get later tables.
   void Watch_WatchingNodesGone_OthersWatch() {
     relay_fleet fleet(6, 1);
