Let two tests of unlisted targets wait for the request that they need

Cause: they send ten requests in 0.5 s to three targets, which are picked at random, and expect that the one that declares its leaving was reached: (2/3)^10, one run in 58 each, in which it was not. They now send until that target has got a request, for 10 s at most, and check the same after it.

--- a/tests/relay/unlisted_targets_test.cpp
+++ b/tests/relay/unlisted_targets_test.cpp
@@ -264,7 +264,7 @@
     SetUp(kDrain);
     ForEach([](standin_node& at) { at.says = {.registration = "serving"}; });
     standins_.at(1)->says.is_leaving = true;
-    CPPUNIT_ASSERT_EQUAL(0, CountRefused(milliseconds(500)));
+    CPPUNIT_ASSERT_EQUAL(0, CountRefusedUntilAsked(1));
     UnlistAll();
     CPPUNIT_ASSERT_EQUAL(std::string("2"), UnlistedGauge());
     fleet_->RunFor(seconds(1));
@@ -278,7 +278,7 @@
     UnlistAll();
     CPPUNIT_ASSERT_EQUAL(std::string("3"), UnlistedGauge());
     standins_.at(1)->says.is_leaving = true;
-    CPPUNIT_ASSERT_EQUAL(0, CountRefused(milliseconds(500)));
+    CPPUNIT_ASSERT_EQUAL(0, CountRefusedUntilAsked(1));
     CPPUNIT_ASSERT_EQUAL(std::string("2"), UnlistedGauge());
   }
 
@@ -463,6 +463,18 @@
     return refused;
   }
 
+  // Targets are picked at random, so that some requests may pass before one reaches this node.
+  int CountRefusedUntilAsked(int node) {
+    const int before = standins_.at(node)->requests;
+    const instant end = fleet_->loop().Now() + seconds(10);
+    int refused = 0;
+    while (standins_.at(node)->requests == before && fleet_->loop().Now() < end) {
+      refused += CountRefused(milliseconds(50));
+    }
+    CPPUNIT_ASSERT(standins_.at(node)->requests > before);
+    return refused;
+  }
+
   void CheckDenial(const std::string& reply) {
     SetUp(kDrain);
     ForEach([](standin_node& at) { at.says = {.registration = "serving"}; });
