Keep what waits where the platform has lost all targets of a service

Where the platform loses a whole service, what waited at one target moved to the next, which had been taken out as well, and was refused in the end.

--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -195,10 +195,10 @@
 }
 
 bool relay_board::HasOtherTargets() const {
-  return std::ranges::any_of(instances_, [this](const auto& listed) {
-    const service_instance& instance = listed.second;
-    return instance.service == settings.service && !instance.draining &&
-           instance.backend != settings.backend && !HasDeclaredLeaving(instance.id);
+  return std::ranges::any_of(instances_, [this](const auto& known) {
+    const service_instance& instance = known.second;
+    return instance.service == settings.service && instance.backend != settings.backend &&
+           !instance.draining && !HasDeclaredLeaving(instance.id) && !unlisted_since(instance.id);
   });
 }
 
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -153,8 +153,8 @@
 void serving_context::OnInstancesChanged() {
   registration.OnInstancesChanged();
   WithdrawRefused();
-  if (std::exchange(is_unlisted_, registration.may_refuse()) != registration.may_refuse() &&
-      is_unlisted_) {
+  const bool was_unlisted = std::exchange(is_unlisted_, registration.may_refuse());
+  if (is_unlisted_ && !was_unlisted) {
     WithdrawFromUnlisted();
   }
 }
--- a/tests/relay/leaving_target_test.cpp
+++ b/tests/relay/leaving_target_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(Leaving_LongUploadsOfItsOwnNode_WhatWaitsRunsElsewhere);
   CPPUNIT_TEST(Leaving_TakenOutOfTheList_WhatWaitsRunsElsewhere);
   CPPUNIT_TEST(Leaving_TakenOutWhileItClaimsToServe_WhatWaitsRunsElsewhere);
+  CPPUNIT_TEST(Unlisted_AllTargetsAtOnce_WhatWaitsStays);
   CPPUNIT_TEST(Leaving_AddressUsedAgain_WhatWaitsRunsElsewhere);
   CPPUNIT_TEST(Leaving_NoOtherTarget_WhatWaitsIsRefused);
   CPPUNIT_TEST(Leaving_ListedAsReadyAgain_GetsRequests);
@@ -105,6 +106,23 @@
     }
   }
 
+  // Guards against requests that move from target to target, and are refused in the end, where the
+  // platform has lost all targets of a service.
+  void Unlisted_AllTargetsAtOnce_WhatWaitsStays() {
+    SetUpFleet(seconds(2));
+    FillTarget(kIngress, "/once/x");
+    fleet_->SetUnlisted({0, 1, 2, 3});
+    Publish();
+    fleet_->RunFor(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Count(503));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Count(200));
+    ReleaseHeld();
+    CPPUNIT_ASSERT(fleet_->RunUntil([&] {
+      ReleaseHeld();
+      return Count(200) == kSent;
+    }));
+  }
+
   void Leaving_AddressUsedAgain_WhatWaitsRunsElsewhere() {
     SetUpFleet();
     FillTarget(kIngress, "/once/x");
@@ -139,7 +157,7 @@
     ExpectMoved();
     fleet_->SetDraining({});
     Publish();
-    fleet_->target(kLeaving).on_request = nullptr;
+    holds_ = false;
     const std::size_t before = fleet_->target(kLeaving).request_ids.size();
     for (const int ingress : {kIngress, kLeaving}) {
       for (std::size_t i = 0; i < kSent; ++i) {
@@ -171,6 +189,7 @@
     results_.clear();
     held_.clear();
     health_checks_ = 0;
+    holds_ = true;
     version_ = 1;
     fleet_ = std::make_unique<relay_fleet>(kNodes);
     for (int node = 0; node < kNodes; ++node) {
@@ -178,19 +197,27 @@
       settings.drain = drain;
       fleet_->node(node).ApplySettings(settings);
     }
-    fleet_->target(kLeaving).on_request = [this](scripted_target::scripted_request& request) {
-      if (request.request.target == "/health") {
-        ++health_checks_;
-        request.connection.Write(
-            "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n");
-        return;
-      }
-      held_.emplace_back(&request.connection, request.request);
-    };
+    for (int node = 0; node < kNodes; ++node) {
+      fleet_->target(node).on_request = [this, node](scripted_target::scripted_request& request) {
+        OnRequest(node, request);
+      };
+    }
     fleet_->SetUnlisted({0, 2, 3});
     Publish();
   }
 
+  void OnRequest(int node, scripted_target::scripted_request& request) {
+    if (request.request.target == "/health") {
+      health_checks_ += node == kLeaving ? 1 : 0;
+      request.connection.Write("HTTP/1.1 200 OK\r\nInstance-Id: i-" + std::to_string(node) +
+                               "\r\nContent-Length: 0\r\n\r\n");
+    } else if (node == kLeaving && holds_) {
+      held_.emplace_back(&request.connection, request.request);
+    } else {
+      request.connection.Write(scripted_target::Answer(request.request));
+    }
+  }
+
   void Publish() { fleet_->PublishToAll(++version_); }
 
   void ListAll() {
@@ -226,7 +253,7 @@
   }
 
   void ReleaseHeld() {
-    for (auto& [connection, head] : held_) {
+    for (auto& [connection, head] : std::exchange(held_, {})) {
       connection->Write(scripted_target::Answer(head));
     }
   }
@@ -255,6 +282,8 @@
   std::unique_ptr<relay_fleet> fleet_;
   std::uint64_t version_ = 1;
   int health_checks_ = 0;
+  // The leaving target answers nothing.
+  bool holds_ = true;
   // Requests that the leaving target holds.
   std::size_t running_ = 0;
   std::vector<std::shared_ptr<client_result>> results_;
