--- a/tests/platform/other_writers_test.cpp
+++ b/tests/platform/other_writers_test.cpp
@@ -27,6 +27,7 @@
 class other_writers_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(other_writers_test);
   CPPUNIT_TEST(Items_NoneUsesThem_AreNotKept);
+  CPPUNIT_TEST(Values_LongerThanAnyPage_HideNothing);
   CPPUNIT_TEST(Entries_UnreadableFromTheStart_AreNotKept);
   CPPUNIT_TEST(Entry_UnreadableForAWhile_NamesNoTargetMeanwhile);
   CPPUNIT_TEST(Entry_OverwrittenUnread_IsTakenBackByOtherNodes);
@@ -50,6 +51,19 @@
     CPPUNIT_ASSERT(fixture_.items.Find(kSound) != nullptr);
   }
 
+  // Guards against a store that no node can read, as the values of another system make its answer
+  // longer than one that is taken: 13 MB, which a store that pages by number sends in one.
+  void Values_LongerThanAnyPage_HideNothing() {
+    constexpr int kValues = 13;
+    fixture_.keeps_unused = false;
+    PutMany("locks/", kValues);
+    Watch();
+    PutMany("locks/", kValues);
+    fixture_.store.Renew(kSound, Entry("draining"));
+    CPPUNIT_ASSERT(fixture_.RunUntil([&] { return Target() && Target()->draining; }));
+    CPPUNIT_ASSERT_EQUAL(1, fixture_.store.ranges);
+  }
+
   // Guards against a node filled by entries that nobody can read, 48 MB of them.
   void Entries_UnreadableFromTheStart_AreNotKept() {
     fixture_.store.page = 1;
@@ -159,8 +173,8 @@
  private:
   static constexpr int kMany = 24;
 
-  void PutMany(const std::string& prefix) {
-    for (int i = 0; i < kMany; ++i) {
+  void PutMany(const std::string& prefix, int count = kMany) {
+    for (int i = 0; i < count; ++i) {
       fixture_.store.Put(prefix + std::to_string(i), std::string(kMaxValueBytes, 'x'));
     }
   }
