Keep of an entry only the fields that are read

What an operator saw: an entry that can be read, and bears up to 15 KB under names that nobody here knows, was kept whole by every node and sent to the next. From 32 MB of such entries on, a node that read the store anew gave it up again and again ("endless"), and so had no targets at all.

Names were bounded only by the entry.

Change: fields that this system doesn't read are left out. A service, failure domain or version of more than 200 bytes names no target.

--- a/tests/platform/other_writers_test.cpp
+++ b/tests/platform/other_writers_test.cpp
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <nlohmann/json.hpp>
+
 #include "cuminferry_relay/path/item_filter.h"
 #include "platform/watched_store.h"
 
@@ -13,6 +15,13 @@
 
 std::string Entry(std::string_view state) { return TargetEntry(state, 1); }
 
+// The entry with one more field, or another value of a field, of this length.
+std::string WithField(const std::string& field, std::size_t length) {
+  nlohmann::json entry = nlohmann::json::parse(Entry("ready"));
+  entry[field] = std::string(length, 'x');
+  return entry.dump();
+}
+
 std::size_t BytesOf(const item_replica& items) {
   std::size_t bytes = 0;
   for (const published_item* item : items.FindAll("")) {
@@ -32,6 +41,8 @@
   CPPUNIT_TEST(Entry_UnreadableForAWhile_NamesNoTargetMeanwhile);
   CPPUNIT_TEST(Entry_OverwrittenUnread_IsTakenBackByOtherNodes);
   CPPUNIT_TEST(Entry_KeyTooLong_IsNotKept);
+  CPPUNIT_TEST(Entries_WithUnknownFields_AreKeptWithoutThem);
+  CPPUNIT_TEST(Entry_NameTooLong_NamesNoTarget);
   CPPUNIT_TEST(Filter_UnreadableItems_AreCountedAndForgottenOnceReadable);
   CPPUNIT_TEST(Entries_WithoutKeyOrRevision_CostOnlyThemselves);
   CPPUNIT_TEST(Pages_WithoutEnd_AreGivenUp);
@@ -110,6 +121,31 @@
     CPPUNIT_ASSERT(!reduction.reason.empty());
   }
 
+  // Guards against a store that no node can read any more, and against nodes filled by the fields
+  // that another writer adds to its entries: 36 MB in 2,400 entries, each of which can be read.
+  void Entries_WithUnknownFields_AreKeptWithoutThem() {
+    constexpr int kEntries = 2'400;
+    for (int i = 0; i < kEntries; ++i) {
+      fixture_.store.Put("servers/n-" + std::to_string(i), WithField("notes", 15'000));
+    }
+    Watch();
+    CPPUNIT_ASSERT(BytesOf(fixture_.items) < kEntries * 300);
+    fixture_.store.Renew(kSound, WithField("notes", 15'000));
+    CPPUNIT_ASSERT(IsFollowed());
+    CPPUNIT_ASSERT(Target().has_value());
+    CPPUNIT_ASSERT(BytesOf(fixture_.items) < kEntries * 300);
+  }
+
+  // Guards against a node filled by names as long as an entry may be.
+  void Entry_NameTooLong_NamesNoTarget() {
+    for (const char* field : {"service", "zone", "version"}) {
+      published_item item{.key = kSound, .value = WithField(field, 201)};
+      CPPUNIT_ASSERT(platform::ReduceItem(item).use == item_reduction::use::kUnreadable);
+      published_item sound{.key = kSound, .value = WithField(field, 200)};
+      CPPUNIT_ASSERT(platform::ReduceItem(sound).use == item_reduction::use::kKept);
+    }
+  }
+
   // Guards against an operator who can't see that, and where, entries can't be read.
   void Filter_UnreadableItems_AreCountedAndForgottenOnceReadable() {
     relay_board board(fixture_.loop, {.instance = "node", .service = "maps"});
