Bound the number of the store's items that a node keeps

What an operator saw: each entry that looks like that of an instance took every node some 2 KB, however many another writer wrote; 100,000 of them 190 MB, and where its service doesn't exist 80 MB.

Cause: only unreadable items were bounded in number.

Change: a copy keeps 16,384 items, twice as many as the instances of the largest fleet. The table stays; entries of services that the table doesn't declare go first, then those that were created last: what serves was there before. An entry that was left out comes back once there is room, as its writer renews it. items.left_out is logged once, cuminferry_items_left_out counts.

Ruled out: leaving out entries of undeclared services altogether: the next table may declare them, and has to be in force in seconds.

Tests: Entries_MoreThanAreKept_CostOnlyTheLatest failed on (32,769 items); Apply_MoreItemsThanAreKept_LowestRankAndEldestStay and Filter_ServicesThatNobodyDeclares_RankLast use functions that came with the change.

--- a/modules/cuminferry_fleet/replica/item_reduction.h
+++ b/modules/cuminferry_fleet/replica/item_reduction.h
@@ -21,6 +21,8 @@
   use use = use::kKept;
   /** Why the item can't be read; empty where it can, or where nobody wants to. */
   std::string reason;
+  /** The service of the instance that the item describes; empty for another item. */
+  std::string service;
 };
 
 /** Reduces an item to what nodes keep and send each other. To reduce it again changes nothing. */
--- a/modules/cuminferry_fleet/replica/item_replica.cpp
+++ b/modules/cuminferry_fleet/replica/item_replica.cpp
@@ -1,8 +1,30 @@
 #include "cuminferry_fleet/replica/item_replica.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cuminferry {
+namespace {
+
+// Whether `one` is left out later than `other`.
+bool IsKeptLonger(const published_item& one, const published_item& other) {
+  return std::tie(one.is_unreadable, one.rank, one.created, one.key) <
+         std::tie(other.is_unreadable, other.rank, other.created, other.key);
+}
+
+}  // namespace
+
+void item_replica::LeaveOutExcess(std::vector<published_item>& items) {
+  const auto present = std::partition(items.begin(), items.end(),
+                                      [](const published_item& item) { return item.removed; });
+  // One more than is kept, by which the copy notices that there are more.
+  constexpr std::ptrdiff_t kLeft = kMaxItems + 1;
+  if (items.end() - present > kLeft) {
+    const auto end = present + kLeft;
+    std::nth_element(present, end, items.end(), IsKeptLonger);
+    items.erase(end, items.end());
+  }
+}
 
 std::vector<std::string> item_replica::Apply(const item_update& update) {
   std::vector<std::string> changed;
@@ -25,6 +47,7 @@
   }
   complete_to_ = std::max(complete_to_, update.complete_to);
   DropOldRemovals();
+  DropExcess(changed);
   return changed;
 }
 
@@ -108,6 +131,31 @@
   }
 }
 
+void item_replica::DropExcess(std::vector<std::string>& changed) {
+  const std::size_t count = items_.size() - removals_.size();
+  if (count <= kMaxItems) {
+    return;
+  }
+  std::vector<const published_item*> present;
+  present.reserve(count);
+  for (const auto& [key, item] : items_) {
+    if (!item.removed && !item.is_unreadable) {
+      present.push_back(&item);
+    }
+  }
+  const auto end = present.begin() + kMaxItems;
+  std::nth_element(present.begin(), end, present.end(),
+                   [](const published_item* one, const published_item* other) {
+                     return IsKeptLonger(*one, *other);
+                   });
+  std::for_each(end, present.end(), [&](const published_item* item) {
+    changed.push_back(item->key);
+    RemoveFromIndex(*item);
+    items_.erase(items_.find(changed.back()));
+    ++left_out_;
+  });
+}
+
 item_update item_replica::UpdateSince(std::uint64_t revision, const page_limits& limits) const {
   const bool whole = revision < removals_dropped_to_;
   return PageAfter(whole ? 0 : revision, whole, limits);
--- a/modules/cuminferry_fleet/replica/item_replica.h
+++ b/modules/cuminferry_fleet/replica/item_replica.h
@@ -26,6 +26,9 @@
   /** Whether the item can't be read, so that its value only says why. Each node finds that out by
       itself. @see item_reduction */
   bool is_unreadable = false;
+  /** Where there are more items than are kept, those of the highest rank are left out first. Each
+      node finds it out by itself. @see item_filter */
+  std::uint8_t rank = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -71,8 +74,10 @@
 
 /** A node's copy of the platform's published items.
 
-    Unreadable items are kept only where an earlier value may be known somewhere, and at most as
-    many as removals: other writers may write any number of them.
+    Other writers may write any number of entries that look like instances, so at most kMaxItems are
+    kept: those of the lowest rank, and among them those that were created first. An entry that was
+    left out is taken once there is room and its writer renews it. Unreadable items are kept only
+    where an earlier value may be known somewhere, and at most as many as removals.
 
     Each item carries its revision (item_revision), and the higher revision replaces the lower
     one. Copies that received the same changes in any order, from the platform or from other
@@ -91,6 +96,11 @@
   /** Maximum number of removals and unreadable items stored for updates to other nodes. An update
      that needs older ones holds all items. */
   static constexpr std::size_t kMaxRemovals = 4096;
+  /** Maximum number of items: twice as many as the instances of the largest fleet. */
+  static constexpr std::size_t kMaxItems = 16'384;
+
+  /** Leaves out the items of an update that are more than a copy keeps. Removals stay. */
+  static void LeaveOutExcess(std::vector<published_item>& items);
 
   /** Applies an update. Returns the keys of changed and removed items. */
   std::vector<std::string> Apply(const item_update& update);
@@ -112,6 +122,8 @@
   std::uint64_t complete_to() const { return complete_to_; }
   /** Whether the publisher was restored from an older copy between this copy and the update. */
   bool IsAfterRestore(const item_update& update) const;
+  /** Number of items that were left out as there are more than are kept. */
+  std::uint64_t left_out() const { return left_out_; }
   /** Revision of the latest known change. A copy that is complete up to this revision lacks
       no change that this copy has. */
   std::uint64_t latest_change() const { return latest_change_; }
@@ -125,6 +137,7 @@
   bool Take(const published_item& item);
   void RemoveAbsent(const item_update& whole, std::vector<std::string>& changed);
   void DropOldRemovals();
+  void DropExcess(std::vector<std::string>& changed);
   void AddToIndex(const published_item& item);
   void RemoveFromIndex(const published_item& item);
 
@@ -136,6 +149,7 @@
   std::uint64_t latest_change_ = 0;
   // Revision up to which removals are no longer stored.
   std::uint64_t removals_dropped_to_ = 0;
+  std::uint64_t left_out_ = 0;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_fleet/replica/paged_update.cpp
+++ b/modules/cuminferry_fleet/replica/paged_update.cpp
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace cuminferry {
+namespace {
+
+// More items than a copy keeps are left out once there are a page more.
+constexpr std::size_t kMaxCollected =
+    item_replica::kMaxItems + item_replica::kMaxRemovals + page_limits{}.items;
+
+}  // namespace
 
 paged_update::page_status paged_update::Add(item_update page, instant complete_at,
                                             const filter& keep) {
@@ -29,6 +36,13 @@
       update_.items.push_back(std::move(item));
     }
   }
+  if (update_.items.size() > kMaxCollected) {
+    item_replica::LeaveOutExcess(update_.items);
+    bytes_ = 0;
+    for (const published_item& item : update_.items) {
+      bytes_ += item.key.size() + item.value.size();
+    }
+  }
   if (bytes_ > kMaxBytes) {
     Reset();
     return page_status::kTooLong;
--- a/modules/cuminferry_relay/path/item_filter.cpp
+++ b/modules/cuminferry_relay/path/item_filter.cpp
@@ -13,6 +13,7 @@
   }
   const item_reduction reduction = reduce_(item);
   item.is_unreadable = reduction.use == item_reduction::use::kUnreadable;
+  item.rank = RankOf(reduction.service);
   if (!reduction.reason.empty()) {
     OnUnreadable(item.key, reduction.reason);
   } else if (const auto known = unreadable_keys_.find(item.key); known != unreadable_keys_.end()) {
@@ -21,6 +22,14 @@
   return reduction.use != item_reduction::use::kNone;
 }
 
+std::uint8_t item_filter::RankOf(std::string_view service) const {
+  if (service.empty()) {
+    return kOtherRank;
+  }
+  const bool is_declared = !board_.table() || board_.table()->FindService(service) != nullptr;
+  return is_declared ? kDeclaredRank : kUndeclaredRank;
+}
+
 void item_filter::OnUnreadable(std::string_view key, std::string_view reason) {
   board_.metrics.OnUnreadableItem();
   const std::string shown(key.substr(0, kMaxLoggedKeyBytes));
--- a/modules/cuminferry_relay/path/relay_node.cpp
+++ b/modules/cuminferry_relay/path/relay_node.cpp
@@ -213,6 +213,8 @@
                            static_cast<double>(suspects.announcements_sent()));
     board.metrics.SetGauge("cuminferry_suspects_blocked",
                            static_cast<double>(board.suspects.CountBlocked(board.loop.Now())));
+    board.metrics.SetGauge("cuminferry_items_left_out",
+                           static_cast<double>(board.items.left_out()));
     if (const auto age = exchange.ReplicaAge()) {
       board.metrics.SetGauge("cuminferry_items_age_seconds", ToSeconds(*age));
     }
@@ -245,7 +247,11 @@
                            {"to", item_revision::ToText(update.complete_to)}});
       instances.OnPublisherRestored(board.loop.Now());
     }
+    const std::uint64_t left_out_before = board.items.left_out();
     const std::vector<std::string> changed = board.items.Apply(update);
+    if (left_out_before == 0 && board.items.left_out() > 0) {
+      board.log.LogChange("items.left_out", {{"kept", item_replica::kMaxItems}});
+    }
     if (changed.empty()) {
       return;
     }
--- a/tests/platform/other_writers_test.cpp
+++ b/tests/platform/other_writers_test.cpp
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(Entry_KeyTooLong_IsNotKept);
   CPPUNIT_TEST(Entries_WithUnknownFields_AreKeptWithoutThem);
   CPPUNIT_TEST(Entry_NameTooLong_NamesNoTarget);
+  CPPUNIT_TEST(Entries_MoreThanAreKept_CostOnlyTheLatest);
+  CPPUNIT_TEST(Filter_ServicesThatNobodyDeclares_RankLast);
   CPPUNIT_TEST(Filter_UnreadableItems_AreCountedAndForgottenOnceReadable);
   CPPUNIT_TEST(Entries_WithoutKeyOrRevision_CostOnlyThemselves);
   CPPUNIT_TEST(Pages_WithoutEnd_AreGivenUp);
@@ -146,6 +148,44 @@
     }
   }
 
+  // Guards against a node filled by any number of entries that look like those of instances, before
+  // it starts and while it watches.
+  void Entries_MoreThanAreKept_CostOnlyTheLatest() {
+    const auto put_many = [this](const std::string& prefix) {
+      for (std::size_t i = 0; i < item_replica::kMaxItems; ++i) {
+        fixture_.store.Put(prefix + std::to_string(i), Entry("ready"));
+      }
+    };
+    fixture_.store.Put(kSound, Entry("ready"));
+    put_many("servers/a-");
+    put_many("servers/z-");
+    fixture_.watcher.SetWatching(true, 0);
+    CPPUNIT_ASSERT(fixture_.RunUntil([&] { return Target().has_value(); }, seconds(20)));
+    CPPUNIT_ASSERT_EQUAL(item_replica::kMaxItems, fixture_.items.FindAll("").size());
+    put_many("servers/b-");
+    CPPUNIT_ASSERT(IsFollowed());
+    CPPUNIT_ASSERT_EQUAL(item_replica::kMaxItems, fixture_.items.FindAll("").size());
+    CPPUNIT_ASSERT(fixture_.items.left_out() > 0);
+    fixture_.store.Renew(kSound, Entry("draining"));
+    CPPUNIT_ASSERT(fixture_.RunUntil([&] { return Target() && Target()->draining; }));
+  }
+
+  // Guards against entries of services that do not exist taking the room of instances that start.
+  void Filter_ServicesThatNobodyDeclares_RankLast() {
+    relay_board board(fixture_.loop, {.instance = "node", .service = "maps"});
+    item_filter filter(board, platform::ReduceItem);
+    const auto rank_of = [&](const std::string& key, const std::string& value) {
+      published_item item{.key = key, .value = value};
+      filter.Reduce(item);
+      return item.rank;
+    };
+    CPPUNIT_ASSERT_EQUAL(item_filter::kDeclaredRank, rank_of(kSound, WithField("service", 4)));
+    board.SetTable(*route_table::Make(1, {}, {{.name = "maps"}}, {}));
+    CPPUNIT_ASSERT_EQUAL(item_filter::kDeclaredRank, rank_of(kSound, Entry("ready")));
+    CPPUNIT_ASSERT_EQUAL(item_filter::kUndeclaredRank, rank_of(kSound, WithField("service", 4)));
+    CPPUNIT_ASSERT_EQUAL(item_filter::kOtherRank, rank_of(platform::TableKey(), "{}"));
+  }
+
   // Guards against an operator who can't see that, and where, entries can't be read.
   void Filter_UnreadableItems_AreCountedAndForgottenOnceReadable() {
     relay_board board(fixture_.loop, {.instance = "node", .service = "maps"});
--- a/tests/relay/item_replica_test.cpp
+++ b/tests/relay/item_replica_test.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(Apply_FullCopyWithoutAnItem_RemovesIt);
   CPPUNIT_TEST(Apply_OutdatedFullCopy_RestoresNothing);
   CPPUNIT_TEST(UpdateSince_AnyMixOfSources_ReplicasAreEqual);
+  CPPUNIT_TEST(Apply_MoreItemsThanAreKept_LowestRankAndEldestStay);
   CPPUNIT_TEST(Apply_Renewal_IsNotPropagated);
   CPPUNIT_TEST(Apply_CreatedAgainWithTheSameValue_IsPropagated);
   CPPUNIT_TEST(UpdateSince_EntriesRenewedAndCreatedAgain_ReplicasAreEqual);
@@ -56,6 +57,34 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, replica.complete_to());
   }
 
+  // Guards against a copy that fills the memory, and against one that loses what it is there for.
+  void Apply_MoreItemsThanAreKept_LowestRankAndEldestStay() {
+    item_replica replica;
+    std::uint64_t revision = 0;
+    const auto apply = [&](const std::string& prefix, std::uint8_t rank, std::size_t count) {
+      item_update update;
+      for (std::size_t i = 0; i < count; ++i) {
+        ++revision;
+        update.items.push_back(Entry(prefix + std::to_string(i), "", revision, revision));
+        update.items.back().rank = rank;
+      }
+      update.complete_to = revision;
+      return replica.Apply(update);
+    };
+    apply("foreign-", 2, item_replica::kMaxItems);
+    const auto changed = apply("late-", 1, 100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{200}, changed.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, replica.FindAll("late-").size());
+    CPPUNIT_ASSERT_EQUAL(item_replica::kMaxItems, replica.FindAll("").size());
+    apply("later-", 2, 100);
+    CPPUNIT_ASSERT(replica.FindAll("later-").empty());
+    CPPUNIT_ASSERT(replica.Find("foreign-0") != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, replica.left_out());
+    replica.Apply({.complete_to = ++revision, .items = {Removal("foreign-0", revision)}});
+    apply("later-", 2, 1);
+    CPPUNIT_ASSERT(replica.Find("later-0") != nullptr);
+  }
+
   void Apply_FullCopyWithoutAnItem_RemovesIt() {
     item_replica replica;
     replica.Apply({.complete_to = 9, .whole = true, .items = {Item("a", 3), Item("b", 9)}});
