Let nothing wait for a target that was just taken out of the list

What callers saw: requests that came after the target was taken out of the list, from nodes that retain it, waited for its slots for as long as it gave any evidence that it serves. A false health answer is enough, and many targets leave without reporting it.

Change: for the drain time after the removal, and where others are listed, a request that would have to wait goes back as `full`, and is placed elsewhere. What finds a free slot runs, as the evidence allows. Afterwards an instance that still shows that it serves has rather lost the platform than left, and may be waited for as before.

Ruled out, after a test of it was written and held: taking back what waits whenever another target becomes listed. Where the platform lost all targets of a service, they come back one by one, and the queues of all would move to the first.

--- a/modules/cuminferry_relay/path/registration_controller.cpp
+++ b/modules/cuminferry_relay/path/registration_controller.cpp
@@ -135,6 +135,11 @@
 }
 
 //==============================================================================
+bool registration_controller::IsJustRemoved() const {
+  return may_refuse() && unlisted_at_ != instant{} &&
+         node_.loop.Now() - unlisted_at_ < node_.settings.drain;
+}
+
 bool registration_controller::Decides(std::string_view instance) const {
   return is_on() && !check_.is_listed() && !instance.empty() && instance == check_.id();
 }
--- a/modules/cuminferry_relay/path/registration_controller.h
+++ b/modules/cuminferry_relay/path/registration_controller.h
@@ -44,6 +44,8 @@
   //============================================================================
   /** Whether the own backend server may have to be refused requests, as it is not listed. */
   bool may_refuse() const { return is_on() && !check_.is_listed(); }
+  /** Whether the own backend server was taken out of the list within the latest drain time. */
+  bool IsJustRemoved() const;
   /** Whether the state of this instance is decided here, not by the list: it is the own one, and it
       is not listed. */
   bool Decides(std::string_view instance) const;
--- a/modules/cuminferry_relay/path/serving_call.cpp
+++ b/modules/cuminferry_relay/path/serving_call.cpp
@@ -93,6 +93,10 @@
     RequestSlot();
     return;
   }
+  if (!context_.MayWait()) {
+    AnswerWithOutcome(relay_outcome::kFull);
+    return;
+  }
   deadline_timer_.StartOnce(deadline_ - now, [this] { AnswerWithOutcome(relay_outcome::kFull); });
 }
 
@@ -137,7 +141,7 @@
       OnSlotGranted();
       break;
     case slot_verdict::kWait:
-      context_.ScheduleWaiting();
+      WaitForSlot();
       break;
     case slot_verdict::kRefuse:
       AnswerWithOutcome(relay_outcome::kFull);
@@ -149,6 +153,15 @@
   context_.RefuseDisplaced();
 }
 
+void serving_call::WaitForSlot() {
+  if (context_.MayWait()) {
+    context_.ScheduleWaiting();
+    return;
+  }
+  context_.gate.Remove(id_);
+  AnswerWithOutcome(relay_outcome::kFull);
+}
+
 void serving_call::ScheduleInterimAnswer() {
   interim_timer_.StartOnce(kInterimDelay, [this] { peer_->SendInterim(); });
 }
--- a/modules/cuminferry_relay/path/serving_call.h
+++ b/modules/cuminferry_relay/path/serving_call.h
@@ -67,6 +67,7 @@
   bool TakeRepeat();
   void WaitForIsolation(const request_digest& suspect);
   void RequestSlot();
+  void WaitForSlot();
 
   /** Returns the reason why the expected instance gets no request now; nothing where it may. */
   std::optional<relay_outcome> RefusalOfInstance() const;
--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -159,6 +159,10 @@
   }
 }
 
+bool serving_context::MayWait() const {
+  return !registration.IsJustRemoved() || !node.HasOtherTargets();
+}
+
 // An instance that was taken out of the list may serve on for long, or exit at any time. What waits
 // is safer at another one, if there is one.
 void serving_context::WithdrawFromUnlisted() {
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -36,6 +36,10 @@
   /** The list of instances has changed: requests that wait for an instance which gets nothing more
       go back to their calling nodes at once, the first in the queue's order in front. */
   void OnInstancesChanged();
+  /** Whether a request may wait for the backend server. For the drain time after the instance was
+      taken out of the list, nothing waits where others are listed: it may leave, and serve on for
+      less time than the wait takes. */
+  bool MayWait() const;
   /** Starts waiting requests while slots are free. */
   void StartWaiting();
   /** Starts the suspects that may run now that another one has completed.
--- a/tests/relay/leaving_target_test.cpp
+++ b/tests/relay/leaving_target_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(Leaving_LongUploadsOfItsOwnNode_WhatWaitsRunsElsewhere);
   CPPUNIT_TEST(Leaving_TakenOutOfTheList_WhatWaitsRunsElsewhere);
   CPPUNIT_TEST(Leaving_TakenOutWhileItClaimsToServe_WhatWaitsRunsElsewhere);
+  CPPUNIT_TEST(Unlisted_AskedWhileItClaimsToServe_NothingWaitsThere);
   CPPUNIT_TEST(Unlisted_AllTargetsAtOnce_WhatWaitsStays);
   CPPUNIT_TEST(Leaving_AddressUsedAgain_WhatWaitsRunsElsewhere);
   CPPUNIT_TEST(Leaving_NoOtherTarget_WhatWaitsIsRefused);
@@ -106,6 +107,26 @@
     }
   }
 
+  // Guards against requests that come after the target was taken out, wait for its slots, and are
+  // sent to it when it may long have stopped serving.
+  void Unlisted_AskedWhileItClaimsToServe_NothingWaitsThere() {
+    for (const int ingress : {kIngress, kLeaving}) {
+      for (const char* path : {"/safe/x", "/once/x"}) {
+        SetUpFleet(seconds(2));
+        FillTarget(ingress, path);
+        fleet_->SetUnlisted({kLeaving});
+        Publish();
+        fleet_->RunFor(milliseconds(50));
+        for (std::size_t i = 0; i < kSent; ++i) {
+          results_.push_back(fleet_->Send(ingress, Request(path, 0)));
+        }
+        fleet_->RunUntil([&] { return Count(200) + held_.size() == 2 * kSent; }, kAtOnce);
+        CPPUNIT_ASSERT_EQUAL(2 * kSent, Count(200) + held_.size());
+        CPPUNIT_ASSERT(held_.size() <= kSlots);
+      }
+    }
+  }
+
   // Guards against requests that move from target to target, and are refused in the end, where the
   // platform has lost all targets of a service.
   void Unlisted_AllTargetsAtOnce_WhatWaitsStays() {
