Take a denied instance back once it is listed here anew

What callers saw: a target that was answered for by another one at its address once (421), and that was listed there again later under its id, got nothing for the rest of its life: its node refused each request with `leaving`.

Cause: the node beside it remembers the id that the backend server has denied to be, and never forgot it.

Change: it is forgotten once the list holds that id at this address anew, after it didn't, or with a later run. An entry that stood there all the while changes nothing, as before: the list is seconds late.

--- a/modules/cuminferry_relay/path/serving_context.cpp
+++ b/modules/cuminferry_relay/path/serving_context.cpp
@@ -152,6 +152,7 @@
 
 void serving_context::OnInstancesChanged() {
   registration.OnInstancesChanged();
+  UpdateAbsentInstance();
   WithdrawRefused();
   const bool was_unlisted = std::exchange(is_unlisted_, registration.may_refuse());
   if (is_unlisted_ && !was_unlisted) {
@@ -163,6 +164,18 @@
   return !registration.IsJustRemoved() || !node.HasOtherTargets();
 }
 
+// Once the instance is listed here anew, the answer that denied it says nothing about it.
+void serving_context::UpdateAbsentInstance() {
+  const service_instance* own = node.OwnInstance();
+  const bool is_listed = own != nullptr && own->id == absent_instance_ && !own->draining &&
+                         !node.unlisted_since(own->id);
+  const auto run = is_listed ? std::optional(own->started_millis) : std::nullopt;
+  if (is_listed && run != absent_listed_run_) {
+    absent_instance_.clear();
+  }
+  absent_listed_run_ = run;
+}
+
 // An instance that was taken out of the list may serve on for long, or exit at any time. What waits
 // is safer at another one, if there is one.
 void serving_context::WithdrawFromUnlisted() {
@@ -221,6 +234,9 @@
 
 void serving_context::OnOtherInstance(std::string_view expected) {
   absent_instance_ = expected;
+  const service_instance* own = node.OwnInstance();
+  const bool is_listed = own != nullptr && own->id == expected;
+  absent_listed_run_ = is_listed ? std::optional(own->started_millis) : std::nullopt;
   node.on_instance_absent(expected);
   // Answers to the calling nodes start what waits, which is done outside of the run that has
   // brought this one.
--- a/modules/cuminferry_relay/path/serving_context.h
+++ b/modules/cuminferry_relay/path/serving_context.h
@@ -101,6 +101,7 @@
   void OnExpiry();
   void WithdrawRefused();
   void WithdrawFromUnlisted();
+  void UpdateAbsentInstance();
   std::vector<std::shared_ptr<serving_call>> CallsInOrder() const;
   std::optional<row_limit> LimitFor(std::string_view row,
                                     const std::optional<double>& admitted_share) const;
@@ -114,7 +115,10 @@
   std::vector<std::shared_ptr<serving_call>> lost_runs_;
   // Runs whose answers ended by a close, likewise.
   std::vector<std::shared_ptr<serving_call>> ended_by_close_;
+  // The instance that the backend server has denied to be, and the start time of its run that the
+  // list held here at the last look, if it did.
   std::string absent_instance_;
+  std::optional<std::int64_t> absent_listed_run_;
   instant backend_down_until_{};
   // The own instance is not listed, and what waited for it then was withdrawn.
   bool is_unlisted_ = false;
--- a/tests/relay/leaving_target_test.cpp
+++ b/tests/relay/leaving_target_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(Leaving_AddressUsedAgain_WhatWaitsRunsElsewhere);
   CPPUNIT_TEST(Leaving_NoOtherTarget_WhatWaitsIsRefused);
   CPPUNIT_TEST(Leaving_ListedAsReadyAgain_GetsRequests);
+  CPPUNIT_TEST(Leaving_OnceFoundAbsentAndListedAgain_GetsRequests);
   CPPUNIT_TEST(Leaving_QueueByImportance_MostImportantMoveFirst);
   CPPUNIT_TEST_SUITE_END();
 
@@ -189,6 +190,29 @@
     CPPUNIT_ASSERT(fleet_->target(kLeaving).request_ids.size() > before);
   }
 
+  // Guards against a target that gets nothing for the rest of its life as another one was at its
+  // address once.
+  void Leaving_OnceFoundAbsentAndListedAgain_GetsRequests() {
+    SetUpFleet();
+    bool is_other = true;
+    fleet_->target(kLeaving).on_request = [&](scripted_target::scripted_request& request) {
+      request.connection.Write(
+          is_other ? "HTTP/1.1 421 Misdirected\r\nId: " + *request.request.Find("Id") +
+                         "\r\nContent-Length: 0\r\n\r\n"
+                   : scripted_target::Answer(request.request));
+    };
+    results_.push_back(fleet_->Send(kIngress, Request("/safe/x", 0)));
+    CPPUNIT_ASSERT(fleet_->RunUntil([&] { return Count(503) == 1; }));
+    is_other = false;
+    fleet_->SetUnlisted({kLeaving});
+    Publish();
+    fleet_->RunFor(milliseconds(100));
+    fleet_->SetUnlisted({0, 2, 3});
+    Publish();
+    results_.push_back(fleet_->Send(kIngress, Request("/safe/x", 0)));
+    CPPUNIT_ASSERT(fleet_->RunUntil([&] { return Count(200) == 1; }, kAtOnce));
+  }
+
   // Guards against the least important requests taking the free slots of other targets while the
   // most important ones are refused.
   void Leaving_QueueByImportance_MostImportantMoveFirst() {
