Drop the series of rows, and the pickers of services, that the table no longer has

Cause: a counter that was once made stayed, whatever became of its row; likewise what is known of a service's targets.

Change: the next table drops the series of rows that it doesn't have, and what is kept of services that neither it nor a listed instance names. At most 4,096 rows have a label value each, the others share one: other nodes' messages name rows as well.

Left: the moving averages of a row (about 200 bytes a row in each of six maps) stay.

--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -33,11 +33,31 @@
 
 void relay_board::SetTable(std::shared_ptr<const route_table> table) {
   table_ = std::move(table);
-  if (table_ != nullptr && table_->customers() != nullptr) {
+  if (table_ == nullptr) {
+    return;
+  }
+  std::set<std::string_view> rows;
+  for (const http_route& route : table_->routes()) {
+    rows.insert(route.name);
+  }
+  metrics.KeepRows([&rows](std::string_view row) { return rows.contains(row); });
+  DropUndeclaredServices();
+  if (table_->customers() != nullptr) {
     weights.SetCustomers(table_->customers()->customers());
   }
 }
 
+// Edits may name other services for as long as a node runs.
+void relay_board::DropUndeclaredServices() {
+  const auto is_used = [this](const std::string& service) {
+    const auto count = targets_by_service_.find(service);
+    return service == settings.service || table_->FindService(service) != nullptr ||
+           (count != targets_by_service_.end() && count->second.listed > 0);
+  };
+  std::erase_if(pickers_, [&](const auto& picker) { return !is_used(picker.first); });
+  std::erase_if(targets_by_service_, [&](const auto& count) { return !is_used(count.first); });
+}
+
 void relay_board::AddPeerOf(const endpoint& backend) {
   const endpoint peer = PeerAddressOf(backend);
   if (++instances_by_peer_[peer] == 1 && peer != settings.peer) {
--- a/modules/cuminferry_relay/path/relay_board.h
+++ b/modules/cuminferry_relay/path/relay_board.h
@@ -159,6 +159,7 @@
   void AddInstance(const service_instance& added);
   void RemoveInstance(const service_instance& removed, bool is_same_target);
   void DropUnlistedClients();
+  void DropUndeclaredServices();
 
   std::shared_ptr<const route_table> table_;
   std::map<std::string, target_picker> pickers_;
--- a/modules/cuminferry_relay/path/relay_metrics.cpp
+++ b/modules/cuminferry_relay/path/relay_metrics.cpp
@@ -107,28 +107,67 @@
   std::set<std::string, std::less<>> named_customers;
   std::map<std::string, prometheus::Counter*, std::less<>> counters_by_customer;
   std::map<std::pair<std::string, labels>, prometheus::Gauge*> gauges;
-  std::map<std::string, row_counters, std::less<>> counters_by_row;
-  std::map<std::string, served_counters, std::less<>> counters_by_served_row;
+  // Series by outcome, of each row.
+  template <typename Counters>
+  using by_outcome = std::map<std::string, Counters, std::less<>>;
+  struct row_series {
+    by_outcome<row_counters> requests;
+    by_outcome<served_counters> served;
+    prometheus::Counter* repeats = nullptr;
+    prometheus::Counter* denied_repeats = nullptr;
+  };
+  std::map<std::string, row_series, std::less<>> rows;
   struct control_counters {
     prometheus::Counter* messages;
     prometheus::Counter* bytes;
   };
   std::map<std::pair<std::string, std::string>, control_counters> counters_by_control;
+
+  // Also sets `row` to the label value that it gets.
+  row_series& SeriesOf(std::string_view& row) {
+    const bool is_named = rows.contains(row) || rows.size() < kMaxNamedRows;
+    row = is_named ? row : kOtherRowsLabel;
+    const auto found = rows.find(row);
+    return found != rows.end() ? found->second : rows.emplace(row, row_series{}).first->second;
+  }
+
+  void Drop(const row_series& series) {
+    for (const auto& [outcome, counters] : series.requests) {
+      requests.Remove(counters.count);
+      request_durations.Remove(counters.durations);
+    }
+    for (const auto& [outcome, counters] : series.served) {
+      served.Remove(counters.count);
+      waits.Remove(counters.waits);
+      runs.Remove(counters.runs);
+    }
+    repeats.Remove(series.repeats);
+    denied_repeats.Remove(series.denied_repeats);
+  }
 };
 
 relay_metrics::relay_metrics() : state_(std::make_unique<state>()) {}
 relay_metrics::~relay_metrics() = default;
 
+void relay_metrics::KeepRows(const std::function<bool(std::string_view)>& is_kept) {
+  std::erase_if(state_->rows, [&](const auto& row) {
+    if (is_kept(row.first)) {
+      return false;
+    }
+    state_->Drop(row.second);
+    return true;
+  });
+}
+
 void relay_metrics::OnRequestEnd(std::string_view row, std::string_view outcome, duration took) {
-  const std::string key = std::string(row) + "\n" + std::string(outcome);
-  auto found = state_->counters_by_row.find(key);
-  if (found == state_->counters_by_row.end()) {
+  auto& series = state_->SeriesOf(row).requests;
+  auto found = series.find(outcome);
+  if (found == series.end()) {
     const prometheus::Labels labels{{"row", std::string(row)}, {"outcome", std::string(outcome)}};
-    found = state_->counters_by_row
-                .emplace(key, state::row_counters{.count = &state_->requests.Add(labels),
-                                                  .durations = &state_->request_durations.Add(
-                                                      labels, kDurationBuckets)})
-                .first;
+    const state::row_counters counters{
+        .count = &state_->requests.Add(labels),
+        .durations = &state_->request_durations.Add(labels, kDurationBuckets)};
+    found = series.emplace(outcome, counters).first;
   }
   found->second.count->Increment();
   found->second.durations->Observe(ToSeconds(took));
@@ -149,17 +188,14 @@
 
 void relay_metrics::OnServed(std::string_view row, std::string_view outcome, duration waited,
                              duration ran) {
-  const std::string key = std::string(row) + "\n" + std::string(outcome);
-  auto found = state_->counters_by_served_row.find(key);
-  if (found == state_->counters_by_served_row.end()) {
+  auto& series = state_->SeriesOf(row).served;
+  auto found = series.find(outcome);
+  if (found == series.end()) {
     const prometheus::Labels labels{{"row", std::string(row)}, {"outcome", std::string(outcome)}};
-    found =
-        state_->counters_by_served_row
-            .emplace(key,
-                     state::served_counters{.count = &state_->served.Add(labels),
-                                            .waits = &state_->waits.Add(labels, kDurationBuckets),
-                                            .runs = &state_->runs.Add(labels, kDurationBuckets)})
-            .first;
+    const state::served_counters counters{.count = &state_->served.Add(labels),
+                                          .waits = &state_->waits.Add(labels, kDurationBuckets),
+                                          .runs = &state_->runs.Add(labels, kDurationBuckets)};
+    found = series.emplace(outcome, counters).first;
   }
   found->second.count->Increment();
   found->second.waits->Observe(ToSeconds(waited));
@@ -186,11 +222,19 @@
 }
 
 void relay_metrics::OnRepeat(std::string_view row) {
-  state_->repeats.Add({{"row", std::string(row)}}).Increment();
+  auto& counter = state_->SeriesOf(row).repeats;
+  if (counter == nullptr) {
+    counter = &state_->repeats.Add({{"row", std::string(row)}});
+  }
+  counter->Increment();
 }
 
 void relay_metrics::OnRepeatDenied(std::string_view row) {
-  state_->denied_repeats.Add({{"row", std::string(row)}}).Increment();
+  auto& counter = state_->SeriesOf(row).denied_repeats;
+  if (counter == nullptr) {
+    counter = &state_->denied_repeats.Add({{"row", std::string(row)}});
+  }
+  counter->Increment();
 }
 
 void relay_metrics::OnCustomerRequest(std::string_view customer, std::string_view outcome) {
--- a/modules/cuminferry_relay/path/relay_metrics.h
+++ b/modules/cuminferry_relay/path/relay_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,16 +14,22 @@
 
     There may be thousands of customers, and each label value is a time series in the monitoring
     system. The first kMaxNamedCustomers customers that send requests get a label value each, the
-    others share kOtherCustomersLabel.
+    others share kOtherCustomersLabel. Edits of the table may bring new rows for as long as a node
+    runs, so that the series of rows that the table no longer has are dropped.
 */
 class relay_metrics {
  public:
   static constexpr std::size_t kMaxNamedCustomers = 32;
   static constexpr std::string_view kOtherCustomersLabel = "(other)";
+  /** Number of rows with a label value each; more share kOtherRowsLabel until the next table. */
+  static constexpr std::size_t kMaxNamedRows = 4'096;
+  static constexpr std::string_view kOtherRowsLabel = "(other)";
 
   relay_metrics();
   ~relay_metrics();
 
+  /** Drops the series of all other rows. */
+  void KeepRows(const std::function<bool(std::string_view row)>& is_kept);
   /** Counts a completed request for which this node was the ingress node.
       @param took  from the request's head to the last byte of the answer */
   void OnRequestEnd(std::string_view row, std::string_view outcome, duration took);
