Let a list between nodes be as long as the largest fleet

What could happen: where the platform has lost more than 4,096 instances, a node that starts can't read from another one which of them are retained (unlisted.damaged), and has no targets until the platform is back.

Cause: the bound on lists in messages between nodes, which keeps a forged length from being allocated, was less than the 7,000 instances of the largest fleet.

Test: Message_AllInstancesOfTheLargestFleetUnlisted_IsRead failed before.

--- a/modules/cuminferry_wire/messages/bounded_input_archive.h
+++ b/modules/cuminferry_wire/messages/bounded_input_archive.h
@@ -50,8 +50,8 @@
   std::span<const char> bytes_;
 };
 
-/** Maximum number of elements in a list of a message. */
-inline constexpr cereal::size_type kMaxListLength = 4096;
+/** Maximum number of elements in a list of a message: twice the instances of the largest fleet. */
+inline constexpr cereal::size_type kMaxListLength = 16'384;
 
 template <typename Number>
 requires std::is_arithmetic_v<Number> || std::is_enum_v<Number>
--- a/tests/relay/relay_items_test.cpp
+++ b/tests/relay/relay_items_test.cpp
@@ -5,6 +5,8 @@
 
 #include "cuminferry_relay/path/item_messages.h"
 #include "cuminferry_relay/path/peer_message.h"
+#include "cuminferry_relay/path/peer_queries.h"
+#include "cuminferry_relay/path/unlisted_messages.h"
 #include "relay/relay_fleet.h"
 
 namespace cuminferry::testing {
@@ -34,9 +36,22 @@
   CPPUNIT_TEST(FirstReplica_OfSeveralPages_ComesFromTheSeeds);
   CPPUNIT_TEST(FirstReplica_ArrivesSlowly_IsTaken);
   CPPUNIT_TEST(Seed_NodeHasAPlaceInTheTree_ItsConnectionIsClosed);
+  CPPUNIT_TEST(Message_AllInstancesOfTheLargestFleetUnlisted_IsRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a node that starts while the platform has lost the whole fleet, and can't read
+  // which instances the others retain.
+  void Message_AllInstancesOfTheLargestFleetUnlisted_IsRead() {
+    constexpr std::size_t kInstances = 7'000;
+    const std::vector<unlisted_entry> entries(
+        kInstances, {.id = "i-7f3a91c2", .service = "maps", .backend = "10.128.0.9:8080"});
+    const std::string message = EncodeMessage(entries);
+    CPPUNIT_ASSERT(message.size() < peer_queries::kMaxReplyBytes);
+    const auto read = DecodeMessage<std::vector<unlisted_entry>>(message);
+    CPPUNIT_ASSERT(read && read->size() == kInstances);
+  }
+
   // The platform counts each call. If every node watched it, each change would cause as many calls
   // as there are nodes.
   void Watch_SixNodesOfADomain_TwoNodesWatch() {
