Bound the events on suspects that a node takes from others

What could happen: another node's announcements that name crash after crash of one request filled a node: suspects are bounded in number, the crashes of each were not, nor was the list of recent crashes. More than a message may hold could then be read by no other node (suspects.damaged, once a second).

Change: 16,384 events and recent crashes, as many as a message holds; further ones are not taken until some expire. Zone losses don't come near: of more than 4,096 suspects the eldest go, and the largest fleet has 7,000 targets.

Test: Apply_EndlessCrashesOfOneRequest_AreBounded; it needs the constant, so it was not seen to fail on the code before (which has no bound, by reading).

--- a/modules/cuminferry_policy/suspects/suspect_registry.cpp
+++ b/modules/cuminferry_policy/suspects/suspect_registry.cpp
@@ -77,6 +77,9 @@
 }
 
 bool suspect_registry::ApplyCrash(const suspect_event& event, instant at, instant now) {
+  if (!HasRoomFor(event)) {
+    return false;
+  }
   recent_crashes_.emplace(event.crash_id, at);
   const auto [found, is_first] = records_.try_emplace(event.digest);
   record& suspect = found->second;
@@ -94,10 +97,16 @@
                    .isolated = event.event_kind != suspect_event::kind::kRanAtCrash,
                    .identified = event.event_kind == suspect_event::kind::kIdentified});
   ToggleChecksum(event.digest, event.crash_id);
+  ++stored_events_;
   EvictSuspects(now);
   return true;
 }
 
+bool suspect_registry::HasRoomFor(const suspect_event& event) const {
+  const bool is_known_crash = recent_crashes_.contains(event.crash_id);
+  return stored_events_ < kMaxEvents && (is_known_crash || recent_crashes_.size() < kMaxEvents);
+}
+
 // Nodes propagate events that are new to them. A clearance appears slightly later at each node that
 // receives it. Treated as new each time, it would circulate forever.
 bool suspect_registry::ApplyClearance(const suspect_event& event, instant at, instant now) {
@@ -113,6 +122,7 @@
     }
     return is_annulled;
   });
+  stored_events_ -= annulled;
   const bool is_new = annulled > 0 || !suspect.cleared || at > *suspect.cleared + kClearanceWindow;
   if (is_new) {
     suspect.cleared = std::max(at, suspect.cleared.value_or(at));
@@ -124,6 +134,7 @@
   for (const auto& [crash_id, crash] : at->second.crashes) {
     ToggleChecksum(at->first, crash_id);
   }
+  stored_events_ -= at->second.crashes.size();
   const auto use_count = route_hash_counts_.find(at->second.route_hash);
   if (--use_count->second == 0) {
     route_hash_counts_.erase(use_count);
--- a/modules/cuminferry_policy/suspects/suspect_registry.h
+++ b/modules/cuminferry_policy/suspects/suspect_registry.h
@@ -69,6 +69,9 @@
       not evict the requests that were identified. */
   static constexpr std::size_t kMaxSuspects = 4096;
   static constexpr std::size_t kMaxBlocked = 256;
+  /** Maximum number of events that are stored, and sent to another node in one message. Further
+     ones are not taken until some expire. */
+  static constexpr std::size_t kMaxEvents = 16'384;
   /** Maximum number of requests announced for one crash: the slots of the largest backend servers
       in use. */
   static constexpr std::size_t kMaxRequestsPerCrash = 512;
@@ -123,6 +126,7 @@
   bool ApplyCrash(const suspect_event& event, instant at, instant now);
   bool ApplyClearance(const suspect_event& event, instant at, instant now);
   void ToggleChecksum(const request_digest& digest, std::uint64_t crash_id);
+  bool HasRoomFor(const suspect_event& event) const;
   records::iterator EraseRecord(records::iterator at);
   void EvictSuspects(instant now);
   bool IsIdentified(const running_request& run, std::uint64_t crash_id, bool is_sole_suspect,
@@ -134,6 +138,8 @@
                                  instant now) const;
 
   records records_;
+  // Crashes of all records.
+  std::size_t stored_events_ = 0;
   // Time of each crash by its id, whether or not its suspects were cleared since.
   std::map<std::uint64_t, instant> recent_crashes_;
   std::unordered_map<std::uint64_t, std::size_t> route_hash_counts_;
--- a/tests/relay/suspect_test.cpp
+++ b/tests/relay/suspect_test.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(Apply_AnyOrder_GivesTheSameState);
   CPPUNIT_TEST(Apply_ClearanceReceivedRepeatedly_IsNewOnce);
   CPPUNIT_TEST(Apply_FloodOfSuspects_IdentifiedRequestIsRetained);
+  CPPUNIT_TEST(Apply_EndlessCrashesOfOneRequest_AreBounded);
   CPPUNIT_TEST(Crash_DetectedTwice_SuspectsOfSecondReportAreNotAlone);
   CPPUNIT_TEST(Isolation_TwoSuspects_RunInTurn);
   CPPUNIT_TEST(Isolation_SameRequestTwice_RunsInTurn);
@@ -50,6 +51,20 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a node that another one's announcements fill: each names another crash.
+  void Apply_EndlessCrashesOfOneRequest_AreBounded() {
+    suspect_registry registry;
+    suspect_event event = EventOf("/a");
+    for (std::uint64_t crash = 1; crash <= 2 * suspect_registry::kMaxEvents; ++crash) {
+      event.crash_id = crash;
+      registry.Apply(event, kStart);
+    }
+    CPPUNIT_ASSERT_EQUAL(suspect_registry::kMaxEvents, registry.AllEvents(kStart).size());
+    const instant later = kStart + 2 * suspect_registry::kSuspicionTime;
+    registry.Expire(later);
+    CPPUNIT_ASSERT(registry.Apply(event, later));
+  }
+
   // Guards against a client crafting a request with the digest of a stranger's request.
   void Digest_BytesMovedBetweenParts_Differs() {
     CPPUNIT_ASSERT(request_digest::Of({.host = "ab", .path = "c"}) !=
