Let the soaks say whose answer was wrong, and where

The line has the signature, the first wrong byte and what stands there, by what the end was known, the target and the time now. Test code only.

--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -161,8 +161,8 @@
                             body_ == BodyFor(request_->id, body_.size());
     if (status == 200 && !is_correct) {
       owner_.ledger_.OnViolation(
-          fmt::format("status 200 without the complete answer of the backend server: {}, {} bytes",
-                      request_->id, body_.size()));
+          fmt::format("status 200 without the complete answer of the backend server: {}, {}",
+                      request_->id, DescribeAnswer(signature)));
     }
     RecordDeclarations();
     // What is sent when this request is finished needs another connection then.
@@ -179,6 +179,31 @@
     }
   }
 
+  // Whose answer it is, how much of it arrived, and by what its end was known.
+  std::string DescribeAnswer(const std::string* signature) const {
+    const std::string expected = BodyFor(request_->id, body_.size());
+    const auto wrong = std::ranges::mismatch(body_, expected).in1;
+    constexpr std::ptrdiff_t kShown = 48;
+    const std::string rest(wrong, wrong + std::min(kShown, body_.end() - wrong));
+    const std::string* length = head_.Find("Content-Length");
+    return fmt::format(
+        "{} bytes, signature {}, first wrong byte {}{}, end by {}, answered by target {}, sent "
+        "{:.3f} s before, {}",
+        body_.size(), signature == nullptr ? "missing" : *signature, wrong - body_.begin(),
+        rest.empty() ? "" : " (" + rest + ")",
+        head_.framing == body_framing::kChunked  ? "chunks"
+        : head_.framing == body_framing::kLength ? "length " + (length ? *length : "unknown")
+                                                 : "close",
+        ValueOr(head_, soak_client::kTargetField, "unknown"),
+        ToSeconds(owner_.loop_.Now() - request_->sent),
+        options_.reuse_connection ? "connection may be reused" : "connection of its own");
+  }
+
+  static std::string ValueOr(const http_head& head, std::string_view field, std::string fallback) {
+    const std::string* found = head.Find(field);
+    return found == nullptr ? std::move(fallback) : *found;
+  }
+
   void RecordDeclarations() {
     const std::string* target = head_.Find(soak_client::kTargetField);
     if (target == nullptr) {
