--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -199,9 +199,10 @@
         options_.reuse_connection ? "connection may be reused" : "connection of its own");
   }
 
-  static std::string ValueOr(const http_head& head, std::string_view field, std::string fallback) {
+  static std::string_view ValueOr(const http_head& head, std::string_view field,
+                                  std::string_view fallback) {
     const std::string* found = head.Find(field);
-    return found == nullptr ? std::move(fallback) : *found;
+    return found == nullptr ? fallback : std::string_view(*found);
   }
 
   void RecordDeclarations() {
