--- a/modules/cuminferry_fleet/replica/paged_update.cpp
+++ b/modules/cuminferry_fleet/replica/paged_update.cpp
@@ -6,7 +6,7 @@
 namespace cuminferry {
 namespace {
 
-// More items than a copy keeps are left out once there are a page more.
+// Items beyond what a copy keeps are left out once there is a page of them.
 constexpr std::size_t kMaxCollected =
     item_replica::kMaxItems + item_replica::kMaxRemovals + page_limits{}.items;
 
