Read no body behind an interim answer

What callers saw: 502 for a request whose target sent an interim answer with a length, and then a sound final one.

Cause: the parser takes as many bytes of the final answer's head for the interim answer's body as its length says. HTTP gives interim answers none (RFC 9112, section 6.3).

Ruled out: the check of the head, which allows it.

Change: the parser is told that no body follows.

--- a/modules/cuminferry_relay/http/message_reader.cpp
+++ b/modules/cuminferry_relay/http/message_reader.cpp
@@ -116,7 +116,8 @@
       if (callbacks.on_interim) {
         callbacks.on_interim(parser.status_code);
       }
-      return kContinueParsing;
+      // An interim answer has no body whatever its head declares (RFC 9112, section 6.3).
+      return kSkipBody;
     }
     head_done = true;
     if (message_kind == kind::kRequests) {
--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST_SUITE(broken_head_test);
   CPPUNIT_TEST(Status_ThatHttpDoesNotHave_IsNoAnswer);
   CPPUNIT_TEST(Head_ThatHttpAllows_ArrivesWhole);
+  CPPUNIT_TEST(InterimAnswer_WithALength_HasNoBody);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -133,6 +134,16 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), check.problems());
   }
 
+  // Guards against an interim answer that takes the first bytes of the final one for its body.
+  void InterimAnswer_WithALength_HasNoBody() {
+    for (const std::string field : {"Content-Length: 5", "Transfer-Encoding: chunked"}) {
+      raw_targets at("HTTP/1.1 100 Continue\r\n" + field + "\r\n\r\n" + kSoundAnswer);
+      const auto result = at.Get("/once/x");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(field, 200, result->status());
+      CPPUNIT_ASSERT_MESSAGE(field, result->bytes.ends_with("sound"));
+    }
+  }
+
   void Head_ThatHttpAllows_ArrivesWhole() {
     const std::string fields = kFields;
     const std::string length = "Content-Length: 5\r\n\r\nsound";
