Take no head for an answer whose fields HTTP doesn't allow

What callers saw: an answer whose head has a blank in the name of a field, or before its colon, or whose first field begins with one, passed on with that line; also with a NUL at the beginning of a value, and with a line behind a line feed alone.

Cause: the parser's packaged build is lenient and takes these for parts of names and values.

Ruled out: the other control bytes, bytes above 127 in names, lines without a name or colon, lone carriage returns and contradictory lengths were no answer before; they keep their tests.

Change: answer_head_check reads the fields, too, so that such a head ends the exchange like a status that HTTP doesn't have.

--- a/modules/cuminferry_core/http/answer_head_check.cpp
+++ b/modules/cuminferry_core/http/answer_head_check.cpp
@@ -1,5 +1,8 @@
 #include "cuminferry_core/http/answer_head_check.h"
 
+#include <array>
+#include <utility>
+
 namespace cuminferry {
 namespace {
 
@@ -16,14 +19,40 @@
 constexpr std::string_view kBadStatus = "a status that HTTP doesn't have";
 constexpr std::string_view kBadReason = "a control byte in the reason phrase";
 constexpr std::string_view kBadLineEnd = "a carriage return without a line feed";
+constexpr std::string_view kMixedLineEnds = "a line feed alone behind other ends of lines";
+constexpr std::string_view kBadName = "a byte that no field's name has";
+constexpr std::string_view kNoName = "a field without a name or colon";
+constexpr std::string_view kBlankBeforeFields = "a blank before the first field";
+constexpr std::string_view kBadValue = "a control byte in a field's value";
 
 bool IsDigit(char byte) { return byte >= '0' && byte <= '9'; }
 
-// A byte of a reason phrase or of a field's value.
-bool IsText(char byte) {
-  const auto value = static_cast<unsigned char>(byte);
-  return byte == '\t' || (value >= ' ' && value != 0x7F);
-}
+bool IsBlank(char byte) { return byte == ' ' || byte == '\t'; }
+
+using byte_set = std::array<bool, 256>;
+
+// The bytes of a field's name (a token of RFC 9110, section 5.6.2).
+constexpr byte_set kNameBytes = [] {
+  byte_set bytes{};
+  for (const unsigned char byte : std::string_view(
+           "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz")) {
+    bytes[byte] = true;
+  }
+  return bytes;
+}();
+
+// The bytes of a reason phrase or of a field's value.
+constexpr byte_set kTextBytes = [] {
+  constexpr std::size_t kDelete = 0x7F;
+  byte_set bytes{};
+  for (std::size_t byte = ' '; byte < bytes.size(); ++byte) {
+    bytes[byte] = byte != kDelete;
+  }
+  bytes['\t'] = true;
+  return bytes;
+}();
+
+bool IsIn(const byte_set& bytes, char byte) { return bytes[static_cast<unsigned char>(byte)]; }
 
 }  // namespace
 
@@ -39,7 +68,6 @@
 
 std::string_view answer_head_check::ReadByte(char byte) {
   if (byte == '\n') {
-    after_carriage_return_ = false;
     return EndLine();
   }
   if (after_carriage_return_) {
@@ -62,11 +90,13 @@
     case step::kStatus:
       return ReadStatus(byte);
     case step::kReason:
-      return IsText(byte) ? kAllowed : kBadReason;
+      return IsIn(kTextBytes, byte) ? kAllowed : kBadReason;
     case step::kLineBegin:
-      step_ = step::kField;
-      return kAllowed;
-    case step::kField:
+      return ReadLineBegin(byte);
+    case step::kName:
+      return ReadName(byte);
+    case step::kValue:
+      return IsIn(kTextBytes, byte) ? kAllowed : kBadValue;
     case step::kComplete:
       break;
   }
@@ -99,7 +129,29 @@
   return kAllowed;
 }
 
+std::string_view answer_head_check::ReadLineBegin(char byte) {
+  if (IsBlank(byte)) {
+    // The line continues the value before it.
+    step_ = step::kValue;
+    return has_fields_ ? kAllowed : kBlankBeforeFields;
+  }
+  has_fields_ = true;
+  name_length_ = 0;
+  step_ = step::kName;
+  return ReadName(byte);
+}
+
+std::string_view answer_head_check::ReadName(char byte) {
+  if (byte == ':') {
+    step_ = step::kValue;
+    return name_length_ > 0 ? kAllowed : kNoName;
+  }
+  ++name_length_;
+  return IsIn(kNameBytes, byte) ? kAllowed : kBadName;
+}
+
 std::string_view answer_head_check::EndLine() {
+  const bool is_line_feed_alone = !std::exchange(after_carriage_return_, false);
   switch (step_) {
     case step::kBeforeStatusLine:
       return kAllowed;
@@ -107,17 +159,20 @@
       return kBadVersion;
     case step::kStatus:
     case step::kReason:
+      ends_with_line_feed_alone_ = is_line_feed_alone;
       return EndStatusLine();
+    case step::kName:
+      return kNoName;
     case step::kLineBegin:
       step_ = step::kComplete;
-      return kAllowed;
-    case step::kField:
+      break;
+    case step::kValue:
       step_ = step::kLineBegin;
-      return kAllowed;
+      break;
     case step::kComplete:
       break;
   }
-  return kAllowed;
+  return is_line_feed_alone == ends_with_line_feed_alone_ ? kAllowed : kMixedLineEnds;
 }
 
 std::string_view answer_head_check::EndStatusLine() {
--- a/modules/cuminferry_core/http/answer_head_check.h
+++ b/modules/cuminferry_core/http/answer_head_check.h
@@ -6,11 +6,14 @@
 
 namespace cuminferry {
 
-/** Finds in the bytes of an answer whether HTTP allows its head (RFC 9112, sections 2 and 4).
+/** Finds in the bytes of an answer whether HTTP allows its head (RFC 9112, sections 2, 4 and 5).
 
     The parsers in use are lenient: they take a status of 000 for an interim answer, and read what
-    follows as the final one. What is wrong is found before the end of the head, so that a reader
-    that passes on nothing before that end passes on nothing of such an answer.
+    follows as the final one; they pass on names with blanks, which the next reader understands
+    otherwise. What is wrong is found before the end of the head, so that a reader that passes on
+    nothing before that end passes on nothing of such an answer.
+
+    Folded lines are allowed, and so is a line feed alone at the end of each line.
 
     Takes bytes in pieces of any size; keeps none of them.
 */
@@ -38,7 +41,8 @@
     kStatus,
     kReason,
     kLineBegin,
-    kField,
+    kName,
+    kValue,
     kComplete
   };
   static constexpr int kFirstFinalStatus = 200;
@@ -48,6 +52,8 @@
   std::string_view ReadByteInLine(char byte);
   std::string_view ReadVersion(char byte);
   std::string_view ReadStatus(char byte);
+  std::string_view ReadLineBegin(char byte);
+  std::string_view ReadName(char byte);
   std::string_view EndLine();
   std::string_view EndStatusLine();
 
@@ -56,8 +62,12 @@
   std::size_t version_length_ = 0;
   std::size_t status_digits_ = 0;
   int status_ = 0;
+  std::size_t name_length_ = 0;
+  bool has_fields_ = false;
   // The last byte was a carriage return, so that the line has to end.
   bool after_carriage_return_ = false;
+  // Whether the status line has ended with a line feed alone; other lines have to end in that way.
+  bool ends_with_line_feed_alone_ = false;
 };
 
 }  // namespace cuminferry
--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST_SUITE(broken_head_test);
   CPPUNIT_TEST(Status_ThatHttpDoesNotHave_IsNoAnswer);
   CPPUNIT_TEST(Head_ThatHttpAllows_ArrivesWhole);
+  CPPUNIT_TEST(Field_ThatHttpDoesNotAllow_IsNoAnswer);
   CPPUNIT_TEST(InterimAnswer_WithALength_HasNoBody);
   CPPUNIT_TEST_SUITE_END();
 
@@ -134,6 +135,43 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), check.problems());
   }
 
+  // Guards against a head that two readers understand differently, passed on with a line that its
+  // client can't read, or with a body of another length than the one that the target meant.
+  void Field_ThatHttpDoesNotAllow_IsNoAnswer() {
+    refusal_check check;
+    const std::string status = "HTTP/1.1 200 OK";
+    for (const std::string field :
+         {"Bad Name: x", "Bad : x", "Bad\t: x",
+          "\x01"
+          "Bad: x",
+          "B\x01"
+          "ad: x",
+          "Bad\x7F: x", "B\xC3\xA9: x", "B(ad): x", ": x", "Bad", "Bad: x\x01y", "Bad: x\x7F",
+          "Bad: x\ry: z", "Bad: x\nOther: z", "Not-Run : 1", "Content Length: 4"}) {
+      check.Add(field, BrokenAnswer(status, std::string(kFields) + field + "\r\n"));
+      check.Add(field + " as the first one",
+                BrokenAnswer(status, std::string(field) + "\r\n" + kFields));
+      check.Add(field + " of an interim answer", "HTTP/1.1 103 Early Hints\r\n" +
+                                                     std::string(field) + "\r\n\r\n" +
+                                                     BrokenAnswer(status, kFields));
+    }
+    for (const std::string first : {" Bad: x", "\tBad: x", " "}) {
+      check.Add(first + " as the first line", BrokenAnswer(status, first + "\r\n" + kFields));
+    }
+    const std::string nul(1, '\0');
+    check.Add("NUL in a name", BrokenAnswer(status, kFields + ("B" + nul) + "ad: x\r\n"));
+    check.Add("NUL in a value", BrokenAnswer(status, kFields + ("Bad: " + nul) + "x\r\n"));
+    for (const std::string length :
+         {"Content-Length : 20", "Content-Length: 20\r\nContent-Length: 21", "Content-Length: -20",
+          "Content-Length: 20 0"}) {
+      check.Add(length,
+                status + "\r\n" + kFields + length + "\r\n\r\n" + kOfBrokenAnswer + kLaterAnswer);
+    }
+    check.Add("no line feed at the end", status + "\r\n" + kFields + "Content-Length: 20\r\n\rX" +
+                                             kOfBrokenAnswer + kLaterAnswer);
+    CPPUNIT_ASSERT_EQUAL(std::string(), check.problems());
+  }
+
   // Guards against an interim answer that takes the first bytes of the final one for its body.
   void InterimAnswer_WithALength_HasNoBody() {
     for (const std::string field : {"Content-Length: 5", "Transfer-Encoding: chunked"}) {
