Take no answer in a transfer coding that nobody asked for

What callers saw: the chunk lines of an answer with "Transfer-Encoding: chunkedx" as the body of a whole 200; likewise bodies in gzip, and any in a coding that the reader doesn't know.

Cause: the parser reads an unknown coding as a body up to the close, and the node passes that on without the field that names the coding.

Ruled out: a length beside a coding was no answer before; that case keeps its test.

Change: answer_head_check allows chunks once and from HTTP/1.1 on, as no request asks for another coding (RFC 9112, section 6.1).

--- a/modules/cuminferry_core/cuminferry_core.h
+++ b/modules/cuminferry_core/cuminferry_core.h
@@ -23,6 +23,7 @@
 #include "cuminferry_core/random/random_source.h"
 #include "cuminferry_core/result/result_code.h"
 #include "cuminferry_core/text/ascii_text.h"
+#include "cuminferry_core/text/streamed_match.h"
 #include "cuminferry_core/threads/ranked_mutex.h"
 #include "cuminferry_core/threads/worker_pool.h"
 #include "cuminferry_core/time/boot_clock.h"
--- a/modules/cuminferry_core/http/answer_head_check.cpp
+++ b/modules/cuminferry_core/http/answer_head_check.cpp
@@ -23,6 +23,7 @@
 constexpr std::string_view kBadName = "a byte that no field's name has";
 constexpr std::string_view kNoName = "a field without a name or colon";
 constexpr std::string_view kBlankBeforeFields = "a blank before the first field";
+constexpr std::string_view kBadCoding = "a transfer coding that nobody asked for";
 constexpr std::string_view kBadValue = "a control byte in a field's value";
 
 bool IsDigit(char byte) { return byte >= '0' && byte <= '9'; }
@@ -96,7 +97,7 @@
     case step::kName:
       return ReadName(byte);
     case step::kValue:
-      return IsIn(kTextBytes, byte) ? kAllowed : kBadValue;
+      return ReadValue(byte);
     case step::kComplete:
       break;
   }
@@ -109,6 +110,7 @@
     return byte == ' ' ? kAllowed : kBadVersion;
   }
   const char expected = kVersionForm[version_length_++];
+  knows_chunks_ = byte != '0';  // The last byte is the minor version.
   const bool is_expected = expected == 'd' ? IsDigit(byte) : byte == expected;
   return is_expected ? kAllowed : kBadVersion;
 }
@@ -135,8 +137,11 @@
     step_ = step::kValue;
     return has_fields_ ? kAllowed : kBlankBeforeFields;
   }
+  const std::string_view problem = EndField();
+  if (!problem.empty()) {
+    return problem;
+  }
   has_fields_ = true;
-  name_length_ = 0;
   step_ = step::kName;
   return ReadName(byte);
 }
@@ -144,12 +149,27 @@
 std::string_view answer_head_check::ReadName(char byte) {
   if (byte == ':') {
     step_ = step::kValue;
-    return name_length_ > 0 ? kAllowed : kNoName;
+    return name_.length() > 0 ? kAllowed : kNoName;
   }
-  ++name_length_;
+  name_.Add(byte);
   return IsIn(kNameBytes, byte) ? kAllowed : kBadName;
 }
 
+std::string_view answer_head_check::ReadValue(char byte) {
+  if (!IsIn(kTextBytes, byte)) {
+    return kBadValue;
+  }
+  if (!name_.is_whole()) {
+    return kAllowed;
+  }
+  if (IsBlank(byte)) {
+    is_coding_ended_ = coding_.length() > 0;
+    return kAllowed;
+  }
+  coding_.Add(byte);
+  return is_coding_ended_ ? kBadCoding : kAllowed;
+}
+
 std::string_view answer_head_check::EndLine() {
   const bool is_line_feed_alone = !std::exchange(after_carriage_return_, false);
   switch (step_) {
@@ -172,7 +192,21 @@
     case step::kComplete:
       break;
   }
-  return is_line_feed_alone == ends_with_line_feed_alone_ ? kAllowed : kMixedLineEnds;
+  if (is_line_feed_alone != ends_with_line_feed_alone_) {
+    return kMixedLineEnds;
+  }
+  return is_complete() ? EndField() : kAllowed;
+}
+
+// Folded lines belong to a field, so that it ends only where the next one or the body begins.
+std::string_view answer_head_check::EndField() {
+  const bool names_coding = name_.is_whole() && !is_interim();
+  const bool is_allowed = !names_coding || (knows_chunks_ && !has_coding_ && coding_.is_whole());
+  has_coding_ = has_coding_ || names_coding;
+  name_.Clear();
+  coding_.Clear();
+  is_coding_ended_ = false;
+  return is_allowed ? kAllowed : kBadCoding;
 }
 
 std::string_view answer_head_check::EndStatusLine() {
--- a/modules/cuminferry_core/http/answer_head_check.h
+++ b/modules/cuminferry_core/http/answer_head_check.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "cuminferry_core/text/streamed_match.h"
+
 namespace cuminferry {
 
 /** Finds in the bytes of an answer whether HTTP allows its head (RFC 9112, sections 2, 4 and 5).
@@ -13,7 +15,9 @@
     otherwise. What is wrong is found before the end of the head, so that a reader that passes on
     nothing before that end passes on nothing of such an answer.
 
-    Folded lines are allowed, and so is a line feed alone at the end of each line.
+    Folded lines are allowed, and so is a line feed alone at the end of each line. Of the codings of
+    a transfer only chunks are, from HTTP/1.1 on: no request asks for another one, and the body
+   would be passed on in it without the field that names it.
 
     Takes bytes in pieces of any size; keeps none of them.
 */
@@ -54,15 +58,22 @@
   std::string_view ReadStatus(char byte);
   std::string_view ReadLineBegin(char byte);
   std::string_view ReadName(char byte);
+  std::string_view ReadValue(char byte);
   std::string_view EndLine();
   std::string_view EndStatusLine();
+  std::string_view EndField();
 
   step step_ = step::kBeforeStatusLine;
   std::string_view problem_;
   std::size_t version_length_ = 0;
   std::size_t status_digits_ = 0;
   int status_ = 0;
-  std::size_t name_length_ = 0;
+  streamed_match name_{"transfer-encoding"};
+  // The value of Transfer-Encoding without blanks around it.
+  streamed_match coding_{"chunked"};
+  bool is_coding_ended_ = false;
+  bool has_coding_ = false;
+  bool knows_chunks_ = false;
   bool has_fields_ = false;
   // The last byte was a carriage return, so that the line has to end.
   bool after_carriage_return_ = false;
--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(Status_ThatHttpDoesNotHave_IsNoAnswer);
   CPPUNIT_TEST(Head_ThatHttpAllows_ArrivesWhole);
   CPPUNIT_TEST(Field_ThatHttpDoesNotAllow_IsNoAnswer);
+  CPPUNIT_TEST(Coding_ThatNobodyAskedFor_IsNoAnswer);
   CPPUNIT_TEST(InterimAnswer_WithALength_HasNoBody);
   CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +173,26 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), check.problems());
   }
 
+  // Guards against a body that arrives with its coding, as the field that names it applies to one
+  // connection alone.
+  void Coding_ThatNobodyAskedFor_IsNoAnswer() {
+    refusal_check check;
+    const std::string chunks =
+        std::string("\r\n\r\n14\r\n") + kOfBrokenAnswer + "\r\n0\r\n\r\n" + kLaterAnswer;
+    for (const std::string coding :
+         {"chunkedx", "xchunked", "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+          "chunked\r\nTransfer-Encoding: chunked", "identity", "",
+          "chunked\r\nContent-Length: 20"}) {
+      check.Add(coding, std::string("HTTP/1.1 200 OK\r\n") + kFields +
+                            "Transfer-Encoding: " + coding + chunks);
+    }
+    check.Add("chunks before HTTP/1.1",
+              std::string("HTTP/1.0 200 OK\r\n") + kFields + "Transfer-Encoding: chunked" + chunks);
+    check.Add("a blank before the colon", std::string("HTTP/1.1 200 OK\r\n") + kFields +
+                                              "Transfer-Encoding : chunked" + chunks);
+    CPPUNIT_ASSERT_EQUAL(std::string(), check.problems());
+  }
+
   // Guards against an interim answer that takes the first bytes of the final one for its body.
   void InterimAnswer_WithALength_HasNoBody() {
     for (const std::string field : {"Content-Length: 5", "Transfer-Encoding: chunked"}) {
