Pass on no last chunk behind chunks that HTTP doesn't allow

What callers saw: a body whose chunks were damaged ("5 0" for a size, other bytes where a chunk ends), whole by its last chunk.

Cause: the parser's packaged build is lenient on chunks: it skips what is behind a blank, and any bytes in the place of line ends.

Ruled out: sizes that are none, negative or behind a blank, and line feeds alone failed before; they keep their cases.

Change: chunk_check reads the bytes of a chunked answer before the parser. The check of a head's fields becomes field_lines_check, which reads trailers, too.

--- a/modules/cuminferry_core/cuminferry_core.h
+++ b/modules/cuminferry_core/cuminferry_core.h
@@ -8,7 +8,7 @@
     - text/     small helpers for ASCII text
     - threads/  the lock order, mutexes that check it, a worker pool
     - http/     the names of the HTTP headers between callers, nodes and backend servers; what HTTP
-                allows in the head of an answer
+                allows in the head of an answer and in the chunks of its body
     - timeline/ the bounded event log of a process
     - bytes/    digests
 
@@ -18,6 +18,8 @@
 
 #include "cuminferry_core/bytes/digest.h"
 #include "cuminferry_core/http/answer_head_check.h"
+#include "cuminferry_core/http/chunk_check.h"
+#include "cuminferry_core/http/field_lines_check.h"
 #include "cuminferry_core/http/header_names.h"
 #include "cuminferry_core/ids/identifiers.h"
 #include "cuminferry_core/random/random_source.h"
--- a/modules/cuminferry_core/http/answer_head_check.cpp
+++ b/modules/cuminferry_core/http/answer_head_check.cpp
@@ -1,6 +1,5 @@
 #include "cuminferry_core/http/answer_head_check.h"
 
-#include <array>
 #include <utility>
 
 namespace cuminferry {
@@ -19,57 +18,34 @@
 constexpr std::string_view kBadStatus = "a status that HTTP doesn't have";
 constexpr std::string_view kBadReason = "a control byte in the reason phrase";
 constexpr std::string_view kBadLineEnd = "a carriage return without a line feed";
-constexpr std::string_view kMixedLineEnds = "a line feed alone behind other ends of lines";
-constexpr std::string_view kBadName = "a byte that no field's name has";
-constexpr std::string_view kNoName = "a field without a name or colon";
-constexpr std::string_view kBlankBeforeFields = "a blank before the first field";
 constexpr std::string_view kBadCoding = "a transfer coding that nobody asked for";
-constexpr std::string_view kBadValue = "a control byte in a field's value";
 
 bool IsDigit(char byte) { return byte >= '0' && byte <= '9'; }
 
-bool IsBlank(char byte) { return byte == ' ' || byte == '\t'; }
-
-using byte_set = std::array<bool, 256>;
-
-// The bytes of a field's name (a token of RFC 9110, section 5.6.2).
-constexpr byte_set kNameBytes = [] {
-  byte_set bytes{};
-  for (const unsigned char byte : std::string_view(
-           "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz")) {
-    bytes[byte] = true;
-  }
-  return bytes;
-}();
-
-// The bytes of a reason phrase or of a field's value.
-constexpr byte_set kTextBytes = [] {
-  constexpr std::size_t kDelete = 0x7F;
-  byte_set bytes{};
-  for (std::size_t byte = ' '; byte < bytes.size(); ++byte) {
-    bytes[byte] = byte != kDelete;
-  }
-  bytes['\t'] = true;
-  return bytes;
-}();
-
-bool IsIn(const byte_set& bytes, char byte) { return bytes[static_cast<unsigned char>(byte)]; }
-
 }  // namespace
 
 void answer_head_check::Begin() { *this = answer_head_check(); }
 
 std::size_t answer_head_check::Read(std::string_view bytes) {
   std::size_t read = 0;
-  while (read < bytes.size() && !is_complete() && problem_.empty()) {
+  while (read < bytes.size() && step_ < step::kFields && problem_.empty()) {
     problem_ = ReadByte(bytes[read++]);
   }
+  if (step_ != step::kFields || !problem_.empty()) {
+    return read;
+  }
+  read += fields_.Read(bytes.substr(read));
+  problem_ = fields_.problem();
+  if (fields_.is_complete()) {
+    step_ = step::kComplete;
+    problem_ = EndFields();
+  }
   return read;
 }
 
 std::string_view answer_head_check::ReadByte(char byte) {
   if (byte == '\n') {
-    return EndLine();
+    return EndStatusLine();
   }
   if (after_carriage_return_) {
     return kBadLineEnd;
@@ -78,10 +54,10 @@
     after_carriage_return_ = true;
     return kAllowed;
   }
-  return ReadByteInLine(byte);
+  return ReadStatusLine(byte);
 }
 
-std::string_view answer_head_check::ReadByteInLine(char byte) {
+std::string_view answer_head_check::ReadStatusLine(char byte) {
   switch (step_) {
     case step::kBeforeStatusLine:
       step_ = step::kVersion;
@@ -91,13 +67,8 @@
     case step::kStatus:
       return ReadStatus(byte);
     case step::kReason:
-      return IsIn(kTextBytes, byte) ? kAllowed : kBadReason;
-    case step::kLineBegin:
-      return ReadLineBegin(byte);
-    case step::kName:
-      return ReadName(byte);
-    case step::kValue:
-      return ReadValue(byte);
+      return IsTextByte(byte) ? kAllowed : kBadReason;
+    case step::kFields:
     case step::kComplete:
       break;
   }
@@ -131,89 +102,27 @@
   return kAllowed;
 }
 
-std::string_view answer_head_check::ReadLineBegin(char byte) {
-  if (IsBlank(byte)) {
-    // The line continues the value before it.
-    step_ = step::kValue;
-    return has_fields_ ? kAllowed : kBlankBeforeFields;
-  }
-  const std::string_view problem = EndField();
-  if (!problem.empty()) {
-    return problem;
-  }
-  has_fields_ = true;
-  step_ = step::kName;
-  return ReadName(byte);
-}
-
-std::string_view answer_head_check::ReadName(char byte) {
-  if (byte == ':') {
-    step_ = step::kValue;
-    return name_.length() > 0 ? kAllowed : kNoName;
-  }
-  name_.Add(byte);
-  return IsIn(kNameBytes, byte) ? kAllowed : kBadName;
-}
-
-std::string_view answer_head_check::ReadValue(char byte) {
-  if (!IsIn(kTextBytes, byte)) {
-    return kBadValue;
-  }
-  if (!name_.is_whole()) {
-    return kAllowed;
-  }
-  if (IsBlank(byte)) {
-    is_coding_ended_ = coding_.length() > 0;
-    return kAllowed;
-  }
-  coding_.Add(byte);
-  return is_coding_ended_ ? kBadCoding : kAllowed;
-}
-
-std::string_view answer_head_check::EndLine() {
+std::string_view answer_head_check::EndStatusLine() {
   const bool is_line_feed_alone = !std::exchange(after_carriage_return_, false);
-  switch (step_) {
-    case step::kBeforeStatusLine:
-      return kAllowed;
-    case step::kVersion:
-      return kBadVersion;
-    case step::kStatus:
-    case step::kReason:
-      ends_with_line_feed_alone_ = is_line_feed_alone;
-      return EndStatusLine();
-    case step::kName:
-      return kNoName;
-    case step::kLineBegin:
-      step_ = step::kComplete;
-      break;
-    case step::kValue:
-      step_ = step::kLineBegin;
-      break;
-    case step::kComplete:
-      break;
+  if (step_ == step::kBeforeStatusLine) {
+    return kAllowed;
   }
-  if (is_line_feed_alone != ends_with_line_feed_alone_) {
-    return kMixedLineEnds;
+  if (step_ == step::kVersion) {
+    return kBadVersion;
   }
-  return is_complete() ? EndField() : kAllowed;
-}
-
-// Folded lines belong to a field, so that it ends only where the next one or the body begins.
-std::string_view answer_head_check::EndField() {
-  const bool names_coding = name_.is_whole() && !is_interim();
-  const bool is_allowed = !names_coding || (knows_chunks_ && !has_coding_ && coding_.is_whole());
-  has_coding_ = has_coding_ || names_coding;
-  name_.Clear();
-  coding_.Clear();
-  is_coding_ended_ = false;
-  return is_allowed ? kAllowed : kBadCoding;
-}
-
-std::string_view answer_head_check::EndStatusLine() {
-  step_ = step::kLineBegin;
+  step_ = step::kFields;
+  fields_ = field_lines_check(is_line_feed_alone ? line_end::kLineFeedAlone : line_end::kBoth);
   const bool is_status = status_digits_ == kStatusDigits && status_ >= kFirstStatus &&
                          status_ <= kLastStatus && status_ != kSwitchingProtocols;
   return is_status ? kAllowed : kBadStatus;
 }
 
+std::string_view answer_head_check::EndFields() const {
+  using coding = field_lines_check::coding;
+  const coding named = fields_.transfer_coding();
+  const bool is_read = named == coding::kNone || (named == coding::kChunks && knows_chunks_);
+  // An interim answer has no body.
+  return is_read || is_interim() ? kAllowed : kBadCoding;
+}
+
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/http/message_reader.cpp
+++ b/modules/cuminferry_relay/http/message_reader.cpp
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "cuminferry_core/cuminferry_core.h"
@@ -28,8 +29,9 @@
   std::size_t max_fields;
   hooks callbacks;
   http_head head;
-  // Answers only: http-parser accepts heads that HTTP doesn't allow.
+  // Answers only: http-parser accepts heads and chunks that HTTP doesn't allow.
   answer_head_check head_check;
+  std::optional<chunk_check> chunks;
   std::string_view problem;
   std::size_t head_bytes = 0;
   // Bytes of an answer that came before its body, with interim answers and blank lines.
@@ -132,6 +134,9 @@
     head.length = head.framing == body_framing::kLength ? parser.content_length : 0;
     head.keep_alive = http_should_keep_alive(&parser) != 0;
     const bool skip = expect_no_body;
+    if (message_kind == kind::kResponses && head.framing == body_framing::kChunked && !skip) {
+      chunks.emplace();
+    }
     if (callbacks.on_head) {
       callbacks.on_head(std::move(head));
     }
@@ -145,6 +150,7 @@
     in_message = false;
     message_done = true;
     head_check.Begin();
+    chunks.reset();
     http_parser_pause(&parser, 1);
     return kContinueParsing;
   }
@@ -152,11 +158,19 @@
   // Returns those bytes that may be parsed now: of an answer's head no more than the rest of it, so
   // that the parser reports the head only once it has passed the check.
   std::string_view CheckedPart(std::string_view bytes) {
-    if (message_kind != kind::kResponses || head_check.is_complete()) {
+    if (message_kind != kind::kResponses) {
       return bytes;
     }
-    const std::string_view checked = bytes.substr(0, head_check.Read(bytes));
-    problem = head_check.problem();
+    if (!head_check.is_complete()) {
+      return CheckedBy(head_check, bytes);
+    }
+    return chunks ? CheckedBy(*chunks, bytes) : bytes;
+  }
+
+  template <typename Check>
+  std::string_view CheckedBy(Check& check, std::string_view bytes) {
+    const std::string_view checked = bytes.substr(0, check.Read(bytes));
+    problem = check.problem();
     return checked;
   }
 
--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -110,6 +110,7 @@
   CPPUNIT_TEST(Head_ThatHttpAllows_ArrivesWhole);
   CPPUNIT_TEST(Field_ThatHttpDoesNotAllow_IsNoAnswer);
   CPPUNIT_TEST(Coding_ThatNobodyAskedFor_IsNoAnswer);
+  CPPUNIT_TEST(ChunkLine_ThatHttpDoesNotAllow_EndsTheAnswer);
   CPPUNIT_TEST(InterimAnswer_WithALength_HasNoBody);
   CPPUNIT_TEST_SUITE_END();
 
@@ -193,6 +194,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), check.problems());
   }
 
+  // Guards against a body whose chunks were read otherwise than they were meant, and that arrives
+  // with a last chunk all the same.
+  void ChunkLine_ThatHttpDoesNotAllow_EndsTheAnswer() {
+    std::string problems;
+    const std::string head =
+        std::string("HTTP/1.1 200 OK\r\n") + kFields + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const std::string body :
+         {"5 0\r\nsound\r\n0\r\n\r\n", "5\rXsound\r\n0\r\n\r\n", "5\r\nsoundXY0\r\n\r\n",
+          "5\r\nsound\r\n0\r\n\rX", "5\r\nsound\r\n0\rX\r\n", "5;\x01\r\nsound\r\n0\r\n\r\n",
+          "5\r\nsound\r\n0\r\nBad Name: x\r\n\r\n", "5\nsound\n0\n\n", " 5\r\nsound\r\n0\r\n\r\n",
+          "\r\nsound\r\n0\r\n\r\n", "-5\r\nsound\r\n0\r\n\r\n", "0x5\r\nsound\r\n0\r\n\r\n"}) {
+      raw_targets at(head + body);
+      const auto result = at.Get("/once/x");
+      at.fleet.RunUntil([&] { return result->ended; }, kAtOnce);
+      const bool is_cut = result->status() == 502 || result->reset;
+      const bool has_last_chunk = result->Contains("\r\n0\r\n\r\n");
+      if (!is_cut || has_last_chunk || !at.CountsInvalidAnswer()) {
+        problems += "\n" + body;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), problems);
+  }
+
   // Guards against an interim answer that takes the first bytes of the final one for its body.
   void InterimAnswer_WithALength_HasNoBody() {
     for (const std::string field : {"Content-Length: 5", "Transfer-Encoding: chunked"}) {
--- a/tests/relay/message_reader_test.cpp
+++ b/tests/relay/message_reader_test.cpp
@@ -58,6 +58,7 @@
 class message_reader_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(message_reader_test);
   CPPUNIT_TEST(Read_AnySplit_SameMessage);
+  CPPUNIT_TEST(Read_DamagedAnywhere_SameVerdictInAnySplit);
   CPPUNIT_TEST(Read_TruncatedAnywhere_IsNeverComplete);
   CPPUNIT_TEST(Read_TwoRequests_StopsBetweenThem);
   CPPUNIT_TEST(Read_LengthAndChunked_IsRejected);
@@ -87,6 +88,29 @@
     });
   }
 
+  // Guards against an answer that is broken or not by how the network has cut it into pieces.
+  void Read_DamagedAnywhere_SameVerdictInAnySplit() {
+    CheckProperty("pieces don't change whether an answer is allowed", [](std::uint64_t seed) {
+      random_source random(seed);
+      std::string text = std::string("HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n") + kChunked;
+      text[random.Below(text.size())] = static_cast<char>(random.Below(256));
+      message_collector at_once(message_reader::kind::kResponses);
+      const bool is_allowed = at_once.Read(text);
+      message_collector in_pieces(message_reader::kind::kResponses);
+      bool are_allowed = true;
+      for (std::string_view rest = text; !rest.empty() && are_allowed;) {
+        const std::string_view piece = rest.substr(0, 1 + random.Below(rest.size()));
+        are_allowed = in_pieces.Read(piece);
+        rest.remove_prefix(piece.size());
+      }
+      RC_ASSERT(is_allowed == are_allowed);
+      RC_ASSERT(at_once.messages.size() == in_pieces.messages.size());
+      if (is_allowed && !at_once.messages.empty()) {
+        RC_ASSERT(at_once.messages[0].body == in_pieces.messages[0].body);
+      }
+    });
+  }
+
   // Guards against truncated answers being taken for complete ones. A backend server closes the
   // connection in the middle of an answer, and a client would show a map with regions missing.
   void Read_TruncatedAnywhere_IsNeverComplete() {
