Take no broken answer on the own interface, in the callers' library and on the command line

What callers saw: nobody reported these; found by going through the other readers of answers. A status of 000, names with blanks or control bytes, damaged chunks and unknown codings were taken for answers, and an interim answer other than 100 for the final one.

Cause: cpp-httplib takes any three digits for a status and leaves out lines of a head that it can't read.

Ruled out: answers cut by a reset, which all of these readers refused before; they keep a test.

Change: a small module, cuminferry_http: a stream between the library and the socket checks an answer with the classes of the platform's program, and a client has it built in. The daemon counts and logs what was wrong; the command line says it.

--- a/extras/ctl/fleet/node_client.cpp
+++ b/extras/ctl/fleet/node_client.cpp
@@ -1,11 +1,11 @@
 #include "ctl/fleet/node_client.h"
 
-#include <httplib.h>
-
 #include <algorithm>
 #include <functional>
 #include <utility>
 
+#include "cuminferry_http/cuminferry_http.h"
+
 namespace cuminferry::ctl {
 namespace {
 
@@ -13,16 +13,16 @@
 /** The HTTP library has its read buffer on the stack. */
 constexpr std::size_t kStackBytes = 512 * 1024;
 
-httplib::Client ClientTo(endpoint address, std::chrono::milliseconds timeout) {
-  const std::string host_and_port = address.ToString();
-  httplib::Client client(host_and_port.substr(0, host_and_port.rfind(':')), address.port);
+void SetTimeouts(checked_http_client& client, std::chrono::milliseconds timeout) {
   client.set_connection_timeout(timeout);
   client.set_read_timeout(timeout);
   client.set_write_timeout(timeout);
-  return client;
 }
 
-std::string DescribeFailure(httplib::Error error) {
+std::string DescribeToOperator(const checked_http_client& client, httplib::Error error) {
+  if (!client.problem().empty()) {
+    return DescribeFailure(client, error);
+  }
   switch (error) {
     case httplib::Error::Connection:
       return "no connection: refused, or no answer in time";
@@ -39,10 +39,10 @@
   return MakeStatus(result_code::kTargetUnreachable, address.ToString() + ": " + why);
 }
 
-absl::StatusOr<http_answer> AnswerOf(endpoint address, const httplib::Result& result,
-                                     std::string body) {
+absl::StatusOr<http_answer> AnswerOf(endpoint address, const checked_http_client& client,
+                                     const httplib::Result& result, std::string body) {
   if (!result) {
-    return Unreachable(address, DescribeFailure(result.error()));
+    return Unreachable(address, DescribeToOperator(client, result.error()));
   }
   http_answer answer{result->status, std::move(body), {}};
   answer.headers.insert(result->headers.begin(), result->headers.end());
@@ -78,20 +78,22 @@
 
 absl::StatusOr<http_answer> Get(endpoint address, const std::string& path,
                                 std::chrono::milliseconds timeout) {
-  httplib::Client client = ClientTo(address, timeout);
+  checked_http_client client(address);
+  SetTimeouts(client, timeout);
   std::string body;
   const auto result = client.Get(path, [&](const char* bytes, std::size_t count) {
     body.append(bytes, count);
     return body.size() <= kMaxAnswerBytes;
   });
-  return AnswerOf(address, result, std::move(body));
+  return AnswerOf(address, client, result, std::move(body));
 }
 
 absl::StatusOr<http_answer> Post(endpoint address, const std::string& path,
                                  std::chrono::milliseconds timeout) {
-  httplib::Client client = ClientTo(address, timeout);
+  checked_http_client client(address);
+  SetTimeouts(client, timeout);
   const auto result = client.Post(path);
-  return AnswerOf(address, result, result ? result->body : std::string());
+  return AnswerOf(address, client, result, result ? result->body : std::string());
 }
 
 std::vector<node_answer> GetJsonFromAll(std::span<const endpoint> nodes, const std::string& path,
--- a/extras/stand_ins/backend/backend_stand_in.cpp
+++ b/extras/stand_ins/backend/backend_stand_in.cpp
@@ -221,7 +221,7 @@
     const auto left =
         std::chrono::duration_cast<milliseconds>(running.deadline - boot_clock::Now());
     ++calls_;
-    std::unique_ptr<httplib::Client> client = egress_.Take(left);
+    std::unique_ptr<checked_http_client> client = egress_.Take(left);
     httplib::Request request;
     request.method = call.method;
     request.path = "/" + call.service + call.path + "?" + kRequestParameter + "=" + running.name;
--- a/extras/trial/deployment.cpp
+++ b/extras/trial/deployment.cpp
@@ -157,7 +157,7 @@
     return folder_ + "/journal-" + FileNameFor(target.instance);
   }
 
-  static std::unique_ptr<httplib::Client> MakeClient(endpoint to) {
+  static std::unique_ptr<checked_http_client> MakeClient(endpoint to) {
     return client_pool(to).Make(kRequestTimeout);
   }
 
--- a/modules/cuminferry_caller/cuminferry_caller.h
+++ b/modules/cuminferry_caller/cuminferry_caller.h
@@ -5,7 +5,7 @@
     - call/      a call, its three results, its retries
     - transport/ sends one request to one node
 
-    The module may use cuminferry_core.
+    The module may use cuminferry_core and cuminferry_http.
 */
 #pragma once
 
--- a/modules/cuminferry_caller/transport/client_pool.cpp
+++ b/modules/cuminferry_caller/transport/client_pool.cpp
@@ -6,7 +6,7 @@
 namespace cuminferry {
 namespace {
 
-void SetTimeouts(httplib::Client& client, std::chrono::milliseconds timeout) {
+void SetTimeouts(checked_http_client& client, std::chrono::milliseconds timeout) {
   timeout = std::max(timeout, std::chrono::milliseconds(1));
   client.set_connection_timeout(timeout);
   client.set_read_timeout(timeout);
@@ -17,9 +17,8 @@
 
 client_pool::client_pool(endpoint to, std::size_t idle_bound) : to_(to), idle_bound_(idle_bound) {}
 
-std::unique_ptr<httplib::Client> client_pool::Make(std::chrono::milliseconds timeout) const {
-  const std::string host = endpoint{to_.address, 0}.ToString();
-  auto client = std::make_unique<httplib::Client>(host.substr(0, host.rfind(':')), to_.port);
+std::unique_ptr<checked_http_client> client_pool::Make(std::chrono::milliseconds timeout) const {
+  auto client = std::make_unique<checked_http_client>(to_);
   client->set_keep_alive(true);
   client->set_tcp_nodelay(true);
   client->set_url_encode(false);
@@ -27,8 +26,8 @@
   return client;
 }
 
-std::unique_ptr<httplib::Client> client_pool::Take(std::chrono::milliseconds timeout) {
-  std::unique_ptr<httplib::Client> client;
+std::unique_ptr<checked_http_client> client_pool::Take(std::chrono::milliseconds timeout) {
+  std::unique_ptr<checked_http_client> client;
   {
     const std::lock_guard lock(mutex_);
     if (!idle_.empty()) {
@@ -43,7 +42,7 @@
   return client;
 }
 
-void client_pool::Return(std::unique_ptr<httplib::Client> client) {
+void client_pool::Return(std::unique_ptr<checked_http_client> client) {
   const std::lock_guard lock(mutex_);
   if (idle_.size() < idle_bound_) {
     idle_.push_back(std::move(client));
@@ -51,7 +50,7 @@
 }
 
 void client_pool::Clear() {
-  std::vector<std::unique_ptr<httplib::Client>> closing;
+  std::vector<std::unique_ptr<checked_http_client>> closing;
   const std::lock_guard lock(mutex_);
   closing.swap(idle_);
 }
--- a/modules/cuminferry_caller/transport/client_pool.h
+++ b/modules/cuminferry_caller/transport/client_pool.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include <httplib.h>
-
 #include <chrono>
 #include <memory>
 #include <mutex>
 #include <vector>
 
 #include "cuminferry_core/cuminferry_core.h"
+#include "cuminferry_http/cuminferry_http.h"
 
 namespace cuminferry {
 
@@ -19,14 +18,14 @@
   explicit client_pool(endpoint to, std::size_t idle_bound = 64);
 
   /** Returns a client that is not connected yet. `timeout` sets each of its timeouts. */
-  std::unique_ptr<httplib::Client> Make(std::chrono::milliseconds timeout) const;
+  std::unique_ptr<checked_http_client> Make(std::chrono::milliseconds timeout) const;
 
   /** Returns a client that may be connected already. `timeout` sets each of its timeouts. */
-  std::unique_ptr<httplib::Client> Take(std::chrono::milliseconds timeout);
+  std::unique_ptr<checked_http_client> Take(std::chrono::milliseconds timeout);
 
   /** Returns a client to the pool after a complete answer. After a failure, destroy the client
       instead. */
-  void Return(std::unique_ptr<httplib::Client> client);
+  void Return(std::unique_ptr<checked_http_client> client);
 
   /** Closes all idle connections. */
   void Clear();
@@ -35,7 +34,7 @@
   const endpoint to_;
   const std::size_t idle_bound_;
   std::mutex mutex_;
-  std::vector<std::unique_ptr<httplib::Client>> idle_;
+  std::vector<std::unique_ptr<checked_http_client>> idle_;
 };
 
 }  // namespace cuminferry
--- a/modules/cuminferry_caller/transport/transport.cpp
+++ b/modules/cuminferry_caller/transport/transport.cpp
@@ -20,7 +20,7 @@
 
   transport_answer Send(const transport_request& wanted) {
     client_pool& pool = PoolOf(wanted.to);
-    std::unique_ptr<httplib::Client> client =
+    std::unique_ptr<checked_http_client> client =
         wanted.on_new_connection ? pool.Make(wanted.timeout) : pool.Take(wanted.timeout);
     transport_answer answer;
     const httplib::Result result = client->send(RequestFrom(wanted, answer.body));
--- a/modules/cuminferry_core/http/answer_head_check.h
+++ b/modules/cuminferry_core/http/answer_head_check.h
@@ -35,6 +35,10 @@
   bool is_complete() const { return step_ == step::kComplete; }
   /** Whether the complete head is that of an interim answer, which another head follows. */
   bool is_interim() const { return status_ < kFirstFinalStatus; }
+  /** Whether the complete head says that the body is in chunks. */
+  bool has_chunks() const {
+    return fields_.transfer_coding() == field_lines_check::coding::kChunks;
+  }
 
  private:
   enum class step : std::uint8_t {
--- a/modules/cuminferry_node/backend/backend_client.cpp
+++ b/modules/cuminferry_node/backend/backend_client.cpp
@@ -179,7 +179,7 @@
 //==============================================================================
 class backend_client::state {
  public:
-  explicit state(options client_options) : options_(client_options) {}
+  explicit state(options client_options) : options_(std::move(client_options)) {}
 
   backend_answer Send(const backend_request& request, cancel_token& cancel) {
     if (!IsSafeToWrite(request) || cancel.cancelled() || boot_clock::Now() >= request.deadline) {
@@ -191,6 +191,9 @@
     const exchange_result result = connection->Exchange(
         library_request, response, BodyBytes(request), request.max_answer_bytes, request.deadline,
         HooksFor(*connection, cancel, BodyPartsOf(request)));
+    if (!result.problem.empty() && options_.on_invalid_answer) {
+      options_.on_invalid_answer(result.problem);
+    }
     const backend_outcome outcome = OutcomeOf(result, response, cancel.cancelled());
     if (connection->is_reusable()) {
       ReturnConnection(std::move(connection));
@@ -270,7 +273,7 @@
 
 //==============================================================================
 backend_client::backend_client(options client_options)
-    : state_(std::make_unique<state>(client_options)) {}
+    : state_(std::make_unique<state>(std::move(client_options))) {}
 
 backend_client::~backend_client() = default;
 
--- a/modules/cuminferry_node/backend/backend_client.h
+++ b/modules/cuminferry_node/backend/backend_client.h
@@ -82,6 +82,8 @@
     endpoint backend;
     /** Maximum number of idle connections that stay open between requests. */
     std::size_t max_idle_connections = 64;
+    /** Called with what is wrong with bytes that came in the place of an answer. */
+    std::function<void(std::string_view problem)> on_invalid_answer = {};
   };
 
   explicit backend_client(options client_options);
--- a/modules/cuminferry_node/backend/backend_connection.cpp
+++ b/modules/cuminferry_node/backend/backend_connection.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <utility>
 
+#include "cuminferry_http/cuminferry_http.h"
 #include "cuminferry_node/backend/backend_stream.h"
 
 namespace cuminferry {
@@ -15,11 +16,6 @@
 
 constexpr int kNotModified = 304;
 
-std::string HostOf(const endpoint& backend) {
-  const std::string text = backend.ToString();
-  return text.substr(0, text.rfind(':'));
-}
-
 bool ParseLength(const std::string& text, std::uint64_t& length) {
   const bool digits = !text.empty() && std::ranges::all_of(text, [](char each) {
     return each >= '0' && each <= '9';
@@ -81,21 +77,23 @@
 bool backend_connection::process_socket(const Socket& socket,
                                         std::function<bool(httplib::Stream& stream)> callback) {
   backend_stream stream(socket.sock, deadline_);
+  answer_checking_stream checked(stream);
   bool done = false;
   if (hooks_.on_open()) {
     stream_ = &stream;
-    done = callback(stream);
+    done = callback(checked) && checked.problem().empty();
     stream_ = nullptr;
   }
   hooks_.on_close();
   result_.sent = stream.bytes_sent() > 0;
   result_.timed_out = stream.timed_out();
+  result_.problem = checked.problem();
   // The library treats a chunk with a damaged end as the last one and would return the part
   // before it as the complete answer.
   // Bytes after a body of the stated length show that the length is wrong, so the body is
   // incomplete.
   result_.is_complete = (done || has_no_body_) && (!chunked_ || stream.ends_with_last_chunk()) &&
-                        !stream.has_unread_bytes();
+                        !stream.has_unread_bytes() && result_.problem.empty();
   is_reusable_ = done && result_.is_complete && !stream.answered_early();
   return done;
 }
--- a/modules/cuminferry_node/backend/backend_connection.h
+++ b/modules/cuminferry_node/backend/backend_connection.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "cuminferry_core/cuminferry_core.h"
 
@@ -18,6 +19,8 @@
   bool sent = false;
   bool timed_out = false;
   bool too_large = false;
+  /** What was wrong with the answer, as one of a small number of texts; empty if nothing. */
+  std::string_view problem;
   /** The caller did not supply the whole request body. */
   bool body_aborted = false;
 };
--- a/modules/cuminferry_node/fleet/fleet_runtime.cpp
+++ b/modules/cuminferry_node/fleet/fleet_runtime.cpp
@@ -86,8 +86,8 @@
       : settings_(settings),
         events_(events),
         hooks_(std::move(node_hooks)),
-        platform_(settings.platform),
-        watch_platform_(settings.platform),
+        platform_(settings.platform, hooks_.on_invalid_answer),
+        watch_platform_(settings.platform, hooks_.on_invalid_answer),
         agent_(AgentOptions(settings, incarnation), boot_clock::Now(),
                random_source::FromMachine()),
         udp_([this](endpoint, message_type type, std::span<const char> payload) {
--- a/modules/cuminferry_node/fleet/fleet_runtime.h
+++ b/modules/cuminferry_node/fleet/fleet_runtime.h
@@ -33,6 +33,8 @@
     /** This process did not run for the time `gap`, so that its view of the fleet may be out of
         date. May be empty. */
     std::function<void(duration gap)> on_pause;
+    /** The platform sent bytes in the place of an answer. May be empty. */
+    std::function<void(std::string_view problem)> on_invalid_answer = {};
   };
 
   fleet_runtime(const node_settings& settings, incarnation_id incarnation, event_log& events,
--- a/modules/cuminferry_node/fleet/platform_client.cpp
+++ b/modules/cuminferry_node/fleet/platform_client.cpp
@@ -1,10 +1,11 @@
 #include "cuminferry_node/fleet/platform_client.h"
 
-#include <httplib.h>
-
 #include <algorithm>
+#include <utility>
 #include <vector>
 
+#include "cuminferry_http/cuminferry_http.h"
+
 namespace cuminferry {
 namespace {
 
@@ -33,14 +34,16 @@
 
 class platform_client::state {
  public:
-  explicit state(std::span<const endpoint> addresses)
-      : addresses_(addresses.begin(), addresses.end()) {}
+  state(std::span<const endpoint> addresses,
+        std::function<void(std::string_view problem)> on_invalid_answer)
+      : addresses_(addresses.begin(), addresses.end()),
+        on_invalid_answer_(std::move(on_invalid_answer)) {}
 
   absl::StatusOr<std::string> Read(const std::string& path, std::chrono::milliseconds timeout) {
     if (addresses_.empty()) {
       return MakeStatus(result_code::kPlatformUnreachable, "no address in the settings");
     }
-    const std::shared_ptr<httplib::Client> client = ConnectedClient(timeout);
+    const std::shared_ptr<checked_http_client> client = ConnectedClient(timeout);
     std::string value;
     const auto answer = client->Get(path, [&](const char* bytes, std::size_t count) {
       value.append(bytes, count);
@@ -49,8 +52,12 @@
     if (!answer || answer->status >= 500) {
       UseNextAddress();
     }
+    if (!client->problem().empty() && on_invalid_answer_) {
+      on_invalid_answer_(client->problem());
+    }
     if (!answer) {
-      return MakeStatus(result_code::kPlatformUnreachable, httplib::to_string(answer.error()));
+      return MakeStatus(result_code::kPlatformUnreachable,
+                        DescribeFailure(*client, answer.error()));
     }
     if (answer->status != 200) {
       return StatusOf(answer->status, path);
@@ -66,25 +73,23 @@
   }
 
   void Interrupt() {
-    const std::shared_ptr<httplib::Client> client = CurrentClient();
+    const std::shared_ptr<checked_http_client> client = CurrentClient();
     if (client != nullptr) {
       client->stop();
     }
   }
 
  private:
-  std::shared_ptr<httplib::Client> CurrentClient() {
+  std::shared_ptr<checked_http_client> CurrentClient() {
     ranked_lock lock(mutex_);
     return client_;
   }
 
-  std::shared_ptr<httplib::Client> ConnectedClient(std::chrono::milliseconds timeout) {
+  std::shared_ptr<checked_http_client> ConnectedClient(std::chrono::milliseconds timeout) {
     ranked_lock lock(mutex_);
     if (client_ == nullptr) {
       const endpoint address = addresses_[next_address_ % addresses_.size()];
-      const std::string text = address.ToString();
-      client_ =
-          std::make_shared<httplib::Client>(text.substr(0, text.rfind(':')), int{address.port});
+      client_ = std::make_shared<checked_http_client>(address);
       client_->set_keep_alive(true);
       client_->set_tcp_nodelay(true);
     }
@@ -101,15 +106,17 @@
   }
 
   const std::vector<endpoint> addresses_;
+  const std::function<void(std::string_view problem)> on_invalid_answer_;
   ranked_mutex mutex_{lock_rank::kWireConnection};
   std::size_t next_address_ ABSL_GUARDED_BY(mutex_) = 0;
-  std::shared_ptr<httplib::Client> client_ ABSL_GUARDED_BY(mutex_);
+  std::shared_ptr<checked_http_client> client_ ABSL_GUARDED_BY(mutex_);
   // The X-Consul-Index of the last value read.
   std::string index_;
 };
 
-platform_client::platform_client(std::span<const endpoint> addresses)
-    : state_(std::make_unique<state>(addresses)) {}
+platform_client::platform_client(std::span<const endpoint> addresses,
+                                 std::function<void(std::string_view problem)> on_invalid_answer)
+    : state_(std::make_unique<state>(addresses, std::move(on_invalid_answer))) {}
 
 platform_client::~platform_client() = default;
 
--- a/modules/cuminferry_node/fleet/platform_client.h
+++ b/modules/cuminferry_node/fleet/platform_client.h
@@ -3,6 +3,7 @@
 #include <absl/status/statusor.h>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -19,7 +20,10 @@
 */
 class platform_client {
  public:
-  explicit platform_client(std::span<const endpoint> addresses);
+  /** @param on_invalid_answer  called with what is wrong with bytes that came in the place of an
+                                answer */
+  explicit platform_client(std::span<const endpoint> addresses,
+                           std::function<void(std::string_view problem)> on_invalid_answer = {});
   ~platform_client();
 
   /** Returns the current value of a key, kPlatformUnreachable if the platform does not answer,
--- a/modules/cuminferry_node/runtime/node.cpp
+++ b/modules/cuminferry_node/runtime/node.cpp
@@ -24,6 +24,9 @@
 using json = nlohmann::json;
 
 constexpr std::chrono::milliseconds kTickPeriod{5};
+/** At most one line in this time says what came in the place of answers; the counter has them all.
+ */
+constexpr std::chrono::seconds kInvalidAnswerLinePeriod{1};
 /** If more time than this passes between two ticks, the process was paused meanwhile. */
 constexpr std::chrono::milliseconds kMaxTickGap{500};
 constexpr std::chrono::milliseconds kSharesPeriod{50};
@@ -46,7 +49,9 @@
   explicit state(node_settings settings)
       : settings_(std::move(settings)),
         incarnation_(NewIncarnation()),
-        backend_({.backend = settings_.backend}),
+        backend_({.backend = settings_.backend,
+                  .on_invalid_answer =
+                      [this](std::string_view problem) { OnInvalidAnswer("backend", problem); }}),
         shares_(
             settings_, incarnation_,
             [this](endpoint peer, std::string frame) { links_.SendTo(peer, std::move(frame)); }),
@@ -207,9 +212,22 @@
                        std::string frame) { return links_.SendTo(peer, std::move(frame)); },
         .on_self_draining = [this] { is_drain_requested_ = true; },
         .on_pause = {},
+        .on_invalid_answer =
+            [this](std::string_view problem) { OnInvalidAnswer("platform", problem); },
     };
   }
 
+  // Called on any thread.
+  void OnInvalidAnswer(std::string_view from, std::string_view problem) {
+    metrics_.CountInvalidAnswer(from, problem);
+    const instant now = boot_clock::Now();
+    instant due = next_invalid_answer_line_;
+    if (now >= due &&
+        next_invalid_answer_line_.compare_exchange_strong(due, now + kInvalidAnswerLinePeriod)) {
+      spdlog::warn("no answer of the {}: {}", from, problem);
+    }
+  }
+
   void OnFleetMessage(endpoint from, message_type type, std::span<const char> payload) {
     const bool of_shares = type == message_type::kShareRequest ||
                            type == message_type::kShareGrant || type == message_type::kShareReturn;
@@ -359,6 +377,7 @@
   const incarnation_id incarnation_;
   addresses addresses_;
   std::atomic<bool> stopping_ = false;
+  std::atomic<instant> next_invalid_answer_line_{};
   std::atomic<bool> is_drain_requested_ = false;
   event_log events_;
   node_metrics metrics_;
--- a/modules/cuminferry_node/runtime/node_metrics.cpp
+++ b/modules/cuminferry_node/runtime/node_metrics.cpp
@@ -17,7 +17,10 @@
       : served_(Family("cuminferry_served_total", "Calls into the backend server, by their end")),
         called_(Family("cuminferry_called_total", "Calls out, by their end")),
         attempts_(Family("cuminferry_attempts_total", "Attempts of calls out")),
-        retries_(Family("cuminferry_retries_total", "Calls out that were tried again")) {}
+        retries_(Family("cuminferry_retries_total", "Calls out that were tried again")),
+        invalid_answers_(
+            Family("cuminferry_invalid_answers_total",
+                   "What came in the place of an answer, by sender and what is wrong")) {}
 
   void Count(prometheus::Family<prometheus::Counter>& family, std::string_view row,
              call_outcome outcome, std::uint16_t code) {
@@ -32,6 +35,7 @@
   prometheus::Family<prometheus::Counter>& called() { return called_; }
   prometheus::Family<prometheus::Counter>& attempts() { return attempts_; }
   prometheus::Family<prometheus::Counter>& retries() { return retries_; }
+  prometheus::Family<prometheus::Counter>& invalid_answers() { return invalid_answers_; }
 
   void SetGauge(const std::string& name, double value) {
     prometheus::BuildGauge()
@@ -54,6 +58,7 @@
   prometheus::Family<prometheus::Counter>& called_;
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Counter>& invalid_answers_;
 };
 
 node_metrics::node_metrics() : state_(std::make_unique<state>()) {}
@@ -73,6 +78,12 @@
   state_->retries().Add({{"row", std::string(row)}}).Increment();
 }
 
+void node_metrics::CountInvalidAnswer(std::string_view from, std::string_view problem) {
+  state_->invalid_answers()
+      .Add({{"from", std::string(from)}, {"problem", std::string(problem)}})
+      .Increment();
+}
+
 void node_metrics::SetGauge(const std::string& name, double value) {
   state_->SetGauge(name, value);
 }
--- a/modules/cuminferry_node/runtime/node_metrics.h
+++ b/modules/cuminferry_node/runtime/node_metrics.h
@@ -24,6 +24,11 @@
   /** Counts one retry of an outgoing call. */
   void CountRetry(std::string_view row);
 
+  /** Counts bytes that came in the place of an answer.
+      @param from     who sent them: backend or platform
+      @param problem  what is wrong, as one of a small number of texts */
+  void CountInvalidAnswer(std::string_view from, std::string_view problem);
+
   void SetGauge(const std::string& name, double value);
 
   /** All metrics in the text format of Prometheus. */
