Give the listener and the socket options files of their own

Change: tcp_listener has a header and source; socket_options has what is asked of or told to the kernel. An accepted connection is read from before its owner gets it instead of right after, which makes no difference within one turn of the loop.

--- a/modules/cuminferry_relay/cuminferry_relay.h
+++ b/modules/cuminferry_relay/cuminferry_relay.h
@@ -17,4 +17,5 @@
 
 #include "cuminferry_relay/http/http_client.h"
 #include "cuminferry_relay/io/event_loop.h"
+#include "cuminferry_relay/io/tcp_listener.h"
 #include "cuminferry_relay/path/relay_node.h"
--- a/modules/cuminferry_relay/http/http_server.cpp
+++ b/modules/cuminferry_relay/http/http_server.cpp
@@ -6,6 +6,7 @@
 
 #include "cuminferry_relay/http/http_status.h"
 #include "cuminferry_relay/http/message_reader.h"
+#include "cuminferry_relay/io/tcp_listener.h"
 
 namespace cuminferry {
 namespace {
--- a/modules/cuminferry_relay/io/tcp_connection.cpp
+++ b/modules/cuminferry_relay/io/tcp_connection.cpp
@@ -1,23 +1,19 @@
 #include "cuminferry_relay/io/tcp_connection.h"
 
-#include <arpa/inet.h>
-#include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <string>
 #include <utility>
 
+#include "cuminferry_relay/io/socket_options.h"
+
 namespace cuminferry {
 namespace {
 
 // Large enough for the largest burst that the window of a link permits.
 constexpr std::size_t kReadBufferBytes = 64 * 1024;
-// Maximum number of connections that wait to be accepted. If the queue is full, the kernel drops
-// the SYN packet, and the client retries only after one second.
-constexpr int kBacklog = 1024;
 // Writes of one loop iteration are combined until they reach this size.
 constexpr std::size_t kMaxBatchBytes = 16 * 1024;
 
@@ -28,50 +24,6 @@
   return buffer;
 }
 
-sockaddr_in ToSocketAddress(const endpoint& at) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(at.port);
-  address.sin_addr.s_addr = htonl(at.address);
-  return address;
-}
-
-endpoint FromSocketAddress(const sockaddr_storage& storage) {
-  const auto& address = reinterpret_cast<const sockaddr_in&>(storage);
-  return {.address = ntohl(address.sin_addr.s_addr), .port = ntohs(address.sin_port)};
-}
-
-void SetOption(int socket, int level, int option, int value) {
-  // If the kernel rejects an option, its slower default detection applies.
-  static_cast<void>(::setsockopt(socket, level, option, &value, sizeof(value)));
-}
-
-// With a linger time of zero, the kernel resets the connection when its last descriptor is closed.
-void SetResetWhenClosed(uv_tcp_t& handle, bool resets) {
-  uv_os_fd_t socket = -1;
-  if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &socket) == 0) {
-    const linger value{.l_onoff = resets ? 1 : 0, .l_linger = 0};
-    static_cast<void>(::setsockopt(socket, SOL_SOCKET, SO_LINGER, &value, sizeof(value)));
-  }
-}
-
-// The kernel's keep-alive probes serve as heartbeats, since they need no wake-up of this process.
-void EnableSilenceDetection(uv_tcp_t& handle, duration limit) {
-  constexpr int kProbes = 2;
-  uv_os_fd_t socket = -1;
-  if (limit <= duration::zero() ||
-      uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &socket) != 0) {
-    return;
-  }
-  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
-  const int interval = std::max<int>(1, static_cast<int>(millis / 1000 / (kProbes + 1)));
-  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, interval);
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, interval);
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
-  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(millis));
-}
-
 }  // namespace
 
 struct tcp_connection::state {
@@ -123,13 +75,8 @@
   // libuv reports an end of the stream for a reset connection, too: where a hang-up is pending with
   // the last bytes it doesn't read on, and where a write took the error there is none left to read.
   close_reason ReasonOfEnd() const {
-    uv_os_fd_t socket = -1;
-    if (has_failed || uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle), &socket) != 0) {
-      return close_reason::kConnectionLost;
-    }
-    char unread = 0;
-    const ssize_t received = ::recv(socket, &unread, sizeof(unread), MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 ? close_reason::kClosed : close_reason::kConnectionLost;
+    return !has_failed && ReadsOrderlyEnd(handle) ? close_reason::kClosed
+                                                  : close_reason::kConnectionLost;
   }
 
   uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&handle); }
@@ -396,69 +343,21 @@
   return ::poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-//==============================================================================
-struct tcp_listener::state {
-  uv_tcp_t handle{};
-  event_loop* loop = nullptr;
-  duration silence_timeout{};
-  accept_hook on_accept;
-
-  void Accept() {
-    auto* new_state = new tcp_connection::state;
-    std::unique_ptr<tcp_connection> connection(new tcp_connection(new_state));
-    new_state->loop = loop;
-    uv_tcp_init(loop->raw(), &new_state->handle);
-    new_state->handle.data = new_state;
-    if (uv_accept(reinterpret_cast<uv_stream_t*>(&handle), new_state->Stream()) != 0) {
-      return;
-    }
-    new_state->connected = true;
-    uv_tcp_nodelay(&new_state->handle, 1);
-    EnableSilenceDetection(new_state->handle, silence_timeout);
-    on_accept(std::move(connection));
-    if (!new_state->closing) {
-      new_state->StartReading();
-    }
-  }
-};
-
-absl::StatusOr<std::unique_ptr<tcp_listener>> tcp_listener::Listen(event_loop& loop,
-                                                                   const endpoint& at,
-                                                                   duration silence_timeout,
-                                                                   accept_hook on_accept) {
+std::unique_ptr<tcp_connection> tcp_connection::Accept(event_loop& loop, uv_stream_t* listening,
+                                                       duration silence_timeout) {
   auto* new_state = new state;
-  std::unique_ptr<tcp_listener> listener(new tcp_listener(new_state));
+  std::unique_ptr<tcp_connection> connection(new tcp_connection(new_state));
   new_state->loop = &loop;
-  new_state->silence_timeout = silence_timeout;
-  new_state->on_accept = std::move(on_accept);
   uv_tcp_init(loop.raw(), &new_state->handle);
   new_state->handle.data = new_state;
-  const sockaddr_in address = ToSocketAddress(at);
-  int status = uv_tcp_bind(&new_state->handle, reinterpret_cast<const sockaddr*>(&address), 0);
-  if (status == 0) {
-    status = uv_listen(reinterpret_cast<uv_stream_t*>(&new_state->handle), kBacklog,
-                       [](uv_stream_t* stream, int result) {
-                         if (result == 0) {
-                           static_cast<state*>(stream->data)->Accept();
-                         }
-                       });
-  }
-  if (status != 0) {
-    return MakeStatus(result_code::kAddressInUse, at.ToString() + ": " + uv_strerror(status));
+  if (uv_accept(listening, new_state->Stream()) != 0) {
+    return nullptr;
   }
-  return listener;
-}
-
-tcp_listener::~tcp_listener() {
-  uv_close(reinterpret_cast<uv_handle_t*>(&state_->handle),
-           [](uv_handle_t* handle) { delete static_cast<state*>(handle->data); });
-}
-
-endpoint tcp_listener::address() const {
-  sockaddr_storage storage{};
-  int size = sizeof(storage);
-  uv_tcp_getsockname(&state_->handle, reinterpret_cast<sockaddr*>(&storage), &size);
-  return FromSocketAddress(storage);
+  new_state->connected = true;
+  uv_tcp_nodelay(&new_state->handle, 1);
+  EnableSilenceDetection(new_state->handle, silence_timeout);
+  new_state->StartReading();
+  return connection;
 }
 
 }  // namespace cuminferry
--- a/modules/cuminferry_relay/io/tcp_connection.h
+++ b/modules/cuminferry_relay/io/tcp_connection.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <absl/status/statusor.h>
-
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -88,33 +86,13 @@
  private:
   friend class tcp_listener;
   struct state;
+  /** Takes the connection that waits at a listening handle and starts to read from it; nullptr if
+      there is none. */
+  static std::unique_ptr<tcp_connection> Accept(event_loop& loop, uv_stream_t* listening,
+                                                duration silence_timeout);
   explicit tcp_connection(state* state) : state_(state) {}
 
   state* state_;
 };
 
-/** Accepts TCP connections at one address. */
-class tcp_listener {
- public:
-  using accept_hook = std::function<void(std::unique_ptr<tcp_connection>)>;
-
-  /** Starts to listen. Fails with kAddressInUse if the address cannot be bound.
-      @see tcp_connection::Connect for silence_timeout */
-  static absl::StatusOr<std::unique_ptr<tcp_listener>> Listen(event_loop& loop, const endpoint& at,
-                                                              duration silence_timeout,
-                                                              accept_hook on_accept);
-  ~tcp_listener();
-  tcp_listener(const tcp_listener&) = delete;
-  tcp_listener& operator=(const tcp_listener&) = delete;
-
-  /** The address in use, with the assigned port if port 0 was requested. */
-  endpoint address() const;
-
- private:
-  struct state;
-  explicit tcp_listener(state* state) : state_(state) {}
-
-  state* state_;
-};
-
 }  // namespace cuminferry
--- a/tests/relay/backend_crash_detector_test.cpp
+++ b/tests/relay/backend_crash_detector_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "cuminferry_relay/io/tcp_listener.h"
+
 namespace cuminferry::testing {
 namespace {
 
