Say in the log who sent what was no answer

For other nodes, the store and health checks the line answer.invalid had an empty id and no address, so that an operator could not tell which node is at fault; the operators' page said that the line names the request.

Ruled out: passing the request's id to other nodes' clients, which would bind the choice of a connection to it.

--- a/modules/cuminferry_relay/http/http_client.cpp
+++ b/modules/cuminferry_relay/http/http_client.cpp
@@ -191,8 +191,10 @@
   void ReportInvalid() const {
     const auto client = pool.lock();
     if (client && client->config.on_invalid) {
-      client->config.on_invalid(
-          {.connection = use, .request_id = request_id, .problem = reader->problem()});
+      client->config.on_invalid({.server = client->server,
+                                 .connection = use,
+                                 .request_id = request_id,
+                                 .problem = reader->problem()});
     }
   }
 
--- a/modules/cuminferry_relay/http/http_client.h
+++ b/modules/cuminferry_relay/http/http_client.h
@@ -42,8 +42,9 @@
 
 /** Bytes that a server sent where the answer to a request was due, and that are no answer. */
 struct invalid_answer {
+  endpoint server;
   connection_use connection;
-  /** @see http_client::send_options::request_id */
+  /** Empty for requests that have none. @see http_client::send_options::request_id */
   std::string_view request_id;
   /** What is wrong, as one of a small number of texts. */
   std::string_view problem;
--- a/modules/cuminferry_relay/path/relay_board.cpp
+++ b/modules/cuminferry_relay/path/relay_board.cpp
@@ -263,6 +263,7 @@
   metrics.OnInvalidAnswer(from, invalid.problem);
   if (log.TryReserveLine(decision_log::line_kind::kNotable)) {
     log.LogRequest("answer.invalid", {{"from", from},
+                                      {"at", invalid.server.ToString()},
                                       {"id", invalid.request_id},
                                       {"problem", invalid.problem},
                                       {"connection", invalid.connection.number},
--- a/tests/relay/broken_reply_test.cpp
+++ b/tests/relay/broken_reply_test.cpp
@@ -122,7 +122,9 @@
             was_answered = found != nullptr;
             loop.Stop();
           },
-          [&](const invalid_answer&) { ++invalid; });
+          [&](const invalid_answer& found) {
+            invalid += found.server == backend.address() ? 1 : 0;
+          });
       probe.Send("/health");
       loop.Run();
       CPPUNIT_ASSERT_MESSAGE(answer, !was_answered);
